Serve a request end to end in separate processes

Cause: the project starts with nothing that runs. Change: platform stand-in, nodes and targets as processes; a request is routed by host, prefix and workspace, placed, forwarded to the home of an announced target over a thrift link and answered whole. Configuration comes from the platform's object API by listing, watch and conditional update. Before: no tests. Conclusion: the thin path stands; the promises are not proved yet.

--- /dev/null
+++ b/endivewind/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The side towards callers: listener, routing, tickets, outcomes."""
--- /dev/null
+++ b/endivewind/callers/problems.py
@@ -0,0 +1,63 @@
+"""Refusals as HTTP answers: a status and a problem body (RFC 9457)."""
+
+import json
+import math
+
+from endivewind import exchange
+from endivewind import headers
+
+CONTENT_TYPE = "application/problem+json"
+
+_STATUS = {
+    exchange.Reason.BAD_REQUEST: 400,
+    exchange.Reason.BODY_TOO_LARGE: 413,
+    exchange.Reason.NO_ROUTE: 404,
+    exchange.Reason.NO_TARGET: 503,
+    exchange.Reason.BUSY: 503,
+    exchange.Reason.DEADLINE: 504,
+    exchange.Reason.UNREACHABLE: 502,
+    exchange.Reason.TARGET_LOST: 502,
+    exchange.Reason.HOME_LOST: 502,
+    exchange.Reason.STALE_HOME: 503,
+    exchange.Reason.STOPPING: 503,
+    exchange.Reason.TICKET_REQUIRED: 428,
+    exchange.Reason.TICKET_INVALID: 400,
+    exchange.Reason.TICKET_EXPIRED: 410,
+    exchange.Reason.TICKET_REUSED: 422,
+    exchange.Reason.ISSUER_LOST: 502,
+    exchange.Reason.SEALED: 409,
+    exchange.Reason.RATE_LIMITED: 429,
+    exchange.Reason.POISON: 422,
+}
+
+
+def status(refusal: exchange.Refusal) -> int:
+    """The HTTP status of a refusal."""
+    return _STATUS[refusal.reason]
+
+
+def header_fields(refusal: exchange.Refusal, request_id: str) -> dict[str, str]:
+    """The headers that go with a refusal."""
+    fields = {
+        headers.OUTCOME: refusal.outcome.value,
+        headers.REASON: refusal.reason.value,
+        headers.REQUEST_ID: request_id,
+        "Content-Type": CONTENT_TYPE,
+    }
+    if refusal.retry_after is not None:
+        seconds = math.ceil(refusal.retry_after.total_seconds())
+        fields["Retry-After"] = str(max(1, seconds))
+    return fields
+
+
+def body(refusal: exchange.Refusal, request_id: str) -> bytes:
+    """The problem body of a refusal."""
+    problem = {
+        "type": f"urn:endivewind:{refusal.reason.value}",
+        "title": refusal.reason.value.replace("-", " "),
+        "status": status(refusal),
+        "detail": refusal.detail,
+        "outcome": refusal.outcome.value,
+        "request_id": request_id,
+    }
+    return json.dumps(problem).encode()
--- /dev/null
+++ b/endivewind/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines: one module for each binary and each command."""
--- /dev/null
+++ b/endivewind/commands/get.py
@@ -0,0 +1,27 @@
+"""endivewind get: prints one configuration object."""
+
+import json
+
+from endivewind import exceptions
+from endivewind.commands import options
+from endivewind.commands import running
+from endivewind.platform import client
+
+USAGE = "get KIND NAME --platform=URL"
+
+
+def main(arguments: list[str]) -> int:
+    """Prints the object with its version."""
+    if len(arguments) != 2:
+        raise exceptions.UsageError(f"usage: endivewind {USAGE}")
+    kind, name = arguments
+
+    async def work(platform: client.PlatformClient) -> int:
+        found = await platform.get(kind, name)
+        if found.is_error():
+            raise exceptions.UnavailableError(f"{kind}/{name}: {found.error}")
+        value = found.ok.model_dump(mode="json")
+        options.show(value, json.dumps(value, indent=2))
+        return 0
+
+    return running.loop(options.with_platform(work))
--- /dev/null
+++ b/endivewind/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and configuration: models, and findings with their place."""
--- /dev/null
+++ b/endivewind/config/settings.py
@@ -0,0 +1,70 @@
+"""Settings of one process, read from a YAML file at start."""
+
+from typing import Annotated
+
+import pydantic
+
+from endivewind.config import base
+
+Address = Annotated[
+    str, pydantic.Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")
+]
+
+
+class Tls(base.Model):
+    """Files of one TLS end; peers between nodes must show a certificate."""
+
+    certificate: str
+    key: str
+    authority: str = ""
+
+
+class Limits(base.Model):
+    """Bounds of one process.
+
+    Attributes:
+      header_bytes: most bytes of a request's headers.
+      body_bytes: most bytes of a request's body.
+      kept_answer_bytes: most bytes of an answer kept for resends.
+      buffered_body_bytes: bodies up to here are held so that the request can
+        be placed again.
+      stop_seconds: how long a planned stop waits for work in flight.
+    """
+
+    header_bytes: int = pydantic.Field(default=16_384, ge=1024, le=1_048_576)
+    body_bytes: int = pydantic.Field(default=16_777_216, ge=0)
+    kept_answer_bytes: int = pydantic.Field(default=65_536, ge=0, le=1_048_576)
+    buffered_body_bytes: int = pydantic.Field(
+        default=65_536, ge=0, le=1_048_576
+    )
+    stop_seconds: float = pydantic.Field(default=30, gt=0, le=600)
+
+
+class NodeSettings(base.Model):
+    """Settings of `endivewind-node`.
+
+    Attributes:
+      name: the node's name; one name, one VM.
+      region: region of the VM.
+      zone: availability zone of the VM.
+      callers: address of the listener for callers.
+      targets: address where targets announce themselves.
+      nodes: address for other nodes (TCP, and UDP for gossip).
+      operators: address of health, metrics and status; loopback unless set.
+      platform: URL of the platform's object API.
+    """
+
+    name: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+    region: str = pydantic.Field(min_length=1, max_length=63)
+    zone: str = pydantic.Field(min_length=1, max_length=63)
+    platform: str = pydantic.Field(pattern=r"^https?://")
+    callers: Address = "127.0.0.1:0"
+    targets: Address = "127.0.0.1:0"
+    nodes: Address = "127.0.0.1:0"
+    operators: Address = "127.0.0.1:0"
+    callers_tls: Tls | None = None
+    nodes_tls: Tls | None = None
+    limits: Limits = Limits()
+    log_level: str = pydantic.Field(
+        default="info", pattern="^(debug|info|warning|error)$"
+    )
--- /dev/null
+++ b/endivewind/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions under load: no sockets, tasks or clock."""
--- /dev/null
+++ b/endivewind/exchange.py
@@ -0,0 +1,133 @@
+"""One request and its answer or refusal, as every package passes them on."""
+
+import collections.abc
+import dataclasses
+import datetime
+import enum
+
+HeaderList = tuple[tuple[bytes, bytes], ...]
+
+
+class Outcome(enum.StrEnum):
+    """Whether the request's work ran at a target."""
+
+    NOT_RUN = "not-run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why the system answered in place of a target."""
+
+    BAD_REQUEST = "bad-request"
+    BODY_TOO_LARGE = "body-too-large"
+    NO_ROUTE = "no-route"
+    NO_TARGET = "no-target"
+    BUSY = "busy"
+    DEADLINE = "deadline"
+    UNREACHABLE = "unreachable"
+    TARGET_LOST = "target-lost"
+    HOME_LOST = "home-lost"
+    STALE_HOME = "stale-home"
+    STOPPING = "stopping"
+    TICKET_REQUIRED = "ticket-required"
+    TICKET_INVALID = "ticket-invalid"
+    TICKET_EXPIRED = "ticket-expired"
+    TICKET_REUSED = "ticket-reused"
+    ISSUER_LOST = "issuer-lost"
+    SEALED = "sealed"
+    RATE_LIMITED = "rate-limited"
+    POISON = "poison"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """A request without its body.
+
+    Attributes:
+      request_id: unique; in logs and in the answer.
+      method: the HTTP method.
+      path: path and query as the caller sent them, still encoded.
+      headers: end-to-end headers, in order.
+      service: the service that the route names.
+      workspace: the caller's workspace; empty if none was given.
+      remaining: time left until the deadline.
+      ticket: the ticket of work that must not repeat; else empty.
+      attempt: number of the hand-over under the ticket, from 1.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: HeaderList
+    service: str
+    workspace: str
+    remaining: datetime.timedelta
+    ticket: str = ""
+    attempt: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RequestBody:
+    """A request's body: what is held, and the rest still to be read."""
+
+    held: bytes = b""
+    rest: collections.abc.AsyncIterator[bytes] | None = None
+
+    @property
+    def replayable(self) -> bool:
+        """Whether the whole body is held, so that it can be sent again."""
+        return self.rest is None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """The system's own answer.
+
+    Attributes:
+      outcome: whether the work ran.
+      reason: why there is no answer of a target.
+      detail: for people.
+      retry_after: when to come back; None where coming back is no use.
+    """
+
+    outcome: Outcome
+    reason: Reason
+    detail: str = ""
+    retry_after: datetime.timedelta | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """A target's answer.
+
+    Attributes:
+      status: the HTTP status.
+      headers: end-to-end headers, in order.
+      body: the whole body, or its first bytes where rest is given.
+      rest: the bytes after those; raises TruncatedAnswerError if the target
+        stops before the end, so that no part passes for the whole.
+    """
+
+    status: int
+    headers: HeaderList
+    body: bytes = b""
+    rest: collections.abc.AsyncGenerator[bytes, None] | None = None
+
+
+class TruncatedAnswerError(Exception):
+    """An answer ended before its announced end."""
+
+
+def not_run(
+    reason: Reason,
+    detail: str = "",
+    retry_after: datetime.timedelta | None = None,
+) -> Refusal:
+    """A refusal of work that no target has seen."""
+    return Refusal(Outcome.NOT_RUN, reason, detail, retry_after)
+
+
+def unknown(reason: Reason, detail: str = "") -> Refusal:
+    """A refusal where a target may or may not have run the work."""
+    return Refusal(Outcome.UNKNOWN, reason, detail)
--- /dev/null
+++ b/endivewind/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The side towards other nodes: messages, links, gossip."""
--- /dev/null
+++ b/endivewind/nodes/links.py
@@ -0,0 +1,434 @@
+"""Links to other nodes: forwards a request to the home of its target.
+
+A link carries one exchange at a time, so that TCP gives the backpressure and
+closing the link is the cancellation. Every frame carries the exchange's
+number, and a link whose state is in doubt is closed, never used again.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import datetime
+import itertools
+import logging
+import ssl
+from typing import Any
+
+import expression
+
+from endivewind import clock as clocks
+from endivewind import exchange
+from endivewind.nodes import codec
+from endivewind.nodes import view
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+# A middlebox forgets idle connections without a word; these bounds keep the
+# pool from handing out one that has gone silent.
+IDLE_LIMIT = datetime.timedelta(seconds=15)
+AGE_LIMIT = datetime.timedelta(minutes=5)
+MAX_IDLE_PER_PEER = 32
+
+AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    opened: datetime.timedelta
+    used: datetime.timedelta
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+class LinkPool:
+    """Connections to peers, for forwarding and for announcements."""
+
+    def __init__(
+        self, clock: clocks.Clock, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._clock = clock
+        self._tls = tls
+        self._idle: dict[str, list[_Link]] = {}
+        self._numbers = itertools.count(1)
+
+    async def forward(
+        self,
+        home: view.NodeRecord,
+        target: str,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        """Sends a request to the home of a target and returns its answer.
+
+        Returns:
+          The answer or the home's refusal. A link that breaks after the
+          request was sent leaves the outcome unknown.
+        """
+        link = self._take_idle(home.address)
+        if link is None:
+            try:
+                link = await self._connect(home.address)
+            except (TimeoutError, OSError) as error:
+                return expression.Error(
+                    exchange.not_run(
+                        exchange.Reason.UNREACHABLE,
+                        f"home {home.name}: {error or 'connect timed out'}",
+                    )
+                )
+        number = next(self._numbers)
+        try:
+            await _send_request(link, number, home, target, head, body)
+            return await self._receive(home.address, link, number)
+        except (OSError, EOFError, codec.FrameError) as error:
+            link.close()
+            detail = f"link to {home.name}: {error}"
+            return expression.Error(
+                exchange.unknown(exchange.Reason.HOME_LOST, detail)
+            )
+        except BaseException:
+            link.close()
+            raise
+
+    async def send(self, address: str, frame: Any) -> bool:
+        """Sends one frame that needs no answer; False if it can't be sent."""
+        link = self._take_idle(address)
+        try:
+            if link is None:
+                link = await self._connect(address)
+            link.writer.write(codec.encode(frame))
+            await link.writer.drain()
+        except (TimeoutError, OSError):
+            if link is not None:
+                link.close()
+            return False
+        self._give_back(address, link)
+        return True
+
+    def close(self) -> None:
+        """Closes every idle connection."""
+        for links in self._idle.values():
+            for link in links:
+                link.close()
+        self._idle.clear()
+
+    def _take_idle(self, address: str) -> _Link | None:
+        links = self._idle.get(address, [])
+        now = self._clock.monotonic()
+        while links:
+            link = links.pop()
+            fresh = now - link.used < IDLE_LIMIT and (
+                now - link.opened < AGE_LIMIT
+            )
+            closed = link.reader.at_eof() or link.writer.is_closing()
+            if fresh and not closed:
+                return link
+            link.close()
+        return None
+
+    def _give_back(self, address: str, link: _Link) -> None:
+        links = self._idle.setdefault(address, [])
+        if len(links) >= MAX_IDLE_PER_PEER:
+            link.close()
+            return
+        link.used = self._clock.monotonic()
+        links.append(link)
+
+    async def _connect(self, address: str) -> _Link:
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+            reader, writer = await asyncio.open_connection(
+                host.strip("[]"), int(port), ssl=self._tls
+            )
+        now = self._clock.monotonic()
+        return _Link(reader, writer, now, now)
+
+    async def _receive(
+        self, address: str, link: _Link, number: int
+    ) -> AnswerResult:
+        frame = await codec.read_frame(link.reader)
+        if frame.refusal and frame.refusal.exchange == number:
+            self._give_back(address, link)
+            return expression.Error(_refusal_in(frame.refusal))
+        answer = frame.answer
+        if answer is None or answer.exchange != number:
+            raise codec.FrameError("an answer to another exchange")
+        headers = codec.headers_in(answer.headers)
+        if answer.body_complete:
+            self._give_back(address, link)
+            return expression.Ok(
+                exchange.Answer(answer.status, headers, answer.body)
+            )
+        rest = self._rest(address, link, number)
+        return expression.Ok(
+            exchange.Answer(answer.status, headers, answer.body, rest)
+        )
+
+    async def _rest(
+        self, address: str, link: _Link, number: int
+    ) -> collections.abc.AsyncGenerator[bytes, None]:
+        whole = False
+        try:
+            while not whole:
+                frame = await codec.read_frame(link.reader)
+                chunk = frame.chunk
+                if chunk is None or chunk.exchange != number:
+                    raise exchange.TruncatedAnswerError("the home gave up")
+                if chunk.data:
+                    yield chunk.data
+                whole = chunk.last
+        except (OSError, EOFError, codec.FrameError) as error:
+            raise exchange.TruncatedAnswerError(str(error)) from error
+        finally:
+            if whole:
+                self._give_back(address, link)
+            else:
+                link.close()
+
+
+async def _send_request(
+    link: _Link,
+    number: int,
+    home: view.NodeRecord,
+    target: str,
+    head: exchange.RequestHead,
+    body: exchange.RequestBody,
+) -> None:
+    forward = codec.messages.Forward(
+        exchange=number,
+        request_id=head.request_id,
+        method=head.method,
+        path=head.path,
+        headers=codec.headers_out(head.headers),
+        service_name=head.service,
+        target=target,
+        home_incarnation=home.incarnation,
+        remaining_ms=int(head.remaining.total_seconds() * 1000),
+        workspace=head.workspace,
+        body=body.held,
+        body_complete=body.replayable,
+        ticket=head.ticket,
+        attempt=head.attempt,
+    )
+    frame = codec.messages.Frame(forward=forward)
+    link.writer.write(codec.encode(frame))
+    if body.rest is not None:
+        await _send_chunks(link.writer, number, body.rest)
+    await link.writer.drain()
+
+
+async def _send_chunks(
+    writer: asyncio.StreamWriter,
+    number: int,
+    chunks: collections.abc.AsyncIterator[bytes],
+) -> None:
+    async for data in chunks:
+        _write_chunk(writer, number, data, last=False)
+        await writer.drain()
+    _write_chunk(writer, number, b"", last=True)
+
+
+def _write_chunk(
+    writer: asyncio.StreamWriter, number: int, data: bytes, *, last: bool
+) -> None:
+    chunk = codec.messages.Chunk(exchange=number, data=data, last=last)
+    writer.write(codec.encode(codec.messages.Frame(chunk=chunk)))
+
+
+def _refusal_in(refusal: Any) -> exchange.Refusal:
+    wait = refusal.retry_after_ms
+    return exchange.Refusal(
+        exchange.Outcome(refusal.outcome),
+        exchange.Reason(refusal.reason),
+        refusal.detail,
+        None if wait < 0 else datetime.timedelta(milliseconds=wait),
+    )
+
+
+class Home:
+    """What a link server needs of the node behind it."""
+
+    async def run(
+        self,
+        target: str,
+        home_incarnation: int,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        """Runs a forwarded request at one of this node's targets."""
+        raise NotImplementedError
+
+    def announced(self, announce: Any) -> None:
+        """Takes another home's announcement."""
+        raise NotImplementedError
+
+
+class _CancellingProtocol(asyncio.StreamReaderProtocol):
+    """Cancels the connection's task as soon as the peer closes.
+
+    Without it a home would learn only at its next write that the caller has
+    gone, and the target would keep working for nobody.
+    """
+
+    task: asyncio.Task[None] | None = None
+
+    def eof_received(self) -> bool:
+        super().eof_received()
+        self._cancel()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self._cancel()
+
+    def _cancel(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+
+class LinkServer:
+    """Accepts links from other nodes."""
+
+    def __init__(self, home: Home) -> None:
+        self._home = home
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(
+        self, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> str:
+        """Listens and returns the address bound."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._protocol, host, port, ssl=tls, reuse_address=True
+        )
+        bound = self._server.sockets[0].getsockname()
+        return f"{host}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Stops listening and closes every link."""
+        if self._server:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _protocol(self) -> asyncio.BaseProtocol:
+        reader = asyncio.StreamReader()
+
+        def connected(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            task = asyncio.create_task(self._serve(reader, writer))
+            protocol.task = task
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+        protocol = _CancellingProtocol(reader, connected)
+        return protocol
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                frame = await codec.read_frame(reader)
+                if frame.announce:
+                    self._home.announced(frame.announce)
+                elif frame.forward:
+                    await self._exchange(frame.forward, reader, writer)
+                else:
+                    raise codec.FrameError("a frame out of turn")
+        except (EOFError, OSError, asyncio.CancelledError):
+            # The peer has closed the link, or this node is stopping.
+            return
+        except (codec.FrameError, exchange.TruncatedAnswerError) as error:
+            log.warning("link closed: %s", error)
+        finally:
+            writer.close()
+
+    async def _exchange(
+        self,
+        forward: Any,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        body = exchange.RequestBody(forward.body)
+        if not forward.body_complete:
+            body.rest = _chunks_in(reader, forward.exchange)
+        result = await self._home.run(
+            forward.target, forward.home_incarnation, _head_in(forward), body
+        )
+        match result:
+            case expression.Result(tag="ok", ok=answer):
+                await _send_answer(writer, forward.exchange, answer)
+            case expression.Result(error=refusal):
+                _send_refusal(writer, forward.exchange, refusal)
+        await writer.drain()
+        if body.rest is not None:
+            # Chunks that nobody read would be taken for the next exchange.
+            async with contextlib.aclosing(body.rest):  # type: ignore[type-var]
+                async for _ in body.rest:
+                    pass
+
+
+async def _chunks_in(
+    reader: asyncio.StreamReader, number: int
+) -> collections.abc.AsyncGenerator[bytes, None]:
+    while True:
+        frame = await codec.read_frame(reader)
+        chunk = frame.chunk
+        if chunk is None or chunk.exchange != number:
+            raise codec.FrameError("a chunk of another exchange")
+        if chunk.data:
+            yield chunk.data
+        if chunk.last:
+            return
+
+
+def _head_in(forward: Any) -> exchange.RequestHead:
+    return exchange.RequestHead(
+        request_id=forward.request_id,
+        method=forward.method,
+        path=forward.path,
+        headers=codec.headers_in(forward.headers),
+        service=forward.service_name,
+        workspace=forward.workspace,
+        remaining=datetime.timedelta(milliseconds=forward.remaining_ms),
+        ticket=forward.ticket,
+        attempt=forward.attempt,
+    )
+
+
+async def _send_answer(
+    writer: asyncio.StreamWriter, number: int, answer: exchange.Answer
+) -> None:
+    head = codec.messages.Answer(
+        exchange=number,
+        status=answer.status,
+        headers=codec.headers_out(answer.headers),
+        body=answer.body,
+        body_complete=answer.rest is None,
+    )
+    writer.write(codec.encode(codec.messages.Frame(answer=head)))
+    if answer.rest is not None:
+        async with contextlib.aclosing(answer.rest):
+            await _send_chunks(writer, number, answer.rest)
+
+
+def _send_refusal(
+    writer: asyncio.StreamWriter, number: int, refusal: exchange.Refusal
+) -> None:
+    wait = refusal.retry_after
+    message = codec.messages.Refusal(
+        exchange=number,
+        outcome=refusal.outcome.value,
+        reason=refusal.reason.value,
+        detail=refusal.detail,
+        retry_after_ms=-1 if wait is None else int(wait.total_seconds() * 1000),
+    )
+    writer.write(codec.encode(codec.messages.Frame(refusal=message)))
--- /dev/null
+++ b/endivewind/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The side towards operators: configuration builders and status."""
--- /dev/null
+++ b/endivewind/operators/http.py
@@ -0,0 +1,54 @@
+"""The operators' HTTP address of a node: health, metrics and status."""
+
+import collections.abc
+import dataclasses
+
+from aiohttp import web
+import prometheus_client
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sources:
+    """Where the answers come from.
+
+    Attributes:
+      ready: None when ready, else what is missing.
+      status: the node's status as JSON.
+    """
+
+    ready: collections.abc.Callable[[], str | None]
+    status: collections.abc.Callable[[], dict[str, object]]
+
+
+class OperatorApi:
+    """`/healthz`, `/readyz`, `/metrics` and `/v1/status`."""
+
+    def __init__(self, sources: Sources) -> None:
+        self._sources = sources
+
+    def application(self) -> web.Application:
+        """The routes of the API."""
+        app = web.Application()
+        app.router.add_get("/healthz", self._health)
+        app.router.add_get("/readyz", self._ready)
+        app.router.add_get("/metrics", self._metrics)
+        app.router.add_get("/v1/status", self._status)
+        return app
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        missing = self._sources.ready()
+        if missing:
+            return web.Response(status=503, text=missing + "\n")
+        return web.Response(text="ready\n")
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=prometheus_client.generate_latest(),
+            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+        )
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return web.json_response(self._sources.status())
--- /dev/null
+++ b/endivewind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The side towards the platform: object API client and watches."""
--- /dev/null
+++ b/endivewind/platform/membership.py
@@ -0,0 +1,59 @@
+"""This node's object in the platform: written at start, removed on leaving."""
+
+import logging
+
+import expression
+
+from endivewind.nodes import view
+from endivewind.platform import client
+from endivewind.platform import messages
+
+log = logging.getLogger(__name__)
+
+NODE = "node"
+
+
+async def register(
+    platform: client.PlatformClient, record: view.NodeRecord
+) -> expression.Result[messages.StoredObject, messages.PlatformError]:
+    """Writes this start of the node over whatever an earlier one left."""
+    value = {
+        "incarnation": record.incarnation,
+        "address": record.address,
+        "region": record.region,
+        "zone": record.zone,
+    }
+    written = await platform.put(NODE, record.name, value, 0)
+    if written.is_error() and written.error.current is not None:
+        version = written.error.current.version
+        return await platform.put(NODE, record.name, value, version)
+    return written
+
+
+async def unregister(
+    platform: client.PlatformClient, record: view.NodeRecord
+) -> None:
+    """Removes the object of this start; a later start's is left alone."""
+    found = await platform.get(NODE, record.name)
+    if found.is_error():
+        return
+    if found.ok.value.get("incarnation") != record.incarnation:
+        return
+    await platform.delete(NODE, record.name, found.ok.version)
+
+
+def record_of(stored: messages.StoredObject) -> view.NodeRecord | None:
+    """The node that an object tells of; None if it was removed or is bad."""
+    value = stored.value
+    try:
+        return view.NodeRecord(
+            stored.name,
+            int(value["incarnation"]),
+            str(value["address"]),
+            str(value["region"]),
+            str(value["zone"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        if value:
+            log.warning("bad node object %s", stored.name)
+        return None
--- /dev/null
+++ b/endivewind/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for targets."""
--- /dev/null
+++ b/endivewind/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The side towards targets: announcements, leases, dispatch."""
--- /dev/null
+++ b/endivewind/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the packages below mirror the product's."""
--- /dev/null
+++ b/endivewind/tests/processes.py
@@ -0,0 +1,182 @@
+"""Starts the binaries as processes, for tests that need real ones.
+
+Tests wait for log lines, never for time to pass.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+from typing import Any
+
+import yaml
+
+WAIT_SECONDS = 20
+
+
+class Process:
+    """One started binary and the log lines read from it so far."""
+
+    def __init__(self, name: str, child: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self.child = child
+        self.listening: dict[str, Any] = {}
+        self._seen: list[dict[str, Any]] = []
+
+    async def line(
+        self, wanted: collections.abc.Callable[[dict[str, Any]], bool]
+    ) -> dict[str, Any]:
+        """Waits for a log line, one read before included."""
+        for line in self._seen:
+            if wanted(line):
+                return line
+        async with asyncio.timeout(WAIT_SECONDS):
+            while True:
+                line = await self._read()
+                if wanted(line):
+                    return line
+
+    async def message(self, message: str, **fields: Any) -> dict[str, Any]:
+        """Waits for a log line with a message and fields."""
+        return await self.line(
+            lambda line: (
+                line.get("message") == message
+                and all(line.get(key) == value for key, value in fields.items())
+            )
+        )
+
+    def kill(self) -> None:
+        """Ends it at once, as a crash of its VM would."""
+        self.child.kill()
+
+    def pause(self) -> None:
+        """Stops it without ending it."""
+        self.child.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets a paused process go on."""
+        self.child.send_signal(signal.SIGCONT)
+
+    async def stop(self) -> int:
+        """Asks for a planned stop; returns the exit code."""
+        if self.child.returncode is None:
+            self.child.terminate()
+        async with asyncio.timeout(WAIT_SECONDS):
+            while await self.child.stdout.readline():
+                pass
+            return await self.child.wait()
+
+    async def _read(self) -> dict[str, Any]:
+        raw = await self.child.stdout.readline()
+        if not raw:
+            raise EOFError(f"{self.name} ended; last: {self._seen[-3:]}")
+        try:
+            line = json.loads(raw)
+        except ValueError:
+            line = {"message": raw.decode()}
+        self._seen.append(line)
+        return line
+
+
+class Fleet:
+    """A platform stand-in, nodes and targets, all as processes."""
+
+    def __init__(self) -> None:
+        self._stack = contextlib.AsyncExitStack()
+        self._folder = pathlib.Path(
+            self._stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self.platform: Process
+        self.nodes: dict[str, Process] = {}
+        self.targets: dict[str, Process] = {}
+
+    async def __aenter__(self) -> "Fleet":
+        self.platform = await self._start("platform", "standin", "platform")
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._stack.aclose()
+
+    @property
+    def platform_url(self) -> str:
+        """URL of the platform stand-in."""
+        return "http://" + self.platform.listening["address"]
+
+    async def node(
+        self, name: str, zone: str = "andina-a", **settings: Any
+    ) -> Process:
+        """Starts a node."""
+        values = {
+            "name": name,
+            "region": zone.rpartition("-")[0],
+            "zone": zone,
+            "platform": self.platform_url,
+            "log_level": "debug",
+            **settings,
+        }
+        file = self._folder / f"{name}.yaml"
+        file.write_text(yaml.safe_dump(values))
+        process = await self._start(name, "node", f"--settings={file}")
+        self.nodes[name] = process
+        return process
+
+    async def target(
+        self, name: str, service: str, nodes: list[Process]
+    ) -> Process:
+        """Starts a target and waits until a node holds it."""
+        addresses = ",".join(node.listening["targets"] for node in nodes)
+        process = await self._start(
+            name,
+            "standin",
+            "target",
+            f"--name={name}",
+            f"--service={service}",
+            f"--nodes={addresses}",
+        )
+        self.targets[name] = process
+        await nodes[0].line(lambda line: name in line.get("targets", ()))
+        return process
+
+    async def submit(self, configuration: dict[str, Any]) -> dict[str, Any]:
+        """Submits a configuration by the command line."""
+        file = self._folder / "configuration.yaml"
+        file.write_text(yaml.safe_dump(configuration))
+        return await self.command(
+            "submit", str(file), f"--platform={self.platform_url}"
+        )
+
+    async def command(self, *arguments: str) -> Any:
+        """Runs `endivewind` and returns its JSON output."""
+        child = await _spawn("main", *arguments, "--format=json")
+        output, _ = await child.communicate()
+        if child.returncode:
+            raise AssertionError(f"exit {child.returncode}: {output.decode()}")
+        return json.loads(output)
+
+    async def _start(self, name: str, *arguments: str) -> Process:
+        process = Process(name, await _spawn(*arguments))
+        self._stack.push_async_callback(_end, process)
+        line = await process.message("listening")
+        process.listening = line
+        return process
+
+
+async def _spawn(module: str, *arguments: str) -> asyncio.subprocess.Process:
+    code = f"from endivewind.commands import {module}; {module}.run()"
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        code,
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+
+async def _end(process: Process) -> None:
+    if process.child.returncode is None:
+        process.child.kill()
+        await process.child.wait()
