--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,19 +1,16 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
-import collections
-import collections.abc
 import dataclasses
 import datetime
-import random
 
 import expression
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind.callers import placement
 from endivewind.callers import routing
 from endivewind.config import objects
 from endivewind.config import store
-from endivewind.decisions import placing
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.targets import dispatch
@@ -25,36 +22,26 @@
 MAX_PLACINGS = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Where this node is, for placing near it."""
-
-    node: str
-    region: str
-    zone: str
-
-
 class Gateway:
     """What happens to a request between the listener and the home."""
 
     def __init__(
         self,
-        place: Place,
+        node: str,
+        placement: placement.Placement,
         configuration: store.ConfigurationStore,
         fleet: view.FleetView,
         dispatcher: dispatch.Dispatcher,
         pool: links.LinkPool,
         clock: clocks.Clock,
-        rng: random.Random,
     ) -> None:
-        self._place = place
+        self._node = node
+        self._placement = placement
         self._configuration = configuration
         self._fleet = fleet
         self._dispatcher = dispatcher
         self._pool = pool
         self._clock = clock
-        self._rng = rng
-        self._in_use: dict[str, int] = collections.defaultdict(int)
         self._table = routing.RoutingTable(())
 
     def configure(self) -> None:
@@ -88,13 +75,15 @@
             f"no target of {route.service} can take work",
             NO_TARGET_RETRY,
         )
-        for _ in range(MAX_PLACINGS):
-            record = self._choose(route.service, tried)
+        for number in range(1, MAX_PLACINGS + 1):
+            record = self._placement.choose(route.service, tried)
             if record is None:
                 break
             tried.add(record.id)
             remaining = deadline - self._clock.monotonic()
-            attempt = dataclasses.replace(head, remaining=remaining)
+            attempt = dataclasses.replace(
+                head, remaining=remaining, attempt=number
+            )
             result = await self._attempt(record, attempt, body)
             if result.is_ok():
                 return result
@@ -103,39 +92,15 @@
                 break
         return expression.Error(last)
 
-    def _choose(
-        self, service: str, tried: collections.abc.Set[str]
-    ) -> records.TargetRecord | None:
-        known = self._fleet.targets(service)
-        candidates = [
-            placing.Candidate(
-                record.id,
-                self._distance(record),
-                record.slots,
-                self._in_use[record.id],
-            )
-            for record in known.values()
-            if record.id not in tried
-            and record.state is not records.State.DRAINING
-            and record.health is not records.Health.EJECTED
-        ]
-        chosen = placing.choose(candidates, self._rng)
-        return known[chosen.id] if chosen else None
-
-    def _distance(self, record: records.TargetRecord) -> int:
-        if record.region != self._place.region:
-            return 2
-        return 0 if record.zone == self._place.zone else 1
-
     async def _attempt(
         self,
         record: records.TargetRecord,
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
-        self._in_use[record.id] += 1
+        self._placement.started(record.id)
         try:
-            if record.home == self._place.node:
+            if record.home == self._node:
                 return await self._dispatcher.run(record.id, head, body)
             home = self._fleet.nodes.get(record.home)
             if home is None:
@@ -146,7 +111,7 @@
                 )
             return await self._pool.forward(home, record.id, head, body)
         finally:
-            self._in_use[record.id] -= 1
+            self._placement.ended(record.id)
 
 
 def _may_place_again(
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -16,6 +16,7 @@
 from endivewind import tls
 from endivewind.callers import gateway
 from endivewind.callers import listener
+from endivewind.callers import placement
 from endivewind.config import objects
 from endivewind.config import settings
 from endivewind.config import store
@@ -97,15 +98,15 @@
         self._dispatcher = dispatch.Dispatcher.from_registry(self._targets)
         self._session = aiohttp.ClientSession()
         self._platform = client.PlatformClient(config.platform, self._session)
-        place = gateway.Place(config.name, config.region, config.zone)
+        place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
-            place,
+            config.name,
+            placement.Placement(place, self._fleet, self._rng),
             self._configuration,
             self._fleet,
             self._dispatcher,
             self._pool,
             self._clock,
-            self._rng,
         )
         self._listener = listener.Listener(self._gateway, config.limits)
         self._watcher = watcher.Watcher(
--- /dev/null
+++ b/endivewind/tests/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the promises on real processes."""
