Take a silent path out for its entry only

Cause: a forward over a path that lost one direction, or over a connection that something on the way forgot, waited with no bound; a request that may repeat was not placed elsewhere and one that may not was not answered. Ruled out: a fixed timeout for an exchange, which would cut long work. Change: a home sends heartbeats every 250 ms while an exchange goes on; a second of silence ends it as home-lost. The gateway bounds each attempt by the deadline. Nodes may advertise an address other than the bound one; tests gain a relay whose directions fail apart. Conclusion: a one-way partition costs a caller about a second, not its deadline. What one entry loses, other entries keep.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,5 +1,6 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
+import asyncio
 import dataclasses
 import datetime
 
@@ -98,20 +99,37 @@
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
-        self._placement.started(record.id)
+        self._placement.started(record)
+        result: AnswerResult | None = None
         try:
-            if record.home == self._node:
-                return await self._dispatcher.run(record.id, head, body)
-            home = self._fleet.nodes.get(record.home)
-            if home is None:
-                return expression.Error(
-                    exchange.not_run(
-                        exchange.Reason.UNREACHABLE, f"{record.home} is gone"
-                    )
+            async with asyncio.timeout(head.remaining.total_seconds()):
+                result = await self._pass_on(record, head, body)
+        except TimeoutError:
+            result = expression.Error(
+                exchange.unknown(
+                    exchange.Reason.DEADLINE, "no answer before the deadline"
                 )
-            return await self._pool.forward(home, record.id, head, body)
+            )
         finally:
-            self._placement.ended(record.id)
+            self._placement.ended(record, result)
+        return result
+
+    async def _pass_on(
+        self,
+        record: records.TargetRecord,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        if record.home == self._node:
+            return await self._dispatcher.run(record.id, head, body)
+        home = self._fleet.nodes.get(record.home)
+        if home is None:
+            return expression.Error(
+                exchange.not_run(
+                    exchange.Reason.HOME_UNREACHABLE, f"{record.home} is gone"
+                )
+            )
+        return await self._pool.forward(home, record.id, head, body)
 
 
 def _may_place_again(
--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -18,6 +18,7 @@
     exchange.Reason.UNREACHABLE: 502,
     exchange.Reason.TARGET_LOST: 502,
     exchange.Reason.HOME_LOST: 502,
+    exchange.Reason.HOME_UNREACHABLE: 502,
     exchange.Reason.STALE_HOME: 503,
     exchange.Reason.STOPPING: 503,
     exchange.Reason.TICKET_REQUIRED: 428,
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -50,6 +50,8 @@
       callers: address of the listener for callers.
       targets: address where targets announce themselves.
       nodes: address for other nodes (TCP, and UDP for gossip).
+      nodes_advertised: address that other nodes are told to use, where it
+        is not the one that is bound.
       operators: address of health, metrics and status; loopback unless set.
       platform: URL of the platform's object API.
     """
@@ -61,6 +63,7 @@
     callers: Address = "127.0.0.1:0"
     targets: Address = "127.0.0.1:0"
     nodes: Address = "127.0.0.1:0"
+    nodes_advertised: Address | None = None
     operators: Address = "127.0.0.1:0"
     callers_tls: Tls | None = None
     nodes_tls: Tls | None = None
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -14,12 +14,14 @@
       distance: 0 the entry's zone, 1 its region, 2 elsewhere.
       slots: requests it takes at once.
       in_use: requests of this entry that are there now.
+      path_usable: whether this entry reaches its home.
     """
 
     id: str
     distance: int
     slots: int
     in_use: int
+    path_usable: bool = True
 
 
 def choose(
@@ -34,6 +36,8 @@
     free = [item for item in candidates if item.in_use < item.slots]
     if not free:
         return None
+    # Where every path failed, a doubtful one is better than none.
+    free = [item for item in free if item.path_usable] or free
     nearest = min(item.distance for item in free)
     near = [item for item in free if item.distance == nearest]
     first = rng.choice(near)
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -28,6 +28,7 @@
     UNREACHABLE = "unreachable"
     TARGET_LOST = "target-lost"
     HOME_LOST = "home-lost"
+    HOME_UNREACHABLE = "home-unreachable"
     STALE_HOME = "stale-home"
     STOPPING = "stopping"
     TICKET_REQUIRED = "ticket-required"
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -101,7 +101,7 @@
         place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
             config.name,
-            placement.Placement(place, self._fleet, self._rng),
+            placement.Placement(place, self._fleet, self._clock, self._rng),
             self._configuration,
             self._fleet,
             self._dispatcher,
@@ -119,7 +119,7 @@
         self._self_record = view.NodeRecord(
             config.name,
             self._incarnation,
-            addresses.nodes,
+            config.nodes_advertised or addresses.nodes,
             config.region,
             config.zone,
         )
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -30,6 +30,9 @@
 IDLE_LIMIT = datetime.timedelta(seconds=15)
 AGE_LIMIT = datetime.timedelta(minutes=5)
 MAX_IDLE_PER_PEER = 32
+HEARTBEAT_PERIOD = datetime.timedelta(milliseconds=250)
+# Four heartbeats lost in a row are not jitter on links that take 30 ms.
+SILENCE_LIMIT = datetime.timedelta(seconds=1)
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
@@ -76,7 +79,7 @@
             except (TimeoutError, OSError) as error:
                 return expression.Error(
                     exchange.not_run(
-                        exchange.Reason.UNREACHABLE,
+                        exchange.Reason.HOME_UNREACHABLE,
                         f"home {home.name}: {error or 'connect timed out'}",
                     )
                 )
@@ -84,8 +87,9 @@
         try:
             await _send_request(link, number, home, target, head, body)
             return await self._receive(home.address, link, number)
-        except (OSError, EOFError, codec.FrameError) as error:
+        except (OSError, EOFError, codec.FrameError, TimeoutError) as error:
             link.close()
+            self._distrust(home.address)
             detail = f"link to {home.name}: {error}"
             return expression.Error(
                 exchange.unknown(exchange.Reason.HOME_LOST, detail)
@@ -109,6 +113,16 @@
         self._give_back(address, link)
         return True
 
+    def _distrust(self, address: str) -> None:
+        """Drops idle connections to a peer after one of them broke.
+
+        They were opened about the same time and took the same way; the next
+        request takes a fresh connection, which tells a connection that was
+        forgotten from a path that is broken.
+        """
+        for link in self._idle.pop(address, []):
+            link.close()
+
     def close(self) -> None:
         """Closes every idle connection."""
         for links in self._idle.values():
@@ -150,7 +164,7 @@
     async def _receive(
         self, address: str, link: _Link, number: int
     ) -> AnswerResult:
-        frame = await codec.read_frame(link.reader)
+        frame = await _next_frame(link.reader, number)
         if frame.refusal and frame.refusal.exchange == number:
             self._give_back(address, link)
             return expression.Error(_refusal_in(frame.refusal))
@@ -174,14 +188,14 @@
         whole = False
         try:
             while not whole:
-                frame = await codec.read_frame(link.reader)
+                frame = await _next_frame(link.reader, number)
                 chunk = frame.chunk
                 if chunk is None or chunk.exchange != number:
                     raise exchange.TruncatedAnswerError("the home gave up")
                 if chunk.data:
                     yield chunk.data
                 whole = chunk.last
-        except (OSError, EOFError, codec.FrameError) as error:
+        except (OSError, EOFError, codec.FrameError, TimeoutError) as error:
             raise exchange.TruncatedAnswerError(str(error)) from error
         finally:
             if whole:
@@ -190,6 +204,52 @@
                 link.close()
 
 
+async def _next_frame(reader: asyncio.StreamReader, number: int) -> Any:
+    """The next frame of an exchange that is not a heartbeat.
+
+    A path that lost one direction keeps its connection open and says nothing;
+    without the limit the caller would wait for its whole deadline, and the
+    entry would place the next request on the same path.
+    """
+    while True:
+        try:
+            async with asyncio.timeout(SILENCE_LIMIT.total_seconds()):
+                frame = await codec.read_frame(reader)
+        except TimeoutError as error:
+            raise TimeoutError("silent") from error
+        beat = frame.heartbeat
+        if beat is None or beat.exchange != number:
+            return frame
+
+
+class _Heart:
+    """Sends heartbeats of one exchange while the home works on it."""
+
+    def __init__(self, writer: asyncio.StreamWriter, number: int) -> None:
+        beat = codec.messages.Heartbeat(exchange=number)
+        self._frame = codec.messages.Frame(heartbeat=beat)
+        self._writer = writer
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __enter__(self) -> None:
+        self._schedule()
+
+    def __exit__(self, *error: object) -> None:
+        if self._timer:
+            self._timer.cancel()
+
+    def _schedule(self) -> None:
+        period = HEARTBEAT_PERIOD.total_seconds()
+        self._timer = self._loop.call_later(period, self._beat)
+
+    def _beat(self) -> None:
+        # Bytes that wait to be sent say as much as a heartbeat would.
+        if not self._writer.transport.get_write_buffer_size():
+            self._writer.write(codec.encode(self._frame))
+        self._schedule()
+
+
 async def _send_request(
     link: _Link,
     number: int,
@@ -360,14 +420,18 @@
         body = exchange.RequestBody(forward.body)
         if not forward.body_complete:
             body.rest = _chunks_in(reader, forward.exchange)
-        result = await self._home.run(
-            forward.target, forward.home_incarnation, _head_in(forward), body
-        )
-        match result:
-            case expression.Result(tag="ok", ok=answer):
-                await _send_answer(writer, forward.exchange, answer)
-            case expression.Result(error=refusal):
-                _send_refusal(writer, forward.exchange, refusal)
+        with _Heart(writer, forward.exchange):
+            result = await self._home.run(
+                forward.target,
+                forward.home_incarnation,
+                _head_in(forward),
+                body,
+            )
+            match result:
+                case expression.Result(tag="ok", ok=answer):
+                    await _send_answer(writer, forward.exchange, answer)
+                case expression.Result(error=refusal):
+                    _send_refusal(writer, forward.exchange, refusal)
         await writer.drain()
         if body.rest is not None:
             # Chunks that nobody read would be taken for the next exchange.
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -72,10 +72,16 @@
   4: list<Target> targets
 }
 
+// Sent by a home while an exchange goes on: silence means a broken path.
+struct Heartbeat {
+  1: i64 exchange
+}
+
 struct Frame {
   1: optional Forward forward
   2: optional Chunk chunk
   3: optional Answer answer
   4: optional Refusal refusal
   5: optional Announce announce
+  6: optional Heartbeat heartbeat
 }
--- /dev/null
+++ b/endivewind/tests/proofs/partition_tests.py
@@ -0,0 +1,99 @@
+"""Proofs under partitions between an entry and a home, on real sockets."""
+
+import asyncio
+import contextlib
+import unittest
+
+import aiohttp
+
+from endivewind.tests import processes
+from endivewind.tests import relay
+
+CONFIGURATION = {
+    "services": {"riders": {"slots": 3}},
+    "route_groups": {"camerino": {"routes": [{"service": "riders"}]}},
+}
+# Far above the silence limit of a link, far below the deadline.
+SOON_SECONDS = 4
+DEADLINE_MS = "15000"
+
+
+class OneWayPartitionTest(unittest.IsolatedAsyncioTestCase):
+    """The entry's bytes reach the home; the home's bytes are lost."""
+
+    async def test_idempotent_request_is_answered_elsewhere(self):
+        """The caller gets a whole answer long before its deadline.
+
+        The near target's home takes the request but its answer is lost on the
+        way back. The entry notices the silence, gives the path up and places
+        the request at the target of another home.
+        """
+        async with _fleet() as (fleet, entry, broken):
+            broken.back = relay.Mode.DROP
+
+            status, text = await _send(entry, "GET")
+
+            self.assertEqual(200, status, text)
+            self.assertIn("riders-far", text)
+
+    async def test_unrepeatable_request_ends_as_unknown(self):
+        """The caller hears "unknown" soon, and never "not-run".
+
+        The home takes the request, the target runs it and the answer is lost.
+        The entry can't know that, so it neither runs it again nor denies it.
+        """
+        async with _fleet() as (fleet, entry, broken):
+            broken.back = relay.Mode.DROP
+
+            status, text = await _send(entry, "POST")
+
+            self.assertEqual(502, status, text)
+            self.assertIn('"outcome": "unknown"', text)
+
+    async def test_forgotten_connection_does_not_cost_the_path(self):
+        """Callers get answers of the near target again at once.
+
+        The pooled connection goes silent while new ones work. One request
+        waits out the silence; the next takes a fresh connection.
+        """
+        async with _fleet() as (fleet, entry, broken):
+            await _send(entry, "GET")
+            broken.back = relay.Mode.DROP
+            await _send(entry, "GET")
+            broken.back = relay.Mode.PASS
+
+            status, text = await _send(entry, "GET")
+
+            self.assertEqual(200, status, text)
+            self.assertIn("riders-near", text)
+
+
+@contextlib.asynccontextmanager
+async def _fleet():
+    """An entry, a near home behind a relay, and a far home."""
+    async with processes.Fleet() as fleet, relay.Relay() as broken:
+        entry = await fleet.node("entry", "andina-a")
+        near = await fleet.node(
+            "near", "andina-a", nodes_advertised=broken.address
+        )
+        broken.upstream = near.listening["nodes"]
+        far = await fleet.node("far", "caribe-a")
+        await fleet.target("riders-near", "riders", [near])
+        await fleet.target("riders-far", "riders", [far])
+        await fleet.submit(CONFIGURATION)
+        await entry.message("in force", object="camerino")
+        await entry.message("home heard", targets=["riders-near"])
+        await entry.message("home heard", targets=["riders-far"])
+        yield fleet, entry, broken
+
+
+async def _send(node: processes.Process, method: str) -> tuple[int, str]:
+    url = f"http://{node.listening['callers']}/work"
+    async with asyncio.timeout(SOON_SECONDS):
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                method, url, headers={"Endivewind-Timeout-Ms": DEADLINE_MS}
+            ) as response,
+        ):
+            return response.status, await response.text()
