--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -42,13 +42,13 @@
         self._dispatcher = dispatcher
         self._pool = pool
         self._clock = clock
-        self._table = routing.RoutingTable(())
+        self._table = routing.RoutingTable()
 
-    def configure(self) -> None:
-        """Takes the routes that are in force now."""
-        groups = self._configuration.route_groups()
-        routes = [route for group in groups for route in group.routes]
-        self._table = routing.RoutingTable(routes)
+    def configure(self, kind: str, name: str) -> None:
+        """Takes one object that has come into force."""
+        if kind == store.ROUTE_GROUP:
+            group = self._configuration.route_group(name)
+            self._table.replace(name, group.routes if group else ())
 
     def route(
         self, host: str, path: str, workspace: str
--- a/endivewind/callers/routing.py
+++ b/endivewind/callers/routing.py
@@ -7,6 +7,8 @@
 
 ANY_HOST = "*"
 
+_ByPrefix = dict[str, tuple[objects.Route, ...]]
+
 
 class RoutingTable:
     """Routes indexed so that a look-up costs the path's depth, not the table.
@@ -14,16 +16,29 @@
     A route for the exact host goes before one for any host, then a route of
     the workspace before one for all, then the longer prefix. Two routes of
     the same key are decided by the service's name, the same on every node.
+    A changed group costs its own routes, not the table.
     """
 
-    def __init__(self, routes: collections.abc.Iterable[objects.Route]) -> None:
-        self._routes: dict[tuple[str, str], dict[str, objects.Route]] = (
+    def __init__(
+        self, routes: collections.abc.Iterable[objects.Route] = ()
+    ) -> None:
+        self._routes: dict[tuple[str, str], _ByPrefix] = (
             collections.defaultdict(dict)
         )
-        for route in sorted(routes, key=lambda item: item.service):
-            prefix = _normal(route.prefix)
-            group = self._routes[route.host.lower(), route.workspace]
-            group.setdefault(prefix, route)
+        self._groups: dict[str, tuple[objects.Route, ...]] = {}
+        self.replace("", routes)
+
+    def replace(
+        self, group: str, routes: collections.abc.Iterable[objects.Route]
+    ) -> None:
+        """Takes the routes of one group in place of those it had."""
+        for route in self._groups.pop(group, ()):
+            self._remove(route)
+        fresh = tuple(routes)
+        for route in fresh:
+            self._add(route)
+        if fresh:
+            self._groups[group] = fresh
 
     def match(
         self, host: str, path: str, workspace: str
@@ -38,17 +53,40 @@
                     return found
         return None
 
+    def _add(self, route: objects.Route) -> None:
+        group = self._routes[route.host.lower(), route.workspace]
+        prefix = _normal(route.prefix)
+        same = (*group.get(prefix, ()), route)
+        group[prefix] = tuple(sorted(same, key=_order))
+
+    def _remove(self, route: objects.Route) -> None:
+        place = (route.host.lower(), route.workspace)
+        group = self._routes[place]
+        prefix = _normal(route.prefix)
+        left = list(group[prefix])
+        left.remove(route)
+        if left:
+            group[prefix] = tuple(left)
+            return
+        del group[prefix]
+        if not group:
+            del self._routes[place]
+
+
+def _order(route: objects.Route) -> tuple[str, str, str]:
+    return route.service, route.repeat.value, route.priority.value
+
 
 def _normal(prefix: str) -> str:
     return prefix.rstrip("/")
 
 
-def _longest(
-    group: dict[str, objects.Route], path: str
-) -> objects.Route | None:
+def _longest(group: _ByPrefix, path: str) -> objects.Route | None:
     candidate = _normal(path)
     while True:
         found = group.get(candidate)
-        if found or not candidate:
-            return found
+        if found:
+            return found[0]
+        if not candidate:
+            return None
         candidate = candidate.rpartition("/")[0]
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -247,7 +247,7 @@
         if result.is_error():
             log.error("object refused: %s", result.error)
         elif result.ok:
-            self._gateway.configure()
+            self._gateway.configure(stored.kind, stored.name)
             fields = logs.fields(
                 kind=stored.kind, object=stored.name, version=stored.version
             )
