Give the command line help, nearest names and checked files

Cause: an unknown flag or command printed absl's usage or a bare list, help mixed the flags of all commands, and findings lost their place: a number as a mapping's key read as an index, a missing key took the line of a later one, aliases to themselves never ended, and references between parts went unseen.

Findings carry JSON; references (routes to unknown services, routes given twice, floors out of reach, workspaces in two shards) are looked for in the raw data, so that they are reported beside wrong values. Numbers are strict: `yes` is no longer 1 slot.

Conclusion: one run of validate names all that one edit must mend.

--- a/endivewind/commands/get.py
+++ b/endivewind/commands/get.py
@@ -2,6 +2,8 @@
 
 import json
 
+from absl import flags
+
 from endivewind import exceptions
 from endivewind.commands import options
 from endivewind.commands import running
@@ -9,6 +11,9 @@
 
 USAGE = "get KIND NAME --platform=URL"
 
+flags.declare_key_flag("platform")
+flags.declare_key_flag("format")
+
 
 def main(arguments: list[str]) -> int:
     """Prints the object with its version."""
--- a/endivewind/commands/node.py
+++ b/endivewind/commands/node.py
@@ -1,8 +1,14 @@
-"""The binary endivewind-node."""
+"""endivewind-node: the entry for callers and the home of targets.
+
+Runs until SIGTERM or SIGINT, which begin a planned stop: work in flight ends
+before the process does. Logs are JSON lines on standard output; the line
+"listening" names the addresses that were bound.
+"""
 
 import dataclasses
 import logging
 import random
+import sys
 
 from absl import flags
 
@@ -21,18 +27,21 @@
 )
 
 
+USAGE = "endivewind-node --settings=FILE"
+
+
 def run() -> None:
     """Entry point of the console script."""
-    running.binary(_main)
+    running.single(USAGE, sys.modules[__name__])
 
 
-def _main(arguments: list[str]) -> int:
-    if _SETTINGS.value is None:
-        raise exceptions.UsageError("endivewind-node needs --settings=FILE")
+def main(arguments: list[str]) -> int:
+    """Runs a node until a planned stop."""
+    if arguments or _SETTINGS.value is None:
+        raise exceptions.UsageError(f"usage: {USAGE}")
     loaded = base.load_file(_SETTINGS.value, settings.NodeSettings)
     if loaded.is_error():
-        lines = "\n".join(str(finding) for finding in loaded.error)
-        raise exceptions.UsageError(lines)
+        raise exceptions.InvalidFileError(loaded.error)
     return running.loop(_run(loaded.ok.model))
 
 
--- a/endivewind/commands/options.py
+++ b/endivewind/commands/options.py
@@ -3,9 +3,11 @@
 import collections.abc
 import json
 import sys
+from typing import TypeVar
 
 from absl import flags
 import aiohttp
+import pydantic
 
 from endivewind import exceptions
 from endivewind.config import base
@@ -17,6 +19,8 @@
 )
 FORMAT = flags.DEFINE_enum("format", "text", ["text", "json"], "Output format.")
 
+ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+
 PlatformWork = collections.abc.Callable[
     [client.PlatformClient], collections.abc.Awaitable[int]
 ]
@@ -26,22 +30,31 @@
     """Runs work with a client of the platform that --platform names."""
     if not PLATFORM.value:
         raise exceptions.UsageError("needs --platform=URL")
+    if not PLATFORM.value.startswith(("http://", "https://")):
+        raise exceptions.UsageError(
+            f"--platform={PLATFORM.value}: must start with http:// or https://"
+        )
     async with aiohttp.ClientSession() as session:
         return await work(client.PlatformClient(PLATFORM.value, session))
 
 
-def load_configuration(file: str) -> objects.Configuration:
-    """Reads a configuration file, "-" for standard input."""
+def load(file: str, model: type[ModelT]) -> base.Loaded[ModelT]:
+    """Reads a YAML file into a model, "-" for standard input."""
     if file == "-":
-        loaded = base.load_text(
-            sys.stdin.read(), "<stdin>", objects.Configuration
-        )
+        loaded = base.load_bytes(sys.stdin.buffer.read(), "<stdin>", model)
     else:
-        loaded = base.load_file(file, objects.Configuration)
+        loaded = base.load_file(file, model)
     if loaded.is_error():
-        lines = "\n".join(str(finding) for finding in loaded.error)
-        raise exceptions.UsageError(lines)
-    return loaded.ok.model
+        raise exceptions.InvalidFileError(loaded.error)
+    return loaded.ok
+
+
+def load_configuration(file: str) -> objects.Configuration:
+    """Reads a configuration file; its warnings go to standard error."""
+    loaded = load(file, objects.Configuration)
+    for warning in loaded.warnings:
+        print(warning, file=sys.stderr)
+    return loaded.model
 
 
 def show(value: object, text: str) -> None:
--- a/endivewind/commands/standin.py
+++ b/endivewind/commands/standin.py
@@ -1,8 +1,13 @@
-"""The binary endivewind-standin: the platform, or a target."""
+"""endivewind-standin: plays the platform or a target, for trials and tests.
+
+It runs until SIGTERM or SIGINT and logs JSON lines; the line "listening"
+names the address that was bound.
+"""
 
 import asyncio
 import contextlib
 import logging
+import sys
 
 from absl import flags
 from aiohttp import web
@@ -23,16 +28,17 @@
     "nodes", [], "target: addresses of nodes to announce to, best first."
 )
 
-USAGE = "usage: endivewind-standin platform|target [flags]"
+USAGE = "endivewind-standin platform|target [flags]"
 
 
 def run() -> None:
     """Entry point of the console script."""
-    running.binary(_main)
+    running.single(USAGE, sys.modules[__name__])
 
 
-def _main(arguments: list[str]) -> int:
-    match arguments[1:]:
+def main(arguments: list[str]) -> int:
+    """Runs the stand-in that the first argument names."""
+    match arguments:
         case ["platform"]:
             return running.loop(_platform())
         case ["target"]:
@@ -42,7 +48,7 @@
                 )
             return running.loop(_target())
         case _:
-            raise exceptions.UsageError(USAGE)
+            raise exceptions.UsageError(f"usage: {USAGE}")
 
 
 async def _platform() -> int:
--- a/endivewind/commands/submit.py
+++ b/endivewind/commands/submit.py
@@ -5,6 +5,7 @@
 import getpass
 import uuid
 
+from absl import flags
 import pydantic
 
 from endivewind import exceptions
@@ -17,6 +18,9 @@
 
 USAGE = "submit FILE|- --platform=URL"
 
+flags.declare_key_flag("platform")
+flags.declare_key_flag("format")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
--- a/endivewind/commands/validate.py
+++ b/endivewind/commands/validate.py
@@ -1,15 +1,47 @@
-"""endivewind validate: checks a configuration file."""
+"""endivewind validate: checks a file and reports everything it finds.
+
+FILE is a configuration as `endivewind submit` takes it, or with
+--kind=settings the settings of a node; "-" is standard input. Each finding
+names the file, the line, the path of the key, the value seen and what is
+allowed. Warnings leave the exit code at 0 unless --strict is given.
+"""
+
+from absl import flags
 
 from endivewind import exceptions
 from endivewind.commands import options
+from endivewind.config import findings
+from endivewind.config import objects
+from endivewind.config import settings
+
+USAGE = "validate FILE|- [--kind=configuration|settings] [--strict]"
 
-USAGE = "validate FILE"
+_KINDS = {
+    "configuration": objects.Configuration,
+    "settings": settings.NodeSettings,
+}
+_KIND = flags.DEFINE_enum(
+    "kind", "configuration", list(_KINDS), "What the file holds."
+)
+_STRICT = flags.DEFINE_bool("strict", False, "Treat warnings as errors.")
+flags.declare_key_flag("format")
 
 
 def main(arguments: list[str]) -> int:
     """Prints "valid", or every finding with its place."""
     if len(arguments) != 1:
         raise exceptions.UsageError(f"usage: endivewind {USAGE}")
-    options.load_configuration(arguments[0])
-    options.show({"valid": True}, f"{arguments[0]}: valid")
+    file = arguments[0]
+    loaded = options.load(file, _KINDS[_KIND.value])
+    warnings = loaded.warnings
+    if warnings and _STRICT.value:
+        raise exceptions.InvalidFileError(warnings)
+    value = {"valid": True, "findings": [item.as_json() for item in warnings]}
+    options.show(value, _text(file, warnings))
     return 0
+
+
+def _text(file: str, warnings: tuple[findings.Finding, ...]) -> str:
+    lines = [str(item) for item in warnings]
+    verdict = f"valid, {len(warnings)} warnings" if warnings else "valid"
+    return "\n".join([*lines, f"{file}: {verdict}"])
--- a/endivewind/config/findings.py
+++ b/endivewind/config/findings.py
@@ -33,6 +33,17 @@
         default=Severity.ERROR, compare=False
     )
 
+    def as_json(self) -> dict[str, object]:
+        """The finding as plain JSON values."""
+        return {
+            "file": self.file,
+            "line": self.line,
+            "path": self.path,
+            "severity": self.severity.value,
+            "message": self.message,
+            "seen": self.seen,
+        }
+
     def __str__(self) -> str:
         place = f"{self.file}:{self.line}: {self.path}"
         seen = f" (seen: {self.seen})" if self.seen else ""
--- a/endivewind/config/objects.py
+++ b/endivewind/config/objects.py
@@ -1,11 +1,13 @@
 """The configuration that operators submit: services, routes, workspaces."""
 
+import collections.abc
 import enum
 from typing import Annotated
 
 import pydantic
 
 from endivewind.config import base
+from endivewind.config import references
 
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 
@@ -44,15 +46,24 @@
       queue_limit: requests that may wait for a slot at one entry.
       timeout_ms: deadline of a request that brings none.
       slots: slots of a target that declares none when it announces.
+      expected_targets: targets that a region should have; 0 is unknown. Only
+        `endivewind validate` uses it, to warn of a floor out of reach.
       retry_percent: retries allowed, as a share of recent requests.
     """
 
-    floor_slots: int = pydantic.Field(default=0, ge=0)
+    floor_slots: pydantic.StrictInt = pydantic.Field(default=0, ge=0)
     profile: Profile = Profile.DETECTION
-    queue_limit: int = pydantic.Field(default=64, ge=0, le=10_000)
-    timeout_ms: int = pydantic.Field(default=10_000, ge=10, le=600_000)
-    slots: int = pydantic.Field(default=3, ge=1, le=10_000)
-    retry_percent: int = pydantic.Field(default=10, ge=0, le=100)
+    queue_limit: pydantic.StrictInt = pydantic.Field(
+        default=64, ge=0, le=10_000
+    )
+    timeout_ms: pydantic.StrictInt = pydantic.Field(
+        default=10_000, ge=10, le=600_000
+    )
+    slots: pydantic.StrictInt = pydantic.Field(default=3, ge=1, le=10_000)
+    expected_targets: pydantic.StrictInt = pydantic.Field(
+        default=0, ge=0, le=100_000
+    )
+    retry_percent: pydantic.StrictInt = pydantic.Field(default=10, ge=0, le=100)
 
 
 class Route(base.Model):
@@ -86,9 +97,9 @@
     """
 
     firm: Name
-    weight: int = pydantic.Field(default=1, ge=1, le=1000)
-    rate: float = pydantic.Field(default=0, ge=0)
-    burst: int = pydantic.Field(default=20, ge=1, le=100_000)
+    weight: pydantic.StrictInt = pydantic.Field(default=1, ge=1, le=1000)
+    rate: pydantic.StrictFloat = pydantic.Field(default=0, ge=0)
+    burst: pydantic.StrictInt = pydantic.Field(default=20, ge=1, le=100_000)
 
 
 class RouteGroup(base.Model):
@@ -109,3 +120,8 @@
     services: dict[Name, Service] = {}
     route_groups: dict[Name, RouteGroup] = {}
     workspace_shards: dict[Name, WorkspaceShard] = {}
+
+    @classmethod
+    def problems(cls, data: object) -> collections.abc.Iterator[base.Problem]:
+        """Routes to unknown services, routes given twice, floors too high."""
+        return references.problems(data)
--- /dev/null
+++ b/endivewind/config/references.py
@@ -0,0 +1,126 @@
+"""Checks between the parts of a configuration, on its raw data.
+
+The data may be malformed in any way: what is not of the expected shape is
+passed over here, since the models report it.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Any
+
+from endivewind import names
+from endivewind.config import base
+from endivewind.config import findings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Route:
+    location: base.Location
+    values: dict[Any, Any]
+
+    @property
+    def key(self) -> tuple[str, str, str]:
+        """What a request is matched by: host, workspace and prefix."""
+        return (
+            str(self.values.get("host", "*")).lower(),
+            str(self.values.get("workspace", "")),
+            str(self.values.get("prefix", "/")).rstrip("/"),
+        )
+
+
+def problems(data: object) -> collections.abc.Iterator[base.Problem]:
+    """Every problem between the parts of a configuration."""
+    services = _mapping(_mapping(data).get("services"))
+    routes = list(_routes(data))
+    yield from _unknown_services(services, routes)
+    yield from _shadowed_routes(routes)
+    yield from _floors(services)
+    yield from _shared_workspaces(data)
+
+
+def _unknown_services(
+    services: dict[Any, Any], routes: list[_Route]
+) -> collections.abc.Iterator[base.Problem]:
+    known = [name for name in services if isinstance(name, str)]
+    for route in routes:
+        name = route.values.get("service")
+        if not isinstance(name, str) or name in known:
+            continue
+        hint = names.hint(name, known)
+        allowed = ", ".join(sorted(known)) or "none is defined"
+        yield base.Problem(
+            (*route.location, "service"),
+            f"no such service in this file{hint} Allowed: {allowed}",
+            name,
+        )
+
+
+def _shadowed_routes(
+    routes: list[_Route],
+) -> collections.abc.Iterator[base.Problem]:
+    first: dict[tuple[str, str, str], _Route] = {}
+    for route in routes:
+        known = first.setdefault(route.key, route)
+        if known is not route:
+            group, _, index = known.location[-3:]
+            yield base.Problem(
+                route.location,
+                "same host, workspace and prefix as routes"
+                f"[{index}] of {group!r}: only one of the two is used",
+                severity=findings.Severity.WARNING,
+            )
+
+
+def _floors(
+    services: dict[Any, Any],
+) -> collections.abc.Iterator[base.Problem]:
+    for name, value in services.items():
+        service = _mapping(value)
+        floor = _integer(service.get("floor_slots"))
+        targets = _integer(service.get("expected_targets"))
+        slots = _integer(service.get("slots", 3))
+        if targets and floor > targets * slots:
+            yield base.Problem(
+                ("services", str(name), "floor_slots"),
+                f"above the {targets * slots} slots that {targets} expected "
+                f"targets of {slots} slots have in a region: nothing of this "
+                "service would ever be ejected",
+                floor,
+                findings.Severity.WARNING,
+            )
+
+
+def _shared_workspaces(
+    data: object,
+) -> collections.abc.Iterator[base.Problem]:
+    first: dict[str, str] = {}
+    shards = _mapping(_mapping(data).get("workspace_shards"))
+    for shard, value in shards.items():
+        for name in _mapping(_mapping(value).get("workspaces")):
+            known = first.setdefault(str(name), str(shard))
+            if known != str(shard):
+                yield base.Problem(
+                    ("workspace_shards", str(shard), "workspaces", str(name)),
+                    f"also in shard {known!r}: a workspace has one shard",
+                )
+
+
+def _routes(data: object) -> collections.abc.Iterator[_Route]:
+    groups = _mapping(_mapping(data).get("route_groups"))
+    for name, group in groups.items():
+        routes = _mapping(group).get("routes")
+        if not isinstance(routes, list):
+            continue
+        for index, route in enumerate(routes):
+            if isinstance(route, dict):
+                location = ("route_groups", str(name), "routes", index)
+                yield _Route(location, route)
+
+
+def _mapping(value: object) -> dict[Any, Any]:
+    return value if isinstance(value, dict) else {}
+
+
+def _integer(value: object) -> int:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_integer else 0  # type: ignore[return-value]
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -31,13 +31,19 @@
       stop_seconds: how long a planned stop waits for work in flight.
     """
 
-    header_bytes: int = pydantic.Field(default=16_384, ge=1024, le=1_048_576)
-    body_bytes: int = pydantic.Field(default=16_777_216, ge=0)
-    kept_answer_bytes: int = pydantic.Field(default=65_536, ge=0, le=1_048_576)
-    buffered_body_bytes: int = pydantic.Field(
+    header_bytes: pydantic.StrictInt = pydantic.Field(
+        default=16_384, ge=1024, le=1_048_576
+    )
+    body_bytes: pydantic.StrictInt = pydantic.Field(default=16_777_216, ge=0)
+    kept_answer_bytes: pydantic.StrictInt = pydantic.Field(
+        default=65_536, ge=0, le=1_048_576
+    )
+    buffered_body_bytes: pydantic.StrictInt = pydantic.Field(
         default=65_536, ge=0, le=1_048_576
     )
-    stop_seconds: float = pydantic.Field(default=30, gt=0, le=600)
+    stop_seconds: pydantic.StrictFloat = pydantic.Field(
+        default=30, gt=0, le=600
+    )
 
 
 class NodeSettings(base.Model):
--- /dev/null
+++ b/endivewind/tests/config/base_tests.py
@@ -0,0 +1,298 @@
+"""Findings of files: every fault at once, each with its place."""
+
+import textwrap
+import unittest
+
+from endivewind.config import base
+from endivewind.config import findings
+from endivewind.config import objects
+from endivewind.config import settings
+
+
+def _found(text: str, model=objects.Configuration):
+    loaded = base.load_text(textwrap.dedent(text), "f.yaml", model)
+    assert loaded.is_error(), loaded.ok
+    return loaded.error
+
+
+def _brief(text: str, model=objects.Configuration):
+    return [(item.line, item.path, item.seen) for item in _found(text, model)]
+
+
+class ThreeFaultsTest(unittest.TestCase):
+    """One pass names all that is wrong, so that one edit mends it."""
+
+    def test_wrong_value_unknown_key_and_wrong_reference_are_all_named(self):
+        found = _brief("""\
+            services:
+              riders:
+                slots: 0
+                floor_slot: 4
+            route_groups:
+              camerino:
+                routes:
+                  - prefix: /riders
+                    service: rider
+            """)
+
+        self.assertEqual(
+            [
+                (3, "services.riders.slots", "0"),
+                (4, "services.riders.floor_slot", "4"),
+                (9, "route_groups.camerino.routes[0].service", "'rider'"),
+            ],
+            found,
+        )
+
+    def test_settings_of_a_node(self):
+        found = _brief(
+            """\
+            name: node-a
+            region: andina
+            zone: andina-a
+            platform: ftp://platform
+            callers: nowhere
+            limits:
+              body_byte: 1
+            """,
+            settings.NodeSettings,
+        )
+
+        self.assertEqual(
+            [
+                (4, "platform", "'ftp://platform'"),
+                (5, "callers", "'nowhere'"),
+                (7, "limits.body_byte", "1"),
+            ],
+            found,
+        )
+
+
+class UnknownKeysTest(unittest.TestCase):
+    """The nearest known name, at every level and through every type."""
+
+    def test_nearest_name_at_each_level(self):
+        found = _found("""\
+            servces: {}
+            services:
+              riders: {profil: detection}
+            route_groups:
+              camerino: {route: []}
+              saltline:
+                routes:
+                  - service: riders
+                    hosts: a.example
+            workspace_shards:
+              one:
+                workspaces:
+                  crew: {firm: camerino, wieght: 2}
+            """)
+
+        hints = {
+            item.path: item.message.partition(" Allowed")[0] for item in found
+        }
+        self.assertEqual(
+            {
+                "servces": "unknown key; did you mean 'services'?",
+                "services.riders.profil": "unknown key; did you mean 'profile'?",
+                "route_groups.camerino.route": "unknown key; did you mean 'routes'?",
+                "route_groups.saltline.routes[0].hosts": "unknown key; did you mean 'host'?",
+                "workspace_shards.one.workspaces.crew.wieght": "unknown key; did you mean 'weight'?",
+            },
+            hints,
+        )
+
+    def test_through_an_optional_model(self):
+        found = _found(
+            """\
+            name: a
+            region: r
+            zone: z
+            platform: http://p
+            nodes_tls: {certificate: c, key: k, athority: a}
+            """,
+            settings.NodeSettings,
+        )
+
+        self.assertIn("did you mean 'authority'?", found[0].message)
+
+    def test_names_that_are_numbers(self):
+        found = _brief("services: {1: {slots: 2}, 2: {slot: 3}}\n")
+
+        self.assertIn((1, "services.1", "1"), found)
+
+
+class WrongTypesTest(unittest.TestCase):
+    """YAML makes numbers and truth values of words that were not meant so."""
+
+    def test_truth_value_or_text_for_a_number(self):
+        found = _brief("""\
+            services:
+              riders: {slots: yes}
+              venues: {timeout_ms: "100"}
+              ledger: {floor_slots: 1.5}
+            """)
+
+        self.assertEqual(
+            ["services.riders.slots", "services.venues.timeout_ms"]
+            + ["services.ledger.floor_slots"],
+            [path for _, path, _ in found],
+        )
+
+    def test_list_or_text_where_a_mapping_belongs(self):
+        self.assertEqual([(1, "services", "[]")], _brief("services: []\n"))
+        self.assertEqual([(1, "", "'text'")], _brief("text\n"))
+
+    def test_infinite_rate(self):
+        found = _brief("""\
+            workspace_shards:
+              one:
+                workspaces:
+                  crew: {firm: camerino, rate: .inf}
+            """)
+
+        self.assertEqual(
+            [(4, "workspace_shards.one.workspaces.crew.rate", "inf")], found
+        )
+
+    def test_allowed_values_are_named(self):
+        found = _found("services: {riders: {profile: fast}}\n")
+
+        self.assertIn("'detection' or 'capacity'", found[0].message)
+
+    def test_missing_key_is_placed_at_its_parent(self):
+        found = _brief("""\
+            services: {riders: {}}
+            route_groups:
+              camerino:
+                routes:
+                  - prefix: /a
+            """)
+
+        self.assertEqual(
+            [(5, "route_groups.camerino.routes[0].service", "")], found
+        )
+
+
+class UnreadableFilesTest(unittest.TestCase):
+    """A file that is no YAML gives one finding, never a traceback."""
+
+    def test_syntax_error_has_its_line(self):
+        found = _found("services:\n  riders: {slots: 3\nroute_groups: }\n")
+
+        self.assertEqual(3, found[0].line)
+
+    def test_keys_given_twice(self):
+        found = _brief("""\
+            services:
+              riders: {slots: 3}
+              riders: {slots: 4}
+            """)
+
+        self.assertEqual([(3, "services.riders", "")], found)
+
+    def test_empty_file(self):
+        self.assertTrue(base.load_text("", "f", objects.Configuration).is_ok())
+        missing = _brief("", settings.NodeSettings)
+        self.assertEqual(
+            ["name", "platform", "region", "zone"],
+            [path for _, path, _ in missing],
+        )
+
+    def test_not_utf8_has_its_line(self):
+        raw = "services: {}\n# señal\n".encode("latin-1")
+
+        loaded = base.load_bytes(raw, "f", objects.Configuration)
+
+        self.assertEqual(2, loaded.error[0].line)
+        self.assertIn("not UTF-8", loaded.error[0].message)
+
+    def test_missing_file_and_folder(self):
+        for path in ("/nonexistent/file.yaml", "/", "a\0b"):
+            loaded = base.load_file(path, objects.Configuration)
+            self.assertIn("can't be read", loaded.error[0].message)
+
+    def test_values_that_yaml_itself_fails_on(self):
+        texts = {
+            "number": "a: " + "9" * 5000,
+            "date": "a: 2026-13-45",
+            "depth": "[" * 20_000,
+            "control character": "a: \x00",
+            "unhashable key": "? [a]\n: b",
+            "two documents": "a: 1\n---\nb: 2\n",
+        }
+        for name, text in texts.items():
+            with self.subTest(name):
+                loaded = base.load_text(text, "f", objects.Configuration)
+                self.assertTrue(loaded.is_error())
+
+    def test_alias_to_itself(self):
+        self.assertTrue(_found("services: &a {x: *a}\n"))
+
+    def test_aliases_that_grow_beyond_measure(self):
+        levels = [
+            f"a{n}: &a{n} [{', '.join([f'*a{n - 1}'] * 9)}]"
+            for n in range(1, 30)
+        ]
+        text = "\n".join(["a0: &a0 [x]", *levels, "services: *a29"])
+
+        found = _found(text)
+
+        self.assertTrue(all(len(item.seen) < 100 for item in found))
+
+
+class ReferencesTest(unittest.TestCase):
+    """What no part shows alone."""
+
+    def test_floor_above_the_expected_slots_is_a_warning(self):
+        loaded = base.load_text(
+            "services: {riders: {floor_slots: 10, slots: 3, expected_targets: 3}}",
+            "f",
+            objects.Configuration,
+        )
+
+        (warning,) = loaded.ok.warnings
+        self.assertIs(findings.Severity.WARNING, warning.severity)
+        self.assertEqual("services.riders.floor_slots", warning.path)
+        self.assertIn("9 slots", warning.message)
+
+    def test_floor_within_the_expected_slots_is_none(self):
+        loaded = base.load_text(
+            "services: {riders: {floor_slots: 9, slots: 3, expected_targets: 3}}",
+            "f",
+            objects.Configuration,
+        )
+
+        self.assertEqual((), loaded.ok.warnings)
+
+    def test_two_routes_of_one_key_are_a_warning(self):
+        loaded = base.load_text(
+            textwrap.dedent("""\
+                services: {riders: {}, venues: {}}
+                route_groups:
+                  a: {routes: [{service: riders, prefix: /x}]}
+                  b: {routes: [{service: venues, prefix: /x/}]}
+                """),
+            "f",
+            objects.Configuration,
+        )
+
+        self.assertEqual(
+            ["route_groups.b.routes[0]"],
+            [item.path for item in loaded.ok.warnings],
+        )
+
+    def test_workspace_in_two_shards(self):
+        found = _brief("""\
+            workspace_shards:
+              one: {workspaces: {crew: {firm: a}}}
+              two: {workspaces: {crew: {firm: b}}}
+            """)
+
+        self.assertEqual(
+            [(3, "workspace_shards.two.workspaces.crew", "")], found
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
