--- a/endivewind/commands/validate.py
+++ b/endivewind/commands/validate.py
@@ -10,13 +10,14 @@
 
 from endivewind import exceptions
 from endivewind.commands import options
+from endivewind.config import base
 from endivewind.config import findings
 from endivewind.config import objects
 from endivewind.config import settings
 
 USAGE = "validate FILE|- [--kind=configuration|settings] [--strict]"
 
-_KINDS = {
+_KINDS: dict[str, type[base.Model]] = {
     "configuration": objects.Configuration,
     "settings": settings.NodeSettings,
 }
