--- a/endivewind/tests/proofs/partition_tests.py
+++ b/endivewind/tests/proofs/partition_tests.py
@@ -28,7 +28,7 @@
         way back. The entry notices the silence, gives the path up and places
         the request at the target of another home.
         """
-        async with _fleet() as (fleet, entry, broken):
+        async with fleet() as (_, entry, broken):
             broken.back = relay.Mode.DROP
 
             status, text = await _send(entry, "GET")
@@ -42,7 +42,7 @@
         The home takes the request, the target runs it and the answer is lost.
         The entry can't know that, so it neither runs it again nor denies it.
         """
-        async with _fleet() as (fleet, entry, broken):
+        async with fleet() as (_, entry, broken):
             broken.back = relay.Mode.DROP
 
             status, text = await _send(entry, "POST")
@@ -56,7 +56,7 @@
         The pooled connection goes silent while new ones work. One request
         waits out the silence; the next takes a fresh connection.
         """
-        async with _fleet() as (fleet, entry, broken):
+        async with fleet() as (_, entry, broken):
             await _send(entry, "GET")
             broken.back = relay.Mode.DROP
             await _send(entry, "GET")
@@ -69,22 +69,22 @@
 
 
 @contextlib.asynccontextmanager
-async def _fleet():
+async def fleet():
     """An entry, a near home behind a relay, and a far home."""
-    async with processes.Fleet() as fleet, relay.Relay() as broken:
-        entry = await fleet.node("entry", "andina-a")
-        near = await fleet.node(
+    async with processes.Fleet() as started, relay.Relay() as broken:
+        entry = await started.node("entry", "andina-a")
+        near = await started.node(
             "near", "andina-a", nodes_advertised=broken.address
         )
         broken.upstream = near.listening["nodes"]
-        far = await fleet.node("far", "caribe-a")
-        await fleet.target("riders-near", "riders", [near])
-        await fleet.target("riders-far", "riders", [far])
-        await fleet.submit(CONFIGURATION)
+        far = await started.node("far", "caribe-a")
+        await started.target("riders-near", "riders", [near])
+        await started.target("riders-far", "riders", [far])
+        await started.submit(CONFIGURATION)
         await entry.message("in force", object="camerino")
         await entry.message("home heard", targets=["riders-near"])
         await entry.message("home heard", targets=["riders-far"])
-        yield fleet, entry, broken
+        yield started, entry, broken
 
 
 async def _send(node: processes.Process, method: str) -> tuple[int, str]:
