Spread configuration between nodes and let few hold the watch

Cause: every node held the platform's watch, so calls grew with the fleet, and a node that joined while the platform was away, or back empty, had no configuration.

Change: config/spreading.py (rumours to two random peers, digests repaired with one random peer, messages and bytes bounded) runs on the links; three nodes of each zone, by rendezvous hashing, hold the watch, the others ask for changes once a minute; /readyz waits for peers that agree; watchers write back what the platform has lost. endivewind-bench spreading measures it.

--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -7,7 +7,7 @@
 from endivewind.commands import main as commands
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ()
+MEASUREMENTS: tuple[str, ...] = ("spreading",)
 
 
 def run() -> None:
--- a/endivewind/config/store.py
+++ b/endivewind/config/store.py
@@ -306,6 +306,15 @@
     return zlib.crc32(f"{key.kind}/{key.name}".encode()) % BUCKETS
 
 
+def stamp_of(version: int, value: dict[str, Any]) -> Stamp:
+    """The state that a value of the platform has; ABSENT if it is none."""
+    try:
+        envelope = Envelope.model_validate(value)
+    except pydantic.ValidationError:
+        return ABSENT
+    return Stamp(envelope.version or version, _fingerprint(_canonical(value)))
+
+
 def unpack(packed: bytes) -> dict[str, Any] | None:
     """The value in its compressed form; None if it is not one."""
     unpacker = zlib.decompressobj()
--- /dev/null
+++ b/endivewind/config/watchers.py
@@ -0,0 +1,44 @@
+"""Which nodes hold the platform's watch: a few in each availability zone."""
+
+import collections.abc
+import hashlib
+from typing import Protocol
+
+# A waiting watch counts as a call. Three stand in for one another; with five
+# zones the fleet holds fifteen watches, however many nodes it has.
+WATCHERS_PER_ZONE = 3
+
+
+class Member(Protocol):
+    """What is needed of a node."""
+
+    @property
+    def name(self) -> str:
+        """The node's name."""
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of its VM."""
+
+
+def is_watcher(
+    name: str, zone: str, members: collections.abc.Iterable[Member]
+) -> bool:
+    """Whether a node is among the first of its zone by rendezvous hashing.
+
+    Nodes that know different members may choose one watcher more: harmless,
+    a watch too many costs one call. A node that knows nobody watches itself.
+    """
+    own = _weight(zone, name)
+    before = sum(
+        1
+        for member in members
+        if member.zone == zone
+        and member.name != name
+        and _weight(zone, member.name) > own
+    )
+    return before < WATCHERS_PER_ZONE
+
+
+def _weight(zone: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{zone}/{name}".encode(), digest_size=8).digest()
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -21,12 +21,14 @@
 from endivewind.config import settings
 from endivewind.config import store
 from endivewind.nodes import codec
+from endivewind.nodes import configuration
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.operators import http
 from endivewind.platform import client
 from endivewind.platform import membership
 from endivewind.platform import messages
+from endivewind.platform import restoring
 from endivewind.platform import watcher
 from endivewind.targets import api
 from endivewind.targets import dispatch
@@ -80,6 +82,9 @@
         self._platform: client.PlatformClient
         self._session: aiohttp.ClientSession
         self._watcher: watcher.Watcher
+        self._members: watcher.Watcher
+        self._restorer: restoring.Restorer
+        self._configuration_peer: configuration.ConfigurationPeer
         self._self_record: view.NodeRecord
 
     @classmethod
@@ -109,11 +114,31 @@
             self._clock,
         )
         self._listener = listener.Listener(self._gateway, config.limits)
+        self._members = watcher.Watcher(
+            self._platform, (membership.NODE,), self._seen_node, self._rng
+        )
+        self._restorer = restoring.Restorer(
+            self._configuration, self._platform, self._rng
+        )
+        self._configuration_peer = configuration.ConfigurationPeer(
+            view.NodeRecord(
+                config.name, self._incarnation, "", config.region, config.zone
+            ),
+            self._configuration,
+            self._fleet,
+            self._pool,
+            self._restorer,
+            self._in_force,
+            self._clock,
+            self._rng,
+        )
         self._watcher = watcher.Watcher(
             self._platform,
-            (*store.KINDS, membership.NODE),
-            self._seen,
+            store.KINDS,
+            self._configuration_peer.seen,
             self._rng,
+            self._configuration_peer.listed,
+            lambda: self._configuration_peer.is_watcher,
         )
         addresses = await self._bind()
         self._self_record = view.NodeRecord(
@@ -124,7 +149,10 @@
             config.zone,
         )
         for work in (
+            self._members.run(),
             self._watcher.run(),
+            self._restorer.run(),
+            self._configuration_peer.run(),
             self._register(),
             self._announce(),
             self._expire(),
@@ -237,21 +265,12 @@
             self._targets.announced(),
         )
 
-    def _seen(self, stored: messages.StoredObject) -> None:
-        if stored.kind == membership.NODE:
-            self._seen_node(stored)
-            return
-        result = self._configuration.apply(
-            stored.kind, stored.name, stored.version, stored.value
-        )
-        if result.is_error():
-            log.error("object refused: %s", result.error)
-        elif result.ok:
-            self._gateway.configure(stored.kind, stored.name)
-            fields = logs.fields(
-                kind=stored.kind, object=stored.name, version=stored.version
-            )
-            log.info("in force", extra=fields)
+    def configuration(self, message: Any) -> None:
+        """Takes what a peer tells of its configuration."""
+        self._configuration_peer.received(message)
+
+    def _in_force(self, key: store.Key) -> None:
+        self._gateway.configure(key.kind, key.name)
 
     def _seen_node(self, stored: messages.StoredObject) -> None:
         record = membership.record_of(stored)
@@ -308,9 +327,7 @@
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
-        if not self._watcher.listed.is_set():
-            return "no configuration yet"
-        return None
+        return self._configuration_peer.missing()
 
     def _status(self) -> dict[str, object]:
         return {
--- /dev/null
+++ b/endivewind/nodes/configuration.py
@@ -0,0 +1,203 @@
+"""Runs the spreading of configuration on the links between nodes."""
+
+import asyncio
+import collections.abc
+import datetime
+import logging
+import random
+from typing import Any
+
+import expression
+
+from endivewind import clock as clocks
+from endivewind import logs
+from endivewind.config import joining
+from endivewind.config import spreading
+from endivewind.config import store
+from endivewind.config import watchers
+from endivewind.nodes import codec
+from endivewind.nodes import links
+from endivewind.nodes import view
+from endivewind.platform import messages
+from endivewind.platform import restoring
+
+log = logging.getLogger(__name__)
+
+# A peer that takes nothing must not pile up tasks; a message dropped here is
+# made up for by the next digest.
+MAX_SENDING = 64
+SEND_TIMEOUT = datetime.timedelta(seconds=2)
+
+InForce = collections.abc.Callable[[store.Key], None]
+
+
+class ConfigurationPeer:
+    """Takes configuration from the platform and from peers, and passes it on."""
+
+    def __init__(
+        self,
+        place: view.NodeRecord,
+        configuration: store.ConfigurationStore,
+        fleet: view.FleetView,
+        pool: links.LinkPool,
+        restorer: restoring.Restorer,
+        in_force: InForce,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._place = place
+        self._store = configuration
+        self._fleet = fleet
+        self._pool = pool
+        self._restorer = restorer
+        self._in_force = in_force
+        self._clock = clock
+        self._rng = rng
+        self._spreader = spreading.Spreader(
+            place.name, place.region, configuration, self._peers, rng
+        )
+        self._joining = joining.Joining(self._spreader)
+        self._sending: set[asyncio.Task[None]] = set()
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this node is to hold the platform's watch."""
+        return watchers.is_watcher(
+            self._place.name, self._place.zone, self._fleet.nodes.values()
+        )
+
+    def missing(self) -> str | None:
+        """None when the configuration is whole, else what is missing."""
+        now = self._clock.monotonic()
+        return self._joining.missing(len(self._peers()), now)
+
+    def seen(self, stored: messages.StoredObject) -> None:
+        """Takes an object of the platform."""
+        key = store.Key(stored.kind, stored.name)
+        before = self._store.stamp(key)
+        taken = self._store.apply(*key, stored.version, stored.value)
+        match taken:
+            case expression.Result(tag="ok", ok=True):
+                self._log_in_force(key, "platform")
+            case expression.Result(tag="error", error=rejection):
+                log.error("object refused: %s", rejection)
+        if self._store.stamp(key) != before:
+            self._spreader.taken(key)
+            self._send(self._spreader.tick(self._clock.monotonic()))
+        self._restorer.seen(key, stored)
+
+    def listed(self, listing: messages.Listing) -> None:
+        """Takes that all objects of a listing have been seen."""
+        self._restorer.listed(listing)
+        self._joining.listed(self._clock.monotonic())
+
+    def received(self, message: Any) -> None:
+        """Takes a peer's message."""
+        now = self._clock.monotonic()
+        result = self._spreader.received(message_in(message), now)
+        for key in result.in_force:
+            self._log_in_force(key, message.sender)
+        for rejection in result.rejections:
+            log.error("object refused: %s", rejection)
+        self._send(result.outgoing)
+
+    async def run(self) -> None:
+        """Ticks for ever."""
+        while True:
+            await asyncio.sleep(spreading.TICK.total_seconds())
+            was_ready = self._spreader.ready
+            if self.missing() is None and not was_ready:
+                agreed = sorted(self._spreader.agreed)
+                log.info("ready", extra=logs.fields(agreed=agreed))
+            self._send(self._spreader.tick(self._clock.monotonic()))
+
+    def _peers(self) -> list[view.NodeRecord]:
+        own = self._place.name
+        return [peer for peer in self._fleet.nodes.values() if peer.name != own]
+
+    def _log_in_force(self, key: store.Key, source: str) -> None:
+        self._in_force(key)
+        fields = logs.fields(
+            kind=key.kind,
+            object=key.name,
+            version=self._store.in_force(key),
+            source=source,
+        )
+        log.info("in force", extra=fields)
+
+    def _send(self, outgoing: list[spreading.Outgoing]) -> None:
+        for item in outgoing:
+            peer = self._fleet.nodes.get(item.to)
+            if peer is None or len(self._sending) >= MAX_SENDING:
+                continue
+            task = asyncio.create_task(
+                self._send_one(peer.address, message_out(item.message))
+            )
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+    async def _send_one(self, address: str, message: Any) -> None:
+        frame = codec.messages.Frame(configuration=message)
+        try:
+            async with asyncio.timeout(SEND_TIMEOUT.total_seconds()):
+                await self._pool.send(address, frame)
+        except TimeoutError:
+            log.debug("no room at %s", address)
+
+
+def message_out(message: spreading.Message) -> Any:
+    """A message as a thrift struct."""
+    return codec.messages.Configuration(
+        sender=message.sender,
+        ready=message.ready,
+        digest=list(message.digest),
+        same=message.same,
+        have=[_stamp_out(item.key, item.stamp) for item in message.have],
+        buckets=list(message.buckets),
+        want=[_stamp_out(key, store.ABSENT) for key in message.want],
+        objects=[
+            codec.messages.ConfigurationObject(
+                kind=item.key.kind,
+                name=item.key.name,
+                version=item.version,
+                packed=item.value,
+            )
+            for item in message.objects
+        ],
+    )
+
+
+def _stamp_out(key: store.Key, stamp: store.Stamp) -> Any:
+    return codec.messages.ConfigurationStamp(
+        kind=key.kind,
+        name=key.name,
+        version=stamp.version,
+        fingerprint=stamp.fingerprint,
+    )
+
+
+def message_in(message: Any) -> spreading.Message:
+    """A message from a thrift struct; missing fields are empty."""
+    return spreading.Message(
+        sender=message.sender or "",
+        ready=bool(message.ready),
+        digest=tuple(message.digest or ()),
+        same=bool(message.same),
+        have=tuple(
+            spreading.Have(
+                store.Key(item.kind, item.name),
+                store.Stamp(item.version, item.fingerprint),
+            )
+            for item in message.have or ()
+        ),
+        buckets=tuple(message.buckets or ()),
+        want=tuple(
+            store.Key(item.kind, item.name) for item in message.want or ()
+        ),
+        objects=tuple(
+            spreading.Packed(
+                store.Key(item.kind, item.name), item.version, item.packed
+            )
+            for item in message.objects or ()
+        ),
+    )
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -266,6 +266,10 @@
         """Takes another home's announcement."""
         raise NotImplementedError
 
+    def configuration(self, message: Any) -> None:
+        """Takes what a peer tells of its configuration."""
+        raise NotImplementedError
+
 
 class _CancellingProtocol(asyncio.StreamReaderProtocol):
     """Cancels the connection's task as soon as the peer closes.
@@ -339,6 +343,8 @@
                 frame = await codec.read_frame(reader)
                 if frame.announce:
                     self._home.announced(frame.announce)
+                elif frame.configuration:
+                    self._home.configuration(frame.configuration)
                 elif frame.forward:
                     await self._exchange(frame.forward, reader, writer)
                 else:
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -72,10 +72,39 @@
   4: list<Target> targets
 }
 
+// An object of the configuration at a version; the fingerprint is the value's.
+struct ConfigurationStamp {
+  1: string kind
+  2: string name
+  3: i64 version
+  4: i64 fingerprint
+}
+
+// A whole object of the configuration, compressed.
+struct ConfigurationObject {
+  1: string kind
+  2: string name
+  3: i64 version
+  4: binary packed
+}
+
+// What a node tells of its configuration; see config/spreading.py.
+struct Configuration {
+  1: string sender
+  2: bool ready
+  3: list<i64> digest
+  4: bool same
+  5: list<ConfigurationStamp> have
+  6: list<i32> buckets
+  7: list<ConfigurationStamp> want
+  8: list<ConfigurationObject> objects
+}
+
 struct Frame {
   1: optional Forward forward
   2: optional Chunk chunk
   3: optional Answer answer
   4: optional Refusal refusal
   5: optional Announce announce
+  20: optional Configuration configuration
 }
--- a/endivewind/platform/messages.py
+++ b/endivewind/platform/messages.py
@@ -1,6 +1,7 @@
 """What the platform's object API sends and takes."""
 
 import dataclasses
+import datetime
 import enum
 from typing import Any
 
@@ -16,6 +17,7 @@
     THROTTLED = "throttled"
     COMPACTED = "compacted"
     INVALID = "invalid"
+    STALE = "stale"
 
 
 class StoredObject(pydantic.BaseModel):
@@ -51,8 +53,10 @@
       failure: the kind of failure.
       detail: for people.
       current: on a conflict, the object as it is now.
+      retry_after: how long the platform asks to wait; None if it does not.
     """
 
     failure: Failure
     detail: str = ""
     current: StoredObject | None = None
+    retry_after: datetime.timedelta | None = None
--- a/endivewind/platform/watcher.py
+++ b/endivewind/platform/watcher.py
@@ -10,11 +10,28 @@
 
 from endivewind.platform import client
 from endivewind.platform import messages
+from endivewind.platform import retries
 
 log = logging.getLogger(__name__)
 
-FIRST_BACKOFF = datetime.timedelta(milliseconds=100)
-LAST_BACKOFF = datetime.timedelta(seconds=5)
+# A node that holds no watch hears from its peers. It still asks for changes
+# now and then, in case that no peer reaches it: 760 nodes make 13 reads/s.
+POLL_PERIOD = datetime.timedelta(seconds=60)
+# How soon a node that has become a watcher, as members left, starts to watch.
+ROLE_PERIOD = datetime.timedelta(seconds=1)
+
+
+# A store that has gone back, or forgotten the revision, is listed anew.
+_LIST_AGAIN = (messages.Failure.COMPACTED, messages.Failure.STALE)
+
+
+def _ignore(listing: messages.Listing) -> None:
+    """Takes no notice of listings."""
+
+
+def _always() -> bool:
+    """Holds the watch all the time."""
+    return True
 
 
 class Watcher:
@@ -26,10 +43,15 @@
         kinds: tuple[str, ...],
         seen: collections.abc.Callable[[messages.StoredObject], None],
         rng: random.Random,
+        listed: collections.abc.Callable[[messages.Listing], None] = _ignore,
+        watching: collections.abc.Callable[[], bool] = _always,
     ) -> None:
         self._platform = platform
         self._kinds = kinds
         self._seen = seen
+        self._take_listing = listed
+        self._watching = watching
+        self._backoff = retries.Backoff(rng)
         self._rng = rng
         self._revision: int | None = None
         self._listed = asyncio.Event()
@@ -41,37 +63,38 @@
 
     async def run(self) -> None:
         """Follows for ever."""
-        failures = 0
         while True:
             result = await self._step()
             if result.is_ok():
-                failures = 0
+                self._backoff.reset()
                 self._take(result.ok)
+                await self._rest()
                 continue
-            if result.error.failure is messages.Failure.COMPACTED:
+            if result.error.failure in _LIST_AGAIN:
                 self._revision = None
-                continue
             log.warning("platform: %s", result.error)
-            await asyncio.sleep(self._backoff(failures))
-            failures += 1
+            await asyncio.sleep(self._backoff.next_seconds(result.error))
 
     async def _step(
         self,
     ) -> expression.Result[messages.Listing, messages.PlatformError]:
         if self._revision is None:
             return await self._platform.list(self._kinds)
-        return await self._platform.watch(self._kinds, self._revision)
+        wait = client.WATCH_WAIT if self._watching() else datetime.timedelta()
+        return await self._platform.watch(self._kinds, self._revision, wait)
 
     def _take(self, listing: messages.Listing) -> None:
         for item in listing.objects:
             self._seen(item)
-        self._revision = max(self._revision or 0, listing.revision)
+        if self._revision is None:
+            self._take_listing(listing)
+        self._revision = listing.revision
         self._listed.set()
 
-    def _backoff(self, failures: int) -> float:
-        """Doubles up to a limit; jitter keeps a fleet from coming at once."""
-        longest = min(
-            FIRST_BACKOFF.total_seconds() * 2**failures,
-            LAST_BACKOFF.total_seconds(),
-        )
-        return longest * self._rng.uniform(0.5, 1)
+    async def _rest(self) -> None:
+        """Waits between polls, for as long as this node holds no watch."""
+        longest = POLL_PERIOD.total_seconds()
+        left = self._rng.uniform(0.5, 1) * longest
+        while left > 0 and not self._watching():
+            await asyncio.sleep(ROLE_PERIOD.total_seconds())
+            left -= ROLE_PERIOD.total_seconds()
--- /dev/null
+++ b/endivewind/tests/config/spreading_tests.py
@@ -0,0 +1,258 @@
+"""Spreading of configuration: rumours, repair, joining, watchers."""
+
+import datetime
+import random
+import unittest
+
+from endivewind.commands import bench_spreading
+from endivewind.config import joining
+from endivewind.config import spreading
+from endivewind.config import store
+from endivewind.config import watchers
+from endivewind.nodes import codec
+from endivewind.nodes import configuration
+from endivewind.nodes import view
+
+RIDERS = bench_spreading.CHANGED
+SECOND = datetime.timedelta(seconds=1)
+
+
+def _record(name: str, zone: str = "andina-a") -> view.NodeRecord:
+    return view.NodeRecord(name, 1, "", zone.rpartition("-")[0], zone)
+
+
+class _Pair:
+    """Two spreaders; messages are passed on until none is left."""
+
+    def __init__(self) -> None:
+        self.stores = {name: store.ConfigurationStore() for name in ("a", "b")}
+        self.cores = {
+            name: spreading.Spreader(
+                name,
+                "andina",
+                self.stores[name],
+                lambda other=other: [_record(other)],
+                random.Random(1),
+            )
+            for name, other in (("a", "b"), ("b", "a"))
+        }
+
+    def pass_on(self, outgoing: list[spreading.Outgoing], now) -> int:
+        passed = 0
+        while outgoing:
+            item = outgoing.pop(0)
+            passed += 1
+            received = self.cores[item.to].received(item.message, now)
+            outgoing.extend(received.outgoing)
+        return passed
+
+
+class SpreaderTest(unittest.TestCase):
+    def test_a_new_version_is_told_and_told_no_more_in_the_end(self):
+        pair = _Pair()
+        pair.cores["a"].ready = True
+        pair.stores["a"].apply(*RIDERS, 1, bench_spreading.change(5, 2))
+        pair.cores["a"].taken(RIDERS)
+
+        for number in range(20):
+            now = number * spreading.TICK
+            pair.pass_on(pair.cores["a"].tick(now), now)
+
+        self.assertEqual(2, pair.stores["b"].in_force(RIDERS))
+        quiet = pair.cores["a"].tick(20 * spreading.TICK)
+        self.assertFalse([item for item in quiet if item.message.objects])
+
+    def test_a_large_object_is_asked_for_once(self):
+        """A rumour of a large object comes from several peers at once.
+
+        If each were answered by asking, the node would receive the object
+        several times and overrun its bytes a second.
+        """
+        pair = _Pair()
+        routes = [
+            {"service": f"service-{random.Random(n).random()}"}
+            for n in range(99)
+        ]
+        key = store.Key(store.ROUTE_GROUP, "camerino")
+        value = {"spec": {"routes": routes}, "operation": "x", "version": 2}
+        pair.stores["a"].apply(*key, 1, value)
+        pair.cores["a"].taken(key)
+        rumour = pair.cores["a"].tick(SECOND)[0].message
+        self.assertEqual((), rumour.objects)
+
+        first = pair.cores["b"].received(rumour, SECOND)
+        second = pair.cores["b"].received(rumour, SECOND)
+        later = pair.cores["b"].received(rumour, 3 * SECOND)
+
+        wants = [
+            [item.message.want for item in result.outgoing]
+            for result in (first, second, later)
+        ]
+        self.assertEqual([[(key,)], [], [(key,)]], wants)
+
+    def test_repair_goes_both_ways(self):
+        pair = _Pair()
+        older = bench_spreading.change(3, 1)
+        newer = bench_spreading.change(5, 2)
+        only_a = store.Key(store.SERVICE, "venues")
+        pair.stores["a"].apply(*RIDERS, 1, newer)
+        pair.stores["a"].apply(*only_a, 1, older)
+        pair.stores["b"].apply(*RIDERS, 1, older)
+
+        for number in range(1, 9):
+            now = number * SECOND
+            pair.pass_on(pair.cores["b"].tick(now), now)
+
+        self.assertEqual(pair.stores["a"].buckets, pair.stores["b"].buckets)
+        self.assertEqual(2, pair.stores["b"].in_force(RIDERS))
+        self.assertEqual(1, pair.stores["b"].in_force(only_a))
+
+    def test_a_message_stays_within_its_bounds(self):
+        pair = _Pair()
+        for number in range(2_000):
+            value = bench_spreading.change(3, 1)
+            key = store.Key(store.SERVICE, f"service-{number}")
+            pair.stores["a"].apply(*key, 1, value)
+            pair.cores["a"].taken(key)
+
+        rumours = pair.cores["a"].tick(SECOND)
+        digest = pair.cores["b"].tick(SECOND)[0].message
+        answer = pair.cores["a"].received(digest, SECOND).outgoing
+
+        for item in (*rumours, *answer):
+            self.assertLessEqual(
+                len(item.message.have) + len(item.message.objects),
+                spreading.MAX_ENTRIES,
+            )
+            self.assertLess(spreading.size(item.message), 40_000)
+
+    def test_a_burst_of_changes_keeps_to_the_budget(self):
+        cores = bench_spreading.Cores(10, 0.0, 1)
+        for number in range(600):
+            key = store.Key(store.SERVICE, f"new-{number}")
+            cores.write("node-0000", key, bench_spreading.change(3, 2))
+
+        cores.run_for(60 * SECOND)
+
+        buckets = {item.buckets for item in cores.stores.values()}
+        self.assertEqual(1, len(buckets))
+        allowed = spreading.BURST_BYTES + 60 * spreading.BYTES_PER_SECOND
+        self.assertLess(max(cores.sent.values()), 1.2 * allowed)
+
+    def test_the_wire_form_loses_nothing(self):
+        message = spreading.Message(
+            "a",
+            True,
+            tuple(range(store.BUCKETS)),
+            True,
+            (spreading.Have(RIDERS, store.Stamp(2, 3)),),
+            (4, 5),
+            (RIDERS,),
+            (spreading.Packed(RIDERS, 2, b"\x00\xff"),),
+        )
+        wire = configuration.message_out(message)
+        frame = codec.encode(codec.messages.Frame(configuration=wire))
+
+        decoded = codec.decode(frame[4:]).configuration
+
+        self.assertEqual(message, configuration.message_in(decoded))
+
+
+class SpreadingTimeTest(unittest.TestCase):
+    def test_one_in_ten_lost_and_a_one_way_cut(self):
+        """One node hears of a change; its zone reaches no other region.
+
+        Messages from its zone to the other region vanish while those of the
+        other region arrive, and one in ten is lost everywhere. Callers there
+        must not see the old rules for more than 8 seconds.
+        """
+        run = bench_spreading.run_once(50, 0.1, seed=1)
+
+        self.assertLess(run.seconds, 8)
+        self.assertLess(run.quiet_bytes_per_second, 2_000)
+
+
+class JoiningTest(unittest.TestCase):
+    def setUp(self):
+        self.pair = _Pair()
+        self.spreader = self.pair.cores["a"]
+        self.joining = joining.Joining(self.spreader)
+
+    def _agree(self, *names, ready=True):
+        for name in names:
+            message = spreading.Message(name, ready, same=True)
+            self.spreader.received(message, SECOND)
+
+    def test_the_platform_away_takes_several_peers(self):
+        self._agree("b", "c")
+        self.assertIn("2 of 3", self.joining.missing(9, SECOND))
+
+        self._agree("d")
+
+        self.assertIsNone(self.joining.missing(9, SECOND))
+
+    def test_peers_that_are_not_ready_do_not_count(self):
+        """The whole fleet starts anew while the platform is away.
+
+        All are empty and agree. If that counted, they would refuse every
+        caller for want of a route and call themselves ready.
+        """
+        self._agree("b", "c", "d", ready=False)
+
+        self.assertIsNotNone(self.joining.missing(3, SECOND))
+
+    def test_an_empty_platform_is_not_believed_at_once(self):
+        """The platform is back empty when a node joins.
+
+        The listing succeeds with nothing in it, although peers hold the
+        configuration; the node must hear them before it takes callers.
+        """
+        self.joining.listed(SECOND)
+        self.assertIsNotNone(self.joining.missing(3, SECOND))
+
+        self._agree("b")
+
+        self.assertIsNone(self.joining.missing(3, SECOND))
+
+    def test_the_first_node_of_all_becomes_ready(self):
+        self.joining.listed(SECOND)
+
+        self.assertIsNone(self.joining.missing(0, 4 * SECOND))
+
+
+class WatchersTest(unittest.TestCase):
+    def test_each_zone_has_three_and_all_agree_on_them(self):
+        members = [
+            _record(f"node-{number}", f"andina-{number % 5}")
+            for number in range(100)
+        ]
+        chosen = [
+            item
+            for item in members
+            if watchers.is_watcher(item.name, item.zone, members)
+        ]
+
+        zones = sorted(item.zone for item in chosen)
+        self.assertEqual(
+            [f"andina-{zone}" for zone in range(5) for _ in range(3)], zones
+        )
+
+    def test_a_watcher_that_leaves_is_followed_by_one_other(self):
+        members = [_record(f"node-{number}") for number in range(20)]
+
+        def chosen(known):
+            return {
+                item.name
+                for item in known
+                if watchers.is_watcher(item.name, item.zone, known)
+            }
+
+        before = chosen(members)
+        gone = min(before)
+        after = chosen([item for item in members if item.name != gone])
+
+        self.assertEqual(before - {gone}, before & after)
+        self.assertEqual(3, len(after))
+
+    def test_a_node_that_knows_nobody_watches(self):
+        self.assertTrue(watchers.is_watcher("a", "andina-a", []))
