--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -100,11 +100,17 @@
   8: list<ConfigurationObject> objects
 }
 
+// Sent by a home while an exchange goes on: silence means a broken path.
+struct Heartbeat {
+  1: i64 exchange
+}
+
 struct Frame {
   1: optional Forward forward
   2: optional Chunk chunk
   3: optional Answer answer
   4: optional Refusal refusal
   5: optional Announce announce
+  6: optional Heartbeat heartbeat
   20: optional Configuration configuration
 }
