--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -72,6 +72,34 @@
   4: list<Target> targets
 }
 
+// An object of the configuration at a version; the fingerprint is the value's.
+struct ConfigurationStamp {
+  1: string kind
+  2: string name
+  3: i64 version
+  4: i64 fingerprint
+}
+
+// A whole object of the configuration, compressed.
+struct ConfigurationObject {
+  1: string kind
+  2: string name
+  3: i64 version
+  4: binary packed
+}
+
+// What a node tells of its configuration; see config/spreading.py.
+struct Configuration {
+  1: string sender
+  2: bool ready
+  3: list<i64> digest
+  4: bool same
+  5: list<ConfigurationStamp> have
+  6: list<i32> buckets
+  7: list<ConfigurationStamp> want
+  8: list<ConfigurationObject> objects
+}
+
 // Sent by a home while an exchange goes on: silence means a broken path.
 struct Heartbeat {
   1: i64 exchange
@@ -84,4 +112,5 @@
   4: optional Refusal refusal
   5: optional Announce announce
   6: optional Heartbeat heartbeat
+  20: optional Configuration configuration
 }
