--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,5 +1,6 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
+import asyncio
 import dataclasses
 import datetime
 
@@ -42,13 +43,13 @@
         self._dispatcher = dispatcher
         self._pool = pool
         self._clock = clock
-        self._table = routing.RoutingTable(())
+        self._table = routing.RoutingTable()
 
-    def configure(self) -> None:
-        """Takes the routes that are in force now."""
-        groups = self._configuration.route_groups()
-        routes = [route for group in groups for route in group.routes]
-        self._table = routing.RoutingTable(routes)
+    def configure(self, kind: str, name: str) -> None:
+        """Takes one object that has come into force."""
+        if kind == store.ROUTE_GROUP:
+            group = self._configuration.route_group(name)
+            self._table.replace(name, group.routes if group else ())
 
     def route(
         self, host: str, path: str, workspace: str
@@ -98,20 +99,37 @@
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
-        self._placement.started(record.id)
+        self._placement.started(record)
+        result: AnswerResult | None = None
         try:
-            if record.home == self._node:
-                return await self._dispatcher.run(record.id, head, body)
-            home = self._fleet.nodes.get(record.home)
-            if home is None:
-                return expression.Error(
-                    exchange.not_run(
-                        exchange.Reason.UNREACHABLE, f"{record.home} is gone"
-                    )
+            async with asyncio.timeout(head.remaining.total_seconds()):
+                result = await self._pass_on(record, head, body)
+        except TimeoutError:
+            result = expression.Error(
+                exchange.unknown(
+                    exchange.Reason.DEADLINE, "no answer before the deadline"
                 )
-            return await self._pool.forward(home, record.id, head, body)
+            )
         finally:
-            self._placement.ended(record.id)
+            self._placement.ended(record, result)
+        return result
+
+    async def _pass_on(
+        self,
+        record: records.TargetRecord,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        if record.home == self._node:
+            return await self._dispatcher.run(record.id, head, body)
+        home = self._fleet.nodes.get(record.home)
+        if home is None:
+            return expression.Error(
+                exchange.not_run(
+                    exchange.Reason.HOME_UNREACHABLE, f"{record.home} is gone"
+                )
+            )
+        return await self._pool.forward(home, record.id, head, body)
 
 
 def _may_place_again(
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -34,13 +34,19 @@
       stop_seconds: how long a planned stop waits for work in flight.
     """
 
-    header_bytes: int = pydantic.Field(default=16_384, ge=1024, le=1_048_576)
-    body_bytes: int = pydantic.Field(default=16_777_216, ge=0)
-    kept_answer_bytes: int = pydantic.Field(default=65_536, ge=0, le=1_048_576)
-    buffered_body_bytes: int = pydantic.Field(
+    header_bytes: pydantic.StrictInt = pydantic.Field(
+        default=16_384, ge=1024, le=1_048_576
+    )
+    body_bytes: pydantic.StrictInt = pydantic.Field(default=16_777_216, ge=0)
+    kept_answer_bytes: pydantic.StrictInt = pydantic.Field(
+        default=65_536, ge=0, le=1_048_576
+    )
+    buffered_body_bytes: pydantic.StrictInt = pydantic.Field(
         default=65_536, ge=0, le=1_048_576
     )
-    stop_seconds: float = pydantic.Field(default=30, gt=0, le=600)
+    stop_seconds: pydantic.StrictFloat = pydantic.Field(
+        default=30, gt=0, le=600
+    )
 
 
 class NodeSettings(base.Model):
@@ -53,6 +59,8 @@
       callers: address of the listener for callers.
       targets: address where targets announce themselves.
       nodes: address for other nodes (TCP, and UDP for gossip).
+      nodes_advertised: address that other nodes are told to use, where it
+        is not the one that is bound.
       operators: address of health, metrics and status; loopback unless set.
       platform: URL of the platform's object API.
       seeds: nodes to join by when the platform can't be asked.
@@ -66,6 +74,7 @@
     callers: Address = "127.0.0.1:0"
     targets: Address = "127.0.0.1:0"
     nodes: Address = "127.0.0.1:0"
+    nodes_advertised: Address | None = None
     operators: Address = "127.0.0.1:0"
     seeds: tuple[Address, ...] = ()
     gossip_key: str = pydantic.Field(default="", repr=False)
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -102,7 +102,7 @@
         place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
             config.name,
-            placement.Placement(place, self._fleet, self._rng),
+            placement.Placement(place, self._fleet, self._clock, self._rng),
             self._configuration,
             self._fleet,
             self._dispatcher,
@@ -111,16 +111,13 @@
         )
         self._listener = listener.Listener(self._gateway, config.limits)
         self._watcher = watcher.Watcher(
-            self._platform,
-            store.KINDS,
-            self._seen,
-            self._rng,
+            self._platform, store.KINDS, self._seen, self._rng
         )
         addresses = await self._bind()
         self._self_record = view.NodeRecord(
             config.name,
             self._incarnation,
-            addresses.nodes,
+            config.nodes_advertised or addresses.nodes,
             config.region,
             config.zone,
         )
@@ -133,7 +130,7 @@
             self._clock,
             self._rng,
         )
-        await self._gossip.start()
+        await self._gossip.start(addresses.nodes)
         for work in (
             self._watcher.run(),
             self._register(),
@@ -240,7 +237,7 @@
         if result.is_error():
             log.error("object refused: %s", result.error)
         elif result.ok:
-            self._gateway.configure()
+            self._gateway.configure(stored.kind, stored.name)
             fields = logs.fields(
                 kind=stored.kind, object=stored.name, version=stored.version
             )
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -279,7 +279,7 @@
             self._take(payload)
         known = self._members.members.get(message.sender)
         stranger = known is None or not known.usable
-        about = self._members.heard(message.sender, address)
+        about = self._members.heard(message.sender)
         extra = () if about is None else (changes.encode(about),)
         refuted = self._members.me is not before
         if stranger or refuted:
@@ -296,9 +296,16 @@
         sends = self._run(output, extra)
         if refuted and not message.ping:
             sends.append(Send(address, self._datagram(changes=extra)))
-        sends.extend(self._compare(address, message))
+        sends.extend(
+            self._compare(self._link_address(address, message), message)
+        )
         return sends
 
+    def _link_address(self, address: str, message: Datagram) -> str:
+        """Where the sender takes links: what it tells, else where it is."""
+        known = self._members.members.get(message.sender)
+        return address if known is None else known.node.address
+
     def receive_state(self, state: FleetState) -> list[Send]:
         """Takes part of another node's state."""
         for member in state.members:
--- a/endivewind/nodes/membership.py
+++ b/endivewind/nodes/membership.py
@@ -263,7 +263,7 @@
         self._put(record)
         return [Spread(record)]
 
-    def heard(self, name: str, address: str) -> MemberRecord | None:
+    def heard(self, name: str) -> MemberRecord | None:
         """A message came from a node; what it should hear about itself.
 
         A node that was declared dead and lives, paused or behind a partition
@@ -272,8 +272,6 @@
         known = self._members.get(name)
         if known is None or known.state is State.ALIVE:
             return None
-        if known.node.address != address:
-            return None
         return known
 
     def pinged(self, address: str, number: int) -> list[Output]:
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -128,12 +128,18 @@
   3: list<string> names
 }
 
+// Sent by a home while an exchange goes on: silence means a broken path.
+struct Heartbeat {
+  1: i64 exchange
+}
+
 struct Frame {
   1: optional Forward forward
   2: optional Chunk chunk
   3: optional Answer answer
   4: optional Refusal refusal
   // 5 was the announcement that every home sent to every node.
+  6: optional Heartbeat heartbeat
   20: optional FleetState fleet_state
   21: optional Pull pull
 }
--- a/endivewind/nodes/service.py
+++ b/endivewind/nodes/service.py
@@ -57,7 +57,6 @@
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
-        self._me = me
         self._seeds = config.seeds
         self._state = state
         self._pool = pool
@@ -75,9 +74,9 @@
         self._warned = False
         self._list_now = asyncio.Event()
 
-    async def start(self) -> None:
-        """Binds the socket and starts the tasks."""
-        host, _, port = self._me.address.rpartition(":")
+    async def start(self, address: str) -> None:
+        """Binds the socket to an address and starts the tasks."""
+        host, _, port = address.rpartition(":")
         await self._socket.start(host.strip("[]"), int(port))
         for work in (self._run(), self._list()):
             self._tasks.append(asyncio.create_task(work))
