--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -5,6 +5,7 @@
 import contextlib
 import datetime
 import logging
+from typing import Any
 import uuid
 
 from aiohttp import web
@@ -15,6 +16,8 @@
 from endivewind import headers
 from endivewind.callers import gateway
 from endivewind.callers import problems
+from endivewind.callers import ticketing
+from endivewind.callers import tickets
 from endivewind.config import objects
 from endivewind.config import settings
 
@@ -23,17 +26,26 @@
 MAX_TIMEOUT = datetime.timedelta(minutes=10)
 _MAX_ID = 128
 _READ_BYTES = 65_536
-_DROPPED = headers.HOP_BY_HOP | {"host"}
+_DROPPED = headers.HOP_BY_HOP | {"host", "expect"}
+# What only the system may say to a caller.
+_OWN_FIELDS = (headers.OUTCOME, headers.REASON)
+LEAVING_RETRY = datetime.timedelta(seconds=1)
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class Listener:
     """Turns HTTP requests into exchanges and answers them."""
 
     def __init__(
-        self, served: gateway.Gateway, limits: settings.Limits
+        self,
+        served: gateway.Gateway,
+        ticketed: ticketing.Ticketing,
+        limits: settings.Limits,
     ) -> None:
         self._gateway = served
+        self._tickets = ticketed
         self._limits = limits
+        self._leaving = False
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -49,59 +61,78 @@
 
     def server(self) -> web.Server:
         """The HTTP server; a caller that leaves cancels its request."""
-        return web.Server(
+        return _Server(
             self.handle,
-            handler_cancellation=True,
             access_log=None,
             max_line_size=self._limits.header_bytes,
             max_field_size=self._limits.header_bytes,
             auto_decompress=False,
         )
 
+    def refuse_new(self) -> None:
+        """Refuses work from now on; sends of tickets may still be answered."""
+        self._leaving = True
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request."""
         self._in_flight += 1
         self._idle.clear()
-        request_id = _request_id(request)
+        call = _Call(request)
         try:
-            result = await self._serve(request, request_id)
+            result = await self._serve(call)
             if result.is_error():
-                return _refusal(result.error, request_id)
-            return await _respond(request, result.ok, request_id)
+                return self._refusal(call, result.error)
+            return await self._respond(call, result.ok)
         finally:
             self._in_flight -= 1
             if not self._in_flight:
                 self._idle.set()
 
-    async def _serve(
-        self, request: web.BaseRequest, request_id: str
-    ) -> gateway.AnswerResult:
-        workspace = request.headers.get(headers.WORKSPACE, "")
-        host = _host(request.headers.get("Host", ""))
-        path = request.raw_path
-        if not path.startswith("/"):
-            path = request.rel_url.raw_path_qs
-        route = self._gateway.route(host, path.partition("?")[0], workspace)
-        if route is None:
-            return _not_run(exchange.Reason.NO_ROUTE, f"no route for {host}")
-        remaining = self._remaining(request, route)
-        if remaining is None:
-            detail = f"{headers.TIMEOUT_MS} must be a whole number from 1"
-            return _not_run(exchange.Reason.BAD_REQUEST, detail)
-        body = await self._body(request)
-        if body is None:
-            limit = f"a body may have {self._limits.body_bytes} bytes"
-            return _not_run(exchange.Reason.BODY_TOO_LARGE, limit)
+    async def _serve(self, call: "_Call") -> gateway.AnswerResult:
+        admitted = self._admit(call)
+        if admitted.is_error():
+            return expression.Error(admitted.error)
+        route = admitted.ok
+        read = await self._body(call)
+        if read.is_error():
+            return expression.Error(read.error)
         head = exchange.RequestHead(
-            request_id=request_id,
-            method=request.method,
-            path=path,
-            headers=_headers_in(request.raw_headers, request_id),
+            request_id=call.request_id,
+            method=call.request.method,
+            path=call.path,
+            headers=_headers_in(call.request.raw_headers, call.request_id),
             service=route.service,
-            workspace=workspace,
-            remaining=remaining,
+            workspace=call.workspace,
+            remaining=call.remaining,
+            ticket=call.ticket if call.once else "",
         )
-        return await self._gateway.serve(route, head, body)
+        if call.once:
+            return await self._tickets.serve(route, head, read.ok)
+        return await self._gateway.serve(route, head, read.ok)
+
+    def _admit(
+        self, call: "_Call"
+    ) -> expression.Result[objects.Route, exchange.Refusal]:
+        """The route of a request whose head is in order; its body is unread."""
+        host = _host(call.request.headers.get("Host", ""))
+        path = call.path.partition("?")[0]
+        route = self._gateway.route(host, path, call.workspace)
+        if route is None:
+            return call.refuse(exchange.Reason.NO_ROUTE, f"no route for {host}")
+        call.once = not gateway.may_repeat(route, call.request.method)
+        if call.once and not call.ticket:
+            detail = "send again with the Idempotency-Key of this answer"
+            return call.refuse(exchange.Reason.TICKET_REQUIRED, detail)
+        if self._leaving and not call.once:
+            return call.refuse(
+                exchange.Reason.STOPPING, "the node is leaving", LEAVING_RETRY
+            )
+        remaining = self._remaining(call.request, route)
+        if remaining is None:
+            detail = f"{headers.TIMEOUT_MS} must be a whole number from 1"
+            return call.refuse(exchange.Reason.BAD_REQUEST, detail)
+        call.remaining = remaining
+        return expression.Ok(route)
 
     def _remaining(
         self, request: web.BaseRequest, route: objects.Route
@@ -113,18 +144,46 @@
             return None
         return min(datetime.timedelta(milliseconds=int(given)), MAX_TIMEOUT)
 
+    def _body_limit(self, call: "_Call") -> int:
+        """Most bytes of a body; one that must not repeat is held whole.
+
+        A resend is recognised by its body, so none of it may be passed on
+        before all of it is here.
+        """
+        if call.once:
+            return self._limits.ticketed_body_bytes
+        return self._limits.body_bytes
+
     async def _body(
-        self, request: web.BaseRequest
-    ) -> exchange.RequestBody | None:
-        """The body, held whole where it is small; None where too large."""
+        self, call: "_Call"
+    ) -> expression.Result[exchange.RequestBody, exchange.Refusal]:
+        """The body, held whole where it is small or must not repeat."""
+        request = call.request
         if not request.body_exists:
-            return exchange.RequestBody()
+            return expression.Ok(exchange.RequestBody())
+        limit = self._body_limit(call)
         length = request.content_length
-        if length is not None and length > self._limits.body_bytes:
-            return None
-        if length is not None and length <= self._limits.buffered_body_bytes:
-            return exchange.RequestBody(await request.content.read(-1))
-        return exchange.RequestBody(b"", self._chunks(request))
+        too_large = f"a body may have {limit} bytes"
+        if length is not None and length > limit:
+            return call.refuse(exchange.Reason.BODY_TOO_LARGE, too_large)
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(_CONTINUE)
+            request.writer.output_size = 0
+        small = length is not None and (
+            length <= self._limits.buffered_body_bytes
+        )
+        if not small and not call.once:
+            return expression.Ok(
+                exchange.RequestBody(b"", self._chunks(request))
+            )
+        try:
+            body = await _held_body(request, limit)
+        except (OSError, web.RequestPayloadError) as error:
+            detail = f"the body broke off: {error}"
+            return call.refuse(exchange.Reason.BAD_REQUEST, detail)
+        if body is None:
+            return call.refuse(exchange.Reason.BODY_TOO_LARGE, too_large)
+        return expression.Ok(body)
 
     async def _chunks(
         self, request: web.BaseRequest
@@ -136,6 +195,153 @@
                 raise exchange.TruncatedAnswerError("the body is too large")
             yield data
 
+    def _refusal(
+        self, call: "_Call", refusal: exchange.Refusal
+    ) -> web.Response:
+        response = web.Response(
+            status=problems.status(refusal),
+            headers=problems.header_fields(refusal, call.request_id),
+            body=problems.body(refusal, call.request_id),
+        )
+        self._add_ticket(call, response)
+        if refusal.reason is exchange.Reason.STOPPING:
+            # The caller's next request goes to a node that stays.
+            response.force_close()
+        return response
+
+    def _add_ticket(self, call: "_Call", response: web.StreamResponse) -> None:
+        """Gives the caller a ticket for its next operation."""
+        if call.once and not self._leaving:
+            ticket = self._tickets.issue(call.workspace)
+            response.headers[headers.IDEMPOTENCY_KEY] = ticket
+
+    async def _respond(
+        self, call: "_Call", answer: exchange.Answer
+    ) -> web.StreamResponse:
+        fields = _headers_out(answer, call)
+        if answer.rest is None:
+            if call.request.method != "HEAD":
+                fields.popall("Content-Length", None)
+            response = web.Response(
+                status=answer.status, headers=fields, body=answer.body
+            )
+            self._add_ticket(call, response)
+            return response
+        stream = web.StreamResponse(status=answer.status, headers=fields)
+        self._add_ticket(call, stream)
+        async with contextlib.aclosing(answer.rest):
+            await stream.prepare(call.request)
+            if answer.body:
+                await stream.write(answer.body)
+            try:
+                async for data in answer.rest:
+                    await stream.write(data)
+            except exchange.TruncatedAnswerError as error:
+                # Closing without the end of the body is the only way left to
+                # tell the caller that this is not the whole answer.
+                log.warning("answer cut by the target: %s", error)
+                if call.request.transport is not None:
+                    call.request.transport.abort()
+                return stream
+        await stream.write_eof()
+        return stream
+
+
+class _Call:
+    """One request of a caller, and what is known of it so far."""
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self.request = request
+        self.request_id = _request_id(request)
+        self.workspace = request.headers.get(headers.WORKSPACE, "")
+        self.ticket = request.headers.get(headers.IDEMPOTENCY_KEY, "")
+        self.once = False
+        self.remaining = datetime.timedelta()
+
+    @property
+    def path(self) -> str:
+        """Path and query as sent, without scheme and host."""
+        path = self.request.raw_path
+        return (
+            path if path.startswith("/") else self.request.rel_url.raw_path_qs
+        )
+
+    def refuse(
+        self,
+        reason: exchange.Reason,
+        detail: str,
+        retry_after: datetime.timedelta | None = None,
+    ) -> expression.Result[Any, exchange.Refusal]:
+        """A refusal of this send by the entry."""
+        refusal = exchange.not_run(reason, detail, retry_after)
+        if tickets.parse(self.ticket) is not None:
+            refusal = ticketing.unconfirmed(refusal)
+        return expression.Error(refusal)
+
+
+class _Server(web.Server):
+    """An HTTP server whose own errors tell the outcome, too."""
+
+    def __init__(
+        self,
+        handler: collections.abc.Callable[
+            [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
+        ],
+        **options: Any,
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True, **options)
+        self._options = options
+
+    def __call__(self) -> web.RequestHandler:
+        """The handler of one connection."""
+        return _Connection(
+            self, loop=asyncio.get_running_loop(), **self._options
+        )
+
+
+class _Connection(web.RequestHandler):
+    """One caller's connection."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers what is not HTTP, or what a fault here has left open."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer has begun already")
+        if status < 500:
+            detail = (message or "not a valid request").strip()
+            refusal = exchange.not_run(exchange.Reason.BAD_REQUEST, detail)
+        else:
+            log.error("request failed", exc_info=exc)
+            refusal = exchange.unknown(
+                exchange.Reason.INTERNAL, "the node failed"
+            )
+        request_id = uuid.uuid4().hex
+        response = web.Response(
+            status=status,
+            headers=problems.header_fields(refusal, request_id),
+            body=problems.body(refusal, request_id),
+        )
+        response.force_close()
+        return response
+
+
+async def _held_body(
+    request: web.BaseRequest, limit: int
+) -> exchange.RequestBody | None:
+    held = bytearray()
+    async for data in request.content.iter_chunked(_READ_BYTES):
+        held += data
+        if len(held) > limit:
+            return None
+    return exchange.RequestBody(bytes(held))
+
 
 def _host(field: str) -> str:
     """The Host field without its port."""
@@ -151,10 +357,6 @@
     return given if usable and given.isprintable() else uuid.uuid4().hex
 
 
-def _not_run(reason: exchange.Reason, detail: str) -> gateway.AnswerResult:
-    return expression.Error(exchange.not_run(reason, detail))
-
-
 def _headers_in(
     raw: exchange.HeaderList, request_id: str
 ) -> exchange.HeaderList:
@@ -174,49 +376,14 @@
     return tuple(kept)
 
 
-def _refusal(refusal: exchange.Refusal, request_id: str) -> web.Response:
-    return web.Response(
-        status=problems.status(refusal),
-        headers=problems.header_fields(refusal, request_id),
-        body=problems.body(refusal, request_id),
-    )
-
-
 def _headers_out(
-    answer: exchange.Answer, request_id: str
+    answer: exchange.Answer, call: _Call
 ) -> multidict.CIMultiDict[str]:
     fields = multidict.CIMultiDict(
         (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
         for name, value in answer.headers
     )
-    fields[headers.REQUEST_ID] = request_id
+    for name in _OWN_FIELDS:
+        fields.popall(name, None)
+    fields[headers.REQUEST_ID] = call.request_id
     return fields
-
-
-async def _respond(
-    request: web.BaseRequest, answer: exchange.Answer, request_id: str
-) -> web.StreamResponse:
-    fields = _headers_out(answer, request_id)
-    if answer.rest is None:
-        if request.method != "HEAD":
-            fields.popall("Content-Length", None)
-        return web.Response(
-            status=answer.status, headers=fields, body=answer.body
-        )
-    response = web.StreamResponse(status=answer.status, headers=fields)
-    async with contextlib.aclosing(answer.rest):
-        await response.prepare(request)
-        if answer.body:
-            await response.write(answer.body)
-        try:
-            async for data in answer.rest:
-                await response.write(data)
-        except exchange.TruncatedAnswerError as error:
-            # Closing without the end of the body is the only way left to
-            # tell the caller that this is not the whole answer.
-            log.warning("answer cut by the target: %s", error)
-            if request.transport is not None:
-                request.transport.abort()
-            return response
-    await response.write_eof()
-    return response
--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -26,9 +26,11 @@
     exchange.Reason.TICKET_EXPIRED: 410,
     exchange.Reason.TICKET_REUSED: 422,
     exchange.Reason.ISSUER_LOST: 502,
+    exchange.Reason.ANSWER_NOT_KEPT: 409,
     exchange.Reason.SEALED: 409,
     exchange.Reason.RATE_LIMITED: 429,
     exchange.Reason.POISON: 422,
+    exchange.Reason.INTERNAL: 500,
 }
 
 
--- a/endivewind/commands/standin.py
+++ b/endivewind/commands/standin.py
@@ -71,7 +71,9 @@
 
 async def _serve(application: web.Application) -> str:
     logs.configure("info")
-    runner = web.AppRunner(application, access_log=None)
+    runner = web.AppRunner(
+        application, access_log=None, handler_cancellation=True
+    )
     await runner.setup()
     site = web.TCPSite(runner, _ADDRESS.value, _PORT.value)
     await site.start()
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -28,6 +28,8 @@
       kept_answer_bytes: most bytes of an answer kept for resends.
       buffered_body_bytes: bodies up to here are held so that the request can
         be placed again.
+      ticketed_body_bytes: most bytes of the body of a request that must not
+        repeat; it is held whole.
       stop_seconds: how long a planned stop waits for work in flight.
     """
 
@@ -41,6 +43,9 @@
     buffered_body_bytes: pydantic.StrictInt = pydantic.Field(
         default=65_536, ge=0, le=1_048_576
     )
+    ticketed_body_bytes: pydantic.StrictInt = pydantic.Field(
+        default=1_048_576, ge=0, le=1_048_576
+    )
     stop_seconds: pydantic.StrictFloat = pydantic.Field(
         default=30, gt=0, le=600
     )
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import enum
+from typing import Protocol
 
 HeaderList = tuple[tuple[bytes, bytes], ...]
 
@@ -36,9 +37,11 @@
     TICKET_EXPIRED = "ticket-expired"
     TICKET_REUSED = "ticket-reused"
     ISSUER_LOST = "issuer-lost"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     SEALED = "sealed"
     RATE_LIMITED = "rate-limited"
     POISON = "poison"
+    INTERNAL = "internal"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +101,23 @@
     retry_after: datetime.timedelta | None = None
 
 
+class ByteStream(Protocol):
+    """The rest of an answer.
+
+    Unlike a generator, it frees what it holds on aclose() also when nothing
+    was read: a generator that never started skips its finally block.
+    """
+
+    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        """The stream itself."""
+
+    async def __anext__(self) -> bytes:
+        """The next bytes; raises TruncatedAnswerError on an early end."""
+
+    async def aclose(self) -> None:
+        """Gives up what is unread; may be called again."""
+
+
 @dataclasses.dataclass(slots=True)
 class Answer:
     """A target's answer.
@@ -113,7 +133,7 @@
     status: int
     headers: HeaderList
     body: bytes = b""
-    rest: collections.abc.AsyncGenerator[bytes, None] | None = None
+    rest: ByteStream | None = None
 
 
 class TruncatedAnswerError(Exception):
@@ -129,6 +149,10 @@
     return Refusal(Outcome.NOT_RUN, reason, detail, retry_after)
 
 
-def unknown(reason: Reason, detail: str = "") -> Refusal:
+def unknown(
+    reason: Reason,
+    detail: str = "",
+    retry_after: datetime.timedelta | None = None,
+) -> Refusal:
     """A refusal where a target may or may not have run the work."""
-    return Refusal(Outcome.UNKNOWN, reason, detail)
+    return Refusal(Outcome.UNKNOWN, reason, detail, retry_after)
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -17,10 +17,14 @@
 from endivewind.callers import gateway
 from endivewind.callers import listener
 from endivewind.callers import placement
+from endivewind.callers import ticket_book
+from endivewind.callers import ticketing
+from endivewind.callers import tickets
 from endivewind.config import objects
 from endivewind.config import settings
 from endivewind.config import store
 from endivewind.nodes import codec
+from endivewind.nodes import leaving
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.operators import http
@@ -77,6 +81,7 @@
         self._dispatcher: dispatch.Dispatcher
         self._gateway: gateway.Gateway
         self._listener: listener.Listener
+        self._ticketing: ticketing.Ticketing
         self._platform: client.PlatformClient
         self._session: aiohttp.ClientSession
         self._watcher: watcher.Watcher
@@ -95,7 +100,9 @@
     async def start(self) -> Addresses:
         """Binds every address, joins the fleet and starts the tasks."""
         config = self._settings
-        self._dispatcher = dispatch.Dispatcher.from_registry(self._targets)
+        self._dispatcher = dispatch.Dispatcher.from_registry(
+            self._targets, self._clock
+        )
         self._session = aiohttp.ClientSession()
         self._platform = client.PlatformClient(config.platform, self._session)
         place = placement.Place(config.name, config.region, config.zone)
@@ -108,7 +115,19 @@
             self._pool,
             self._clock,
         )
-        self._listener = listener.Listener(self._gateway, config.limits)
+        kept = config.limits.kept_answer_bytes
+        self._ticketing = ticketing.Ticketing(
+            tickets.Issuer.for_incarnation(config.name, self._incarnation),
+            ticket_book.TicketBook(kept_answer_bytes=kept),
+            self._gateway,
+            self._fleet,
+            self._pool,
+            self._clock,
+            kept,
+        )
+        self._listener = listener.Listener(
+            self._gateway, self._ticketing, config.limits
+        )
         self._watcher = watcher.Watcher(
             self._platform,
             (*store.KINDS, membership.NODE),
@@ -135,13 +154,14 @@
     async def stop(self) -> None:
         """Leaves as planned: work in flight ends before the process does."""
         self._stopping = True
+        self._targets.close()
+        self._targets_changed()
+        departure = leaving.Departure(
+            self._listener, self._dispatcher, self._link_server, self._ticketing
+        )
         limit = self._settings.limits.stop_seconds
+        await departure.run(datetime.timedelta(seconds=limit))
         await membership.unregister(self._platform, self._self_record)
-        try:
-            async with asyncio.timeout(limit):
-                await self._listener.drained()
-        except TimeoutError:
-            log.warning("stopped with %d in flight", self._listener.in_flight)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -168,6 +188,18 @@
             )
         return await self._dispatcher.run(target, head, body)
 
+    async def run_as_issuer(
+        self,
+        incarnation: int,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+        priority: str,
+    ) -> links.AnswerResult:
+        """Runs a send of one of this node's tickets."""
+        return await self._ticketing.execute(
+            head, body, objects.Priority(priority), incarnation
+        )
+
     def announced(self, announce: Any) -> None:
         """Takes all targets of another home."""
         targets = [codec.target_in(item) for item in announce.targets]
--- /dev/null
+++ b/endivewind/nodes/leaving.py
@@ -0,0 +1,80 @@
+"""A node's planned departure: what is refused when, and what is waited for."""
+
+import asyncio
+import datetime
+import logging
+from typing import Protocol
+
+log = logging.getLogger(__name__)
+
+# Peers hear at once that this node has no targets; callers' balancers see
+# within a probe or two that it is not ready. New work that is under way
+# meanwhile is still served.
+NOTICE = datetime.timedelta(seconds=1)
+
+
+class Door(Protocol):
+    """A way in for work."""
+
+    def refuse_new(self) -> None:
+        """Refuses new work from now on."""
+
+
+class Entry(Door, Protocol):
+    """The listener for callers."""
+
+    async def drained(self) -> None:
+        """Waits until nothing is being served."""
+
+
+class Links(Protocol):
+    """The listener for other nodes."""
+
+    async def drained(self) -> None:
+        """Waits until nothing is being served."""
+
+
+class Tickets(Protocol):
+    """Work that must not repeat."""
+
+    def close(self) -> None:
+        """Starts nothing more."""
+
+    async def drained(self) -> None:
+        """Waits until nothing runs."""
+
+    def kept_for(self) -> datetime.timedelta:
+        """How long a resend may still be answered from here."""
+
+
+class Departure:
+    """Leads a node out in order, so that no request is cut.
+
+    First everyone is told and all work is still taken; after the notice new
+    work is refused with the time to come back; what is in flight ends; kept
+    answers stay reachable until the limit.
+    """
+
+    def __init__(
+        self, entry: Entry, home: Door, links: Links, tickets: Tickets
+    ) -> None:
+        self._entry = entry
+        self._home = home
+        self._links = links
+        self._tickets = tickets
+
+    async def run(self, limit: datetime.timedelta) -> None:
+        """Returns when the node may end; after the limit at the latest."""
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                await asyncio.sleep(NOTICE.total_seconds())
+                self._entry.refuse_new()
+                self._tickets.close()
+                await self._entry.drained()
+                self._home.refuse_new()
+                await self._tickets.drained()
+                await self._links.drained()
+                log.info("drained")
+                await asyncio.sleep(self._tickets.kept_for().total_seconds())
+        except TimeoutError:
+            log.info("stop limit reached")
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -33,6 +33,11 @@
 HEARTBEAT_PERIOD = datetime.timedelta(milliseconds=250)
 # Four heartbeats lost in a row are not jitter on links that take 30 ms.
 SILENCE_LIMIT = datetime.timedelta(seconds=1)
+# The home answers at the deadline itself; this is its time to say so.
+DEADLINE_GRACE = datetime.timedelta(milliseconds=500)
+ISSUER_LOST_RETRY = datetime.timedelta(seconds=1)
+# A peer closes idle links before; one that is open longer has lost its peer.
+SERVER_IDLE_LIMIT = datetime.timedelta(seconds=60)
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
@@ -72,28 +77,58 @@
           The answer or the home's refusal. A link that breaks after the
           request was sent leaves the outcome unknown.
         """
-        link = self._take_idle(home.address)
+        forward = _forward_out(head, body)
+        forward.target = target
+        forward.home_incarnation = home.incarnation
+        return await self._call(home, forward, head, body, _HOME_FAILURES)
+
+    async def forward_to_issuer(
+        self,
+        issuer: view.NodeRecord,
+        incarnation: int,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+        priority: str,
+    ) -> AnswerResult:
+        """Sends a request to the issuer of its ticket.
+
+        Returns:
+          The answer or the issuer's refusal. Any failure of the link leaves
+          the outcome unknown: an earlier send may have run.
+        """
+        forward = _forward_out(head, body)
+        forward.to_issuer = True
+        forward.home_incarnation = incarnation
+        forward.priority = priority
+        return await self._call(issuer, forward, head, body, _ISSUER_FAILURES)
+
+    async def _call(
+        self,
+        peer: view.NodeRecord,
+        forward: Any,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+        failures: "_Failures",
+    ) -> AnswerResult:
+        link = self._take_idle(peer.address)
         if link is None:
             try:
-                link = await self._connect(home.address)
+                link = await self._connect(peer.address)
             except (TimeoutError, OSError) as error:
-                return expression.Error(
-                    exchange.not_run(
-                        exchange.Reason.HOME_UNREACHABLE,
-                        f"home {home.name}: {error or 'connect timed out'}",
-                    )
-                )
+                detail = f"{peer.name}: {error or 'connect timed out'}"
+                return expression.Error(failures.unreachable(detail))
         number = next(self._numbers)
+        forward.exchange = number
+        limit = head.remaining + DEADLINE_GRACE
         try:
-            await _send_request(link, number, home, target, head, body)
-            return await self._receive(home.address, link, number)
-        except (OSError, EOFError, codec.FrameError, TimeoutError) as error:
+            async with asyncio.timeout(limit.total_seconds()):
+                await _send_request(link, forward, body)
+                return await self._receive(peer.address, link, number)
+        except (OSError, EOFError, codec.FrameError) as error:
             link.close()
-            self._distrust(home.address)
-            detail = f"link to {home.name}: {error}"
-            return expression.Error(
-                exchange.unknown(exchange.Reason.HOME_LOST, detail)
-            )
+            self._distrust(peer.address)
+            detail = f"link to {peer.name}: {error or 'silent'}"
+            return expression.Error(failures.lost(detail))
         except BaseException:
             link.close()
             raise
@@ -105,7 +140,8 @@
             if link is None:
                 link = await self._connect(address)
             link.writer.write(codec.encode(frame))
-            await link.writer.drain()
+            async with asyncio.timeout(SILENCE_LIMIT.total_seconds()):
+                await link.writer.drain()
         except (TimeoutError, OSError):
             if link is not None:
                 link.close()
@@ -164,7 +200,7 @@
     async def _receive(
         self, address: str, link: _Link, number: int
     ) -> AnswerResult:
-        frame = await _next_frame(link.reader, number)
+        frame = await _next_frame(link)
         if frame.refusal and frame.refusal.exchange == number:
             self._give_back(address, link)
             return expression.Error(_refusal_in(frame.refusal))
@@ -177,35 +213,79 @@
             return expression.Ok(
                 exchange.Answer(answer.status, headers, answer.body)
             )
-        rest = self._rest(address, link, number)
+        rest = _LinkStream(self, address, link, number)
         return expression.Ok(
             exchange.Answer(answer.status, headers, answer.body, rest)
         )
 
-    async def _rest(
-        self, address: str, link: _Link, number: int
-    ) -> collections.abc.AsyncGenerator[bytes, None]:
-        whole = False
+
+class _LinkStream:
+    """The rest of an answer that comes over a link."""
+
+    def __init__(
+        self, pool: LinkPool, address: str, link: _Link, number: int
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._link: _Link | None = link
+        self._number = number
+
+    def __aiter__(self) -> "_LinkStream":
+        return self
+
+    async def __anext__(self) -> bytes:
+        link = self._link
+        while link is not None:
+            chunk = await self._chunk(link)
+            if chunk.last:
+                self._link = None
+                self._pool._give_back(self._address, link)
+                link = None
+            if chunk.data:
+                return bytes(chunk.data)
+        raise StopAsyncIteration
+
+    async def aclose(self) -> None:
+        """Closes the link: its state is in doubt before the last chunk."""
+        if self._link is not None:
+            self._link.close()
+            self._link = None
+
+    async def _chunk(self, link: _Link) -> Any:
         try:
-            while not whole:
-                frame = await _next_frame(link.reader, number)
-                chunk = frame.chunk
-                if chunk is None or chunk.exchange != number:
-                    raise exchange.TruncatedAnswerError("the home gave up")
-                if chunk.data:
-                    yield chunk.data
-                whole = chunk.last
-        except (OSError, EOFError, codec.FrameError, TimeoutError) as error:
-            raise exchange.TruncatedAnswerError(str(error)) from error
-        finally:
-            if whole:
-                self._give_back(address, link)
-            else:
-                link.close()
+            chunk = (await _next_frame(link)).chunk
+            if chunk is None or chunk.exchange != self._number:
+                raise codec.FrameError("the home gave up")
+        except (OSError, EOFError, codec.FrameError) as error:
+            await self.aclose()
+            detail = str(error) or "the link is silent"
+            raise exchange.TruncatedAnswerError(detail) from error
+        return chunk
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Failures:
+    """What a failed link means to whoever used it."""
+
+    unreachable: collections.abc.Callable[[str], exchange.Refusal]
+    lost: collections.abc.Callable[[str], exchange.Refusal]
+
+
+def _issuer_lost(detail: str) -> exchange.Refusal:
+    return exchange.unknown(
+        exchange.Reason.ISSUER_LOST, detail, ISSUER_LOST_RETRY
+    )
+
+
+_HOME_FAILURES = _Failures(
+    lambda detail: exchange.not_run(exchange.Reason.HOME_UNREACHABLE, detail),
+    lambda detail: exchange.unknown(exchange.Reason.HOME_LOST, detail),
+)
+_ISSUER_FAILURES = _Failures(_issuer_lost, _issuer_lost)
 
 
-async def _next_frame(reader: asyncio.StreamReader, number: int) -> Any:
-    """The next frame of an exchange that is not a heartbeat.
+async def _next_frame(link: _Link) -> Any:
+    """The next frame that is not a heartbeat.
 
     A path that lost one direction keeps its connection open and says nothing;
     without the limit the caller would wait for its whole deadline, and the
@@ -214,11 +294,11 @@
     while True:
         try:
             async with asyncio.timeout(SILENCE_LIMIT.total_seconds()):
-                frame = await codec.read_frame(reader)
+                frame = await codec.read_frame(link.reader)
         except TimeoutError as error:
             raise TimeoutError("silent") from error
-        beat = frame.heartbeat
-        if beat is None or beat.exchange != number:
+        # One of an earlier exchange may come after that one's last chunk.
+        if frame.heartbeat is None:
             return frame
 
 
@@ -250,34 +330,31 @@
         self._schedule()
 
 
-async def _send_request(
-    link: _Link,
-    number: int,
-    home: view.NodeRecord,
-    target: str,
-    head: exchange.RequestHead,
-    body: exchange.RequestBody,
-) -> None:
-    forward = codec.messages.Forward(
-        exchange=number,
+def _forward_out(head: exchange.RequestHead, body: exchange.RequestBody) -> Any:
+    return codec.messages.Forward(
         request_id=head.request_id,
         method=head.method,
         path=head.path,
         headers=codec.headers_out(head.headers),
         service_name=head.service,
-        target=target,
-        home_incarnation=home.incarnation,
+        target="",
         remaining_ms=int(head.remaining.total_seconds() * 1000),
         workspace=head.workspace,
         body=body.held,
         body_complete=body.replayable,
         ticket=head.ticket,
         attempt=head.attempt,
+        to_issuer=False,
+        priority="",
     )
-    frame = codec.messages.Frame(forward=forward)
-    link.writer.write(codec.encode(frame))
+
+
+async def _send_request(
+    link: _Link, forward: Any, body: exchange.RequestBody
+) -> None:
+    link.writer.write(codec.encode(codec.messages.Frame(forward=forward)))
     if body.rest is not None:
-        await _send_chunks(link.writer, number, body.rest)
+        await _send_chunks(link.writer, forward.exchange, body.rest)
     await link.writer.drain()
 
 
@@ -322,6 +399,16 @@
         """Runs a forwarded request at one of this node's targets."""
         raise NotImplementedError
 
+    async def run_as_issuer(
+        self,
+        incarnation: int,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+        priority: str,
+    ) -> AnswerResult:
+        """Runs a send of a ticket that this node issued."""
+        raise NotImplementedError
+
     def announced(self, announce: Any) -> None:
         """Takes another home's announcement."""
         raise NotImplementedError
@@ -357,6 +444,18 @@
         self._home = home
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def in_flight(self) -> int:
+        """Exchanges being served now."""
+        return self._in_flight
+
+    async def drained(self) -> None:
+        """Waits until no exchange is being served."""
+        await self._idle.wait()
 
     async def start(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
@@ -396,11 +495,12 @@
     ) -> None:
         try:
             while True:
-                frame = await codec.read_frame(reader)
+                async with asyncio.timeout(SERVER_IDLE_LIMIT.total_seconds()):
+                    frame = await codec.read_frame(reader)
                 if frame.announce:
                     self._home.announced(frame.announce)
                 elif frame.forward:
-                    await self._exchange(frame.forward, reader, writer)
+                    await self._counted(frame.forward, reader, writer)
                 else:
                     raise codec.FrameError("a frame out of turn")
         except (EOFError, OSError, asyncio.CancelledError):
@@ -411,6 +511,22 @@
         finally:
             writer.close()
 
+    async def _counted(
+        self,
+        forward: Any,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            with _Heart(writer, forward.exchange):
+                await self._exchange(forward, reader, writer)
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
     async def _exchange(
         self,
         forward: Any,
@@ -420,18 +536,12 @@
         body = exchange.RequestBody(forward.body)
         if not forward.body_complete:
             body.rest = _chunks_in(reader, forward.exchange)
-        with _Heart(writer, forward.exchange):
-            result = await self._home.run(
-                forward.target,
-                forward.home_incarnation,
-                _head_in(forward),
-                body,
-            )
-            match result:
-                case expression.Result(tag="ok", ok=answer):
-                    await _send_answer(writer, forward.exchange, answer)
-                case expression.Result(error=refusal):
-                    _send_refusal(writer, forward.exchange, refusal)
+        result = await self._run(forward, body)
+        match result:
+            case expression.Result(tag="ok", ok=answer):
+                await _send_answer(writer, forward.exchange, answer)
+            case expression.Result(error=refusal):
+                _send_refusal(writer, forward.exchange, refusal)
         await writer.drain()
         if body.rest is not None:
             # Chunks that nobody read would be taken for the next exchange.
@@ -439,6 +549,18 @@
                 async for _ in body.rest:
                     pass
 
+    async def _run(
+        self, forward: Any, body: exchange.RequestBody
+    ) -> AnswerResult:
+        head = _head_in(forward)
+        if forward.to_issuer:
+            return await self._home.run_as_issuer(
+                forward.home_incarnation, head, body, forward.priority
+            )
+        return await self._home.run(
+            forward.target, forward.home_incarnation, head, body
+        )
+
 
 async def _chunks_in(
     reader: asyncio.StreamReader, number: int
@@ -463,8 +585,8 @@
         service=forward.service_name,
         workspace=forward.workspace,
         remaining=datetime.timedelta(milliseconds=forward.remaining_ms),
-        ticket=forward.ticket,
-        attempt=forward.attempt,
+        ticket=forward.ticket or "",
+        attempt=forward.attempt or 0,
     )
 
 
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -22,6 +22,10 @@
   12: bool body_complete
   13: string ticket
   14: i32 attempt
+  // The receiver is meant as the issuer of the ticket; home_incarnation is
+  // then the issuer's, and target is empty.
+  15: bool to_issuer
+  16: string priority
 }
 
 struct Chunk {
--- a/endivewind/standins/target.py
+++ b/endivewind/standins/target.py
@@ -3,25 +3,47 @@
 import asyncio
 import collections
 import datetime
+import enum
 import itertools
 import logging
 
 import aiohttp
 from aiohttp import web
 
+from endivewind import logs
+
 log = logging.getLogger(__name__)
 
 COUNTS_PATH = "/standin/counts"
 FAULT_PATH = "/standin/fault"
+EVENTS_PATH = "/standin/events"
+FAULT_HEADER = "Standin-Fault"
 RENEWAL = datetime.timedelta(milliseconds=500)
 HANG = datetime.timedelta(hours=1)
+PART_BYTES = 500
+WHOLE_BYTES = 200_000
+
+_PAUSE = datetime.timedelta(milliseconds=100)
+
+
+class Fault(enum.StrEnum):
+    """What a request asks to go wrong with itself, by its header."""
+
+    CLOSE = "close"
+    HANG = "hang"
+    DELAY = "delay"
+    LARGE = "large"
+    SLOW_STREAM = "slow-stream"
+    TRUNCATE_LENGTH = "truncate-length"
+    TRUNCATE_CHUNKED = "truncate-chunked"
 
 
 class TargetStandin:
     """A target that counts what it ran, by the header Work-Id.
 
-    A fault is set with `PUT /standin/fault`: {"errors": share of requests
-    that fail, "delay_ms": extra time, "hang": true}.
+    A fault of all requests is set with `PUT /standin/fault`: {"errors": share
+    of requests that fail, "delay_ms": extra time, "hang": true}. A fault of
+    one request is named by its header Standin-Fault.
     """
 
     def __init__(self, name: str, service: str, nodes: list[str]) -> None:
@@ -29,6 +51,8 @@
         self._service = service
         self._nodes = nodes
         self._runs: collections.Counter[str] = collections.Counter()
+        self._partial: collections.Counter[str] = collections.Counter()
+        self._cancelled: collections.Counter[str] = collections.Counter()
         self._numbers = itertools.count()
         self._errors = 0.0
         self._delay = 0.0
@@ -41,6 +65,7 @@
         """The target's routes; everything else is work."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_get(COUNTS_PATH, self._counts)
+        app.router.add_get(EVENTS_PATH, self._events)
         app.router.add_put(FAULT_PATH, self._fault)
         app.router.add_route("*", "/{path:.*}", self._work)
         return app
@@ -74,10 +99,31 @@
                 log.warning("%s does not answer: %s", node, error)
 
     async def _work(self, request: web.Request) -> web.StreamResponse:
-        body = await request.read()
         work = request.headers.get("Work-Id", "")
+        try:
+            body = await request.read()
+        except BaseException:
+            # The body broke off: there is no whole request to run.
+            self._partial[work] += 1
+            raise
         if work:
             self._runs[work] += 1
+        log.info("work runs", extra=logs.fields(work=work))
+        try:
+            return await self._run(request, work, len(body))
+        except asyncio.CancelledError:
+            self._cancelled[work] += 1
+            log.info("work cancelled", extra=logs.fields(work=work))
+            raise
+
+    async def _run(
+        self, request: web.Request, work: str, length: int
+    ) -> web.StreamResponse:
+        fault = request.headers.get(FAULT_HEADER, "")
+        if fault:
+            answer = await self._fail(Fault(fault), request)
+            if answer is not None:
+                return answer
         if self._hang:
             await asyncio.sleep(HANG.total_seconds())
         if self._delay:
@@ -91,10 +137,35 @@
                 "method": request.method,
                 "path": request.path_qs,
                 "work": work,
-                "bytes": len(body),
+                "bytes": length,
             }
         )
 
+    async def _fail(
+        self, fault: Fault, request: web.Request
+    ) -> web.StreamResponse | None:
+        """Does what the fault asks; None where an answer is still due."""
+        match fault:
+            case Fault.CLOSE:
+                _cut(request)
+                return web.Response()
+            case Fault.HANG:
+                await asyncio.sleep(HANG.total_seconds())
+            case Fault.DELAY:
+                await asyncio.sleep(_PAUSE.total_seconds() * 5)
+            case Fault.LARGE:
+                return web.Response(body=b"x" * WHOLE_BYTES)
+            case Fault.SLOW_STREAM:
+                return await _slow_stream(request)
+            case Fault.TRUNCATE_LENGTH | Fault.TRUNCATE_CHUNKED:
+                return await _truncate(request, fault)
+        return None
+
+    async def _events(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {"partial": self._partial, "cancelled": self._cancelled}
+        )
+
     async def _counts(self, request: web.Request) -> web.Response:
         return web.json_response(self._runs)
 
@@ -104,3 +175,33 @@
         self._delay = float(fault.get("delay_ms", 0)) / 1000
         self._hang = bool(fault.get("hang", False))
         return web.Response(status=204)
+
+
+async def _slow_stream(request: web.Request) -> web.StreamResponse:
+    """A chunked answer whose parts come one by one."""
+    response = web.StreamResponse()
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    for _ in range(WHOLE_BYTES // PART_BYTES // 20):
+        await response.write(b"x" * PART_BYTES)
+        await asyncio.sleep(_PAUSE.total_seconds())
+    await response.write_eof()
+    return response
+
+
+async def _truncate(request: web.Request, fault: Fault) -> web.StreamResponse:
+    """An answer that ends before its announced end."""
+    response = web.StreamResponse()
+    if fault is Fault.TRUNCATE_LENGTH:
+        response.content_length = PART_BYTES * 2
+    else:
+        response.enable_chunked_encoding()
+    await response.prepare(request)
+    await response.write(b"x" * PART_BYTES)
+    _cut(request)
+    return response
+
+
+def _cut(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.close()
--- a/endivewind/targets/api.py
+++ b/endivewind/targets/api.py
@@ -30,6 +30,9 @@
         return app
 
     async def _put(self, request: web.Request) -> web.Response:
+        if self._targets.closed:
+            # The target goes to the next node of its list.
+            return web.json_response({"title": "leaving"}, status=503)
         try:
             announcement = registry.Announcement.model_validate_json(
                 await request.read()
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import datetime
 import logging
+import types
 
 import aiohttp
 import expression
 import multidict
 import yarl
 
+from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import headers
+from endivewind.targets import evidence
+from endivewind.targets import handover
 from endivewind.targets import records
 from endivewind.targets import registry
 
@@ -21,41 +26,101 @@
 # An idle connection may have been forgotten on the way; a short idle time
 # keeps most requests off such connections.
 KEEPALIVE = datetime.timedelta(seconds=10)
+CONNECT_LIMIT = datetime.timedelta(seconds=1)
+# An answer that has begun and then moves no byte for this long is cut.
+PROGRESS_LIMIT = datetime.timedelta(seconds=30)
 WHOLE_ANSWER_BYTES = 65_536
 _READ_BYTES = 65_536
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
 
+class HandOverLostError(Exception):
+    """The connection failed after bytes of the request may have been sent."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far one hand-over has come.
+
+    Attributes:
+      connected: a connection was obtained, so that from now on bytes may
+        have been sent.
+      reused: the connection had served a request before.
+      caller_failed: the caller's body broke off.
+    """
+
+    connected: bool = False
+    reused: bool = False
+    caller_failed: bool = False
+
+
+class Unobserved:
+    """An observer that keeps nothing."""
+
+    def finished(self, sample: evidence.Sample) -> None:
+        """Takes one sample."""
+
+
 class Dispatcher:
     """Runs requests at targets within their slots."""
 
     def __init__(
         self,
         targets: registry.TargetRegistry,
-        session: aiohttp.ClientSession,
+        pooled: aiohttp.ClientSession,
+        fresh: aiohttp.ClientSession,
+        clock: clocks.Clock,
+        observer: evidence.Observer,
+        ledger: handover.HandOverLedger,
     ) -> None:
+        """Builds a dispatcher.
+
+        Args:
+          targets: the targets of this home.
+          pooled: reuses connections.
+          fresh: opens a connection for each request.
+          clock: for latencies and the age of attempts.
+          observer: hears how each hand-over ended.
+          ledger: attempts that must not be handed over again.
+        """
         self._targets = targets
-        self._session = session
+        self._pooled = pooled
+        self._fresh = fresh
+        self._clock = clock
+        self._observer = observer
+        self._ledger = ledger
+        self._closed = False
 
     @classmethod
-    def from_registry(cls, targets: registry.TargetRegistry) -> "Dispatcher":
-        """Builds a dispatcher with a connection pool of its own."""
-        connector = aiohttp.TCPConnector(
+    def from_registry(
+        cls,
+        targets: registry.TargetRegistry,
+        clock: clocks.Clock | None = None,
+        observer: evidence.Observer | None = None,
+    ) -> "Dispatcher":
+        """Builds a dispatcher with connections of its own."""
+        pooled = aiohttp.TCPConnector(
             limit=0, keepalive_timeout=KEEPALIVE.total_seconds()
         )
-        session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(),
-            skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
+        fresh = aiohttp.TCPConnector(limit=0, force_close=True)
+        return cls(
+            targets,
+            _session(pooled),
+            _session(fresh),
+            clock or clocks.SystemClock(),
+            observer or Unobserved(),
+            handover.HandOverLedger(),
         )
-        return cls(targets, session)
 
     async def close(self) -> None:
         """Closes the connections to targets."""
-        await self._session.close()
+        await self._pooled.close()
+        await self._fresh.close()
+
+    def refuse_new(self) -> None:
+        """Hands nothing over any more; what runs goes on."""
+        self._closed = True
 
     async def run(
         self,
@@ -63,90 +128,305 @@
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
-        """Runs one request at one target of this home."""
+        """Runs one request at one target of this home.
+
+        An attempt under a ticket is recorded before anything else happens
+        and sealed when it ends before the target saw a byte. Without the
+        record a second copy of it would run again.
+        """
+        if not head.ticket:
+            return await self._run(target, head, body)
+        refused = self._ledger.begin(
+            head.ticket, head.attempt, self._clock.monotonic()
+        )
+        if refused is not None:
+            return expression.Error(refused)
+        result = await self._run(target, head, body)
+        if _is_not_run(result):
+            self._ledger.seal(head.ticket, head.attempt)
+        return result
+
+    async def _run(
+        self,
+        target: str,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
         item = self._targets.get(target)
         if item is None:
             return _refuse(exchange.Reason.STALE_HOME, f"{target} is not here")
+        if self._closed:
+            return _refuse(exchange.Reason.STOPPING, "the home is leaving")
         if item.record.state is records.State.DRAINING:
             return _refuse(exchange.Reason.STOPPING, f"{target} is draining")
         if item.in_use >= item.record.slots:
             return _refuse(
                 exchange.Reason.BUSY, f"{target} has no free slot", BUSY_RETRY
             )
-        item.in_use += 1
-        result: AnswerResult | None = None
+        hand_over = _HandOver(item, head, self._clock, self._observer)
         try:
-            result = await self._send(item, head, body)
-        finally:
-            streaming = (
-                result is not None
-                and result.is_ok()
-                and result.ok.rest is not None
-            )
-            if not streaming:
-                item.in_use -= 1
+            result = await self._send(hand_over, head, body)
+        except BaseException:
+            hand_over.cancelled()
+            raise
+        if result.is_error() or result.ok.rest is None:
+            hand_over.end()
         return result
 
     async def _send(
         self,
-        item: registry.HomeTarget,
+        hand_over: "_HandOver",
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
+        """Sends a request, again over a fresh connection where that is safe.
+
+        Failure: a pooled connection has been closed or forgotten by the other
+        side. Symptom: a healthy target looks lost. Work that may repeat is
+        sent once more over a fresh connection before the target is blamed;
+        work under a ticket gets a fresh connection from the start.
+        """
+        once = bool(head.ticket)
         deadline = head.remaining.total_seconds()
         try:
             async with asyncio.timeout(deadline):
-                response = await self._session.request(
-                    head.method,
-                    yarl.URL(item.address + head.path, encoded=True),
-                    headers=_headers_out(head.headers),
-                    data=_body_out(body),
-                    allow_redirects=False,
-                )
-                return await _answer(item, response)
-        except aiohttp.ClientConnectorError as error:
-            return _refuse(exchange.Reason.UNREACHABLE, str(error))
+                session = self._fresh if once else self._pooled
+                try:
+                    return await self._request(session, hand_over, head, body)
+                except HandOverLostError:
+                    stale = hand_over.progress.reused and body.replayable
+                    if once or not stale:
+                        raise
+                    hand_over.sent_before = True
+                return await self._request(self._fresh, hand_over, head, body)
         except TimeoutError:
-            detail = "no answer before the deadline"
-            return expression.Error(
-                exchange.unknown(exchange.Reason.DEADLINE, detail)
-            )
+            return _timed_out(hand_over)
         except (
+            HandOverLostError,
             aiohttp.ClientError,
             OSError,
             exchange.TruncatedAnswerError,
         ) as error:
-            detail = str(error) or type(error).__name__
-            return expression.Error(
-                exchange.unknown(exchange.Reason.TARGET_LOST, detail)
+            return _lost(hand_over, error)
+
+    async def _request(
+        self,
+        session: aiohttp.ClientSession,
+        hand_over: "_HandOver",
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        progress = _Progress()
+        hand_over.progress = progress
+        response = await session.request(
+            head.method,
+            yarl.URL(hand_over.item.address + head.path, encoded=True),
+            headers=_headers_out(head),
+            data=_body_out(body, progress),
+            allow_redirects=False,
+            trace_request_ctx=progress,
+        )
+        hand_over.answered(response.status)
+        return await _answer(hand_over, response)
+
+
+class _HandOver:
+    """One request at one target: its slot, and what is learnt from it."""
+
+    def __init__(
+        self,
+        item: registry.HomeTarget,
+        head: exchange.RequestHead,
+        clock: clocks.Clock,
+        observer: evidence.Observer,
+    ) -> None:
+        self.item = item
+        self.progress = _Progress()
+        self.sent_before = False
+        self.kind = evidence.Kind.LOST
+        self._head = head
+        self._clock = clock
+        self._observer = observer
+        self._started = clock.monotonic()
+        self._latency: datetime.timedelta | None = None
+        self._ended = False
+        item.in_use += 1
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target may have seen a byte; else it surely has not."""
+        return self.sent_before or self.progress.connected
+
+    def answered(self, status: int) -> None:
+        """Notes the answer's head."""
+        self.kind = evidence.kind_of_status(status)
+        self._latency = self._clock.monotonic() - self._started
+
+    def cancelled(self) -> None:
+        """Ends it for its caller, who has left or waited out the deadline."""
+        waited = self._clock.monotonic() - self._started
+        late = waited >= self._head.remaining and self._latency is None
+        kind = evidence.Kind.TIMEOUT if late else evidence.Kind.CANCELLED
+        self.end(kind)
+
+    def end(self, kind: evidence.Kind | None = None) -> None:
+        """Frees the slot and reports, once."""
+        if self._ended:
+            return
+        self._ended = True
+        self.item.in_use -= 1
+        latency = self._latency
+        if latency is None:
+            latency = self._clock.monotonic() - self._started
+        self._observer.finished(
+            evidence.Sample(
+                target=self.item.record.id,
+                service=self.item.record.service,
+                workspace=self._head.workspace,
+                kind=kind or self.kind,
+                latency=latency,
             )
+        )
+
+
+class _TargetStream:
+    """The rest of a target's answer; holds the slot until it ends."""
+
+    def __init__(
+        self, hand_over: _HandOver, response: aiohttp.ClientResponse
+    ) -> None:
+        self._hand_over = hand_over
+        self._response = response
+
+    def __aiter__(self) -> "_TargetStream":
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            async with asyncio.timeout(PROGRESS_LIMIT.total_seconds()):
+                data = await self._response.content.read(_READ_BYTES)
+        except (aiohttp.ClientError, OSError) as error:
+            self._close(evidence.Kind.LOST)
+            detail = str(error) or "the answer stood still"
+            raise exchange.TruncatedAnswerError(detail) from error
+        if data:
+            return data
+        self._close(None)
+        raise StopAsyncIteration
+
+    async def aclose(self) -> None:
+        """Gives the answer up: the target sees its connection closed."""
+        self._close(evidence.Kind.CANCELLED)
+
+    def _close(self, kind: evidence.Kind | None) -> None:
+        # A connection left in the middle of an answer is never used again.
+        self._response.close()
+        self._hand_over.end(kind)
 
 
 async def _answer(
-    item: registry.HomeTarget, response: aiohttp.ClientResponse
+    hand_over: _HandOver, response: aiohttp.ClientResponse
 ) -> AnswerResult:
     pairs = _headers_in(response.raw_headers)
     length = response.content_length
     if length is not None and length <= WHOLE_ANSWER_BYTES:
-        whole = await response.read()
+        try:
+            whole = await response.read()
+        except BaseException:
+            response.close()
+            raise
         return expression.Ok(exchange.Answer(response.status, pairs, whole))
-    return expression.Ok(
-        exchange.Answer(response.status, pairs, b"", _rest(item, response))
+    rest = _TargetStream(hand_over, response)
+    return expression.Ok(exchange.Answer(response.status, pairs, b"", rest))
+
+
+def _session(connector: aiohttp.BaseConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(
+            sock_connect=CONNECT_LIMIT.total_seconds()
+        ),
+        skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
+        middlewares=(_never_resend,),
+        trace_configs=[_progress_traces()],
     )
 
 
-async def _rest(
-    item: registry.HomeTarget, response: aiohttp.ClientResponse
-) -> collections.abc.AsyncGenerator[bytes, None]:
+async def _never_resend(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keeps aiohttp from sending a request again by itself.
+
+    Failure: a target crashes on a PUT or DELETE. Symptom: aiohttp, which
+    takes these for repeatable, sends it a second time and the work runs
+    twice. It does so for its own connection errors only, so another type of
+    error ends the request.
+    """
     try:
-        async for data in response.content.iter_chunked(_READ_BYTES):
-            yield data
-    except (aiohttp.ClientError, OSError) as error:
-        raise exchange.TruncatedAnswerError(str(error)) from error
-    finally:
-        # A connection left in the middle of an answer is never used again.
-        response.close()
-        item.in_use -= 1
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        detail = str(error) or type(error).__name__
+        raise HandOverLostError(detail) from error
+
+
+def _progress_traces() -> aiohttp.TraceConfig:
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_end.append(_created)
+    config.on_connection_reuseconn.append(_reused)
+    return config
+
+
+async def _created(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    context.trace_request_ctx.connected = True
+
+
+async def _reused(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    params: aiohttp.TraceConnectionReuseconnParams,
+) -> None:
+    context.trace_request_ctx.connected = True
+    context.trace_request_ctx.reused = True
+
+
+def _timed_out(hand_over: _HandOver) -> AnswerResult:
+    if not hand_over.may_have_run:
+        return _unreachable(hand_over, "connect timed out")
+    hand_over.kind = evidence.Kind.TIMEOUT
+    detail = "no answer before the deadline"
+    return expression.Error(exchange.unknown(exchange.Reason.DEADLINE, detail))
+
+
+def _lost(hand_over: _HandOver, error: Exception) -> AnswerResult:
+    detail = str(error) or type(error).__name__
+    if not hand_over.may_have_run:
+        return _unreachable(hand_over, detail)
+    hand_over.kind = evidence.Kind.LOST
+    if hand_over.progress.caller_failed:
+        # The caller's body broke off; the target is not to blame.
+        hand_over.kind = evidence.Kind.CANCELLED
+    return expression.Error(
+        exchange.unknown(exchange.Reason.TARGET_LOST, detail)
+    )
+
+
+def _unreachable(hand_over: _HandOver, detail: str) -> AnswerResult:
+    hand_over.kind = evidence.Kind.REFUSED_CONNECTION
+    return _refuse(exchange.Reason.UNREACHABLE, detail)
+
+
+def _is_not_run(result: AnswerResult) -> bool:
+    return (
+        result.is_error() and result.error.outcome is exchange.Outcome.NOT_RUN
+    )
 
 
 def _refuse(
@@ -158,29 +438,36 @@
 
 
 def _body_out(
-    body: exchange.RequestBody,
+    body: exchange.RequestBody, progress: _Progress
 ) -> bytes | collections.abc.AsyncIterator[bytes] | None:
     if body.rest is None:
         return body.held or None
-    return _joined(body.held, body.rest)
+    return _joined(body.held, body.rest, progress)
 
 
 async def _joined(
-    held: bytes, rest: collections.abc.AsyncIterator[bytes]
+    held: bytes,
+    rest: collections.abc.AsyncIterator[bytes],
+    progress: _Progress,
 ) -> collections.abc.AsyncGenerator[bytes, None]:
     if held:
         yield held
-    async for data in rest:
-        yield data
+    try:
+        async for data in rest:
+            yield data
+    except Exception:
+        progress.caller_failed = True
+        raise
 
 
-def _headers_out(
-    pairs: exchange.HeaderList,
-) -> multidict.CIMultiDict[str]:
-    return multidict.CIMultiDict(
+def _headers_out(head: exchange.RequestHead) -> multidict.CIMultiDict[str]:
+    fields = multidict.CIMultiDict(
         (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
-        for name, value in pairs
+        for name, value in head.headers
     )
+    remaining = head.remaining // datetime.timedelta(milliseconds=1)
+    fields[headers.TIMEOUT_MS] = str(max(1, remaining))
+    return fields
 
 
 def _headers_in(pairs: exchange.HeaderList) -> exchange.HeaderList:
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -69,6 +69,7 @@
         self._clock = clock
         self._targets: dict[str, HomeTarget] = {}
         self._sequence = 0
+        self._closed = False
 
     @property
     def sequence(self) -> int:
@@ -79,8 +80,24 @@
         """A target of this home."""
         return self._targets.get(target)
 
+    @property
+    def closed(self) -> bool:
+        """Whether this home takes no announcements any more."""
+        return self._closed
+
+    def close(self) -> None:
+        """Lets all targets go to another home; the fleet hears of none here.
+
+        They stay known to this home, so that what was sent before the fleet
+        heard of it is still handed over.
+        """
+        self._closed = True
+        self._sequence += 1
+
     def announced(self) -> list[records.TargetRecord]:
         """What the fleet hears of every target."""
+        if self._closed:
+            return []
         return [item.record for item in self._targets.values()]
 
     def announce(
--- /dev/null
+++ b/endivewind/tests/proofs/calls.py
@@ -0,0 +1,103 @@
+"""Calls of the proofs: a request through a node, and counts at targets."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+from typing import Any
+
+import aiohttp
+
+from endivewind import headers
+from endivewind.standins import target as standin
+from endivewind.tests import processes
+
+WAIT_SECONDS = 10
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """What a caller got; status 0 where the connection broke."""
+
+    status: int
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+
+    @property
+    def outcome(self) -> str:
+        """What the system says of the outcome; empty for a target's answer."""
+        return self.headers.get(headers.OUTCOME, "")
+
+    @property
+    def reason(self) -> str:
+        """Why the system answered in place of a target."""
+        return self.headers.get(headers.REASON, "")
+
+    @property
+    def key(self) -> str:
+        """The key that came with the answer."""
+        return self.headers.get(headers.IDEMPOTENCY_KEY, "")
+
+    @property
+    def json(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+
+class Caller:
+    """A caller with connections of its own."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def send(
+        self,
+        node: processes.Process,
+        method: str = "POST",
+        key: str = "",
+        work: str = "",
+        fault: str = "",
+        body: Any = b"{}",
+        **fields: str,
+    ) -> Reply:
+        """Sends one request; a broken connection is a reply as well."""
+        sent = {name.replace("_", "-"): value for name, value in fields.items()}
+        if key:
+            sent[headers.IDEMPOTENCY_KEY] = key
+        if work:
+            sent["Work-Id"] = work
+        if fault:
+            sent[standin.FAULT_HEADER] = fault
+        url = f"http://{node.listening['callers']}/work"
+        try:
+            async with (
+                asyncio.timeout(WAIT_SECONDS),
+                self._session.request(
+                    method, url, headers=sent, data=body
+                ) as response,
+            ):
+                read = await response.read()
+                return Reply(response.status, dict(response.headers), read)
+        except aiohttp.ClientError:
+            return Reply(0)
+
+    async def key(self, node: processes.Process, method: str = "POST") -> str:
+        """A fresh key of a node."""
+        asked = await self.send(node, method, body=None)
+        return asked.key
+
+    async def runs(self, fleet: processes.Fleet) -> collections.Counter[str]:
+        """How often each work ran, over all targets."""
+        total: collections.Counter[str] = collections.Counter()
+        for target in fleet.targets.values():
+            total.update(await self._read(target, standin.COUNTS_PATH))
+        return total
+
+    async def events(self, target: processes.Process) -> dict[str, Any]:
+        """What broke off at a target."""
+        return await self._read(target, standin.EVENTS_PATH)
+
+    async def _read(self, target: processes.Process, path: str) -> Any:
+        url = f"http://{target.listening['address']}{path}"
+        async with self._session.get(url) as response:
+            return await response.json()
--- a/endivewind/tests/proofs/partition_tests.py
+++ b/endivewind/tests/proofs/partition_tests.py
@@ -88,12 +88,15 @@
 
 
 async def _send(node: processes.Process, method: str) -> tuple[int, str]:
+    """Sends a request; one that must not repeat first asks for its key."""
     url = f"http://{node.listening['callers']}/work"
-    async with asyncio.timeout(SOON_SECONDS):
-        async with (
-            aiohttp.ClientSession() as session,
-            session.request(
-                method, url, headers={"Endivewind-Timeout-Ms": DEADLINE_MS}
-            ) as response,
-        ):
+    fields = {"Endivewind-Timeout-Ms": DEADLINE_MS}
+    async with (
+        asyncio.timeout(SOON_SECONDS),
+        aiohttp.ClientSession() as session,
+    ):
+        if method == "POST":
+            async with session.post(url, headers=fields) as asked:
+                fields["Idempotency-Key"] = asked.headers["Idempotency-Key"]
+        async with session.request(method, url, headers=fields) as response:
             return response.status, await response.text()
