Refuse with not-ready, not 404, before the configuration is here

Cause: a node that had not yet heard its configuration answered 404 for every route, so callers gave up on work that another node takes. Links were also accepted before the gossip service that answers their frames was built. Change: without a route the listener asks whether the node is ready and refuses with 503, not-run and Retry-After if not; the link server binds first and accepts once everything behind it stands. Before: the request of the new test got 404 no-route. Conclusion: 404 now means that the route does not exist.

--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -29,6 +29,7 @@
 _DROPPED = headers.HOP_BY_HOP | {"host", "expect"}
 # What only the system may say to a caller.
 _OWN_FIELDS = (headers.OUTCOME, headers.REASON)
+NOT_READY_RETRY = datetime.timedelta(seconds=1)
 LEAVING_RETRY = datetime.timedelta(seconds=1)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -41,10 +42,20 @@
         served: gateway.Gateway,
         ticketed: ticketing.Ticketing,
         limits: settings.Limits,
+        not_ready: collections.abc.Callable[[], str | None],
     ) -> None:
+        """Serves nothing before server() is started.
+
+        Args:
+          served: routes and places requests.
+          ticketed: runs work that must not repeat.
+          limits: bounds of this process.
+          not_ready: what the node still lacks; None once it has all.
+        """
         self._gateway = served
         self._tickets = ticketed
         self._limits = limits
+        self._not_ready = not_ready
         self._leaving = False
         self._in_flight = 0
         self._idle = asyncio.Event()
@@ -117,6 +128,14 @@
         host = _host(call.request.headers.get("Host", ""))
         path = call.path.partition("?")[0]
         route = self._gateway.route(host, path, call.workspace)
+        missing = self._not_ready() if route is None else None
+        if missing:
+            # Without its configuration a node can't tell a route that does
+            # not exist from one that it has not heard of; a 404 would have
+            # callers give up on work that the next node takes.
+            return call.refuse(
+                exchange.Reason.NOT_READY, missing, NOT_READY_RETRY
+            )
         if route is None:
             return call.refuse(exchange.Reason.NO_ROUTE, f"no route for {host}")
         call.once = not gateway.may_repeat(route, call.request.method)
--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -12,6 +12,7 @@
     exchange.Reason.BAD_REQUEST: 400,
     exchange.Reason.BODY_TOO_LARGE: 413,
     exchange.Reason.NO_ROUTE: 404,
+    exchange.Reason.NOT_READY: 503,
     exchange.Reason.NO_TARGET: 503,
     exchange.Reason.BUSY: 503,
     exchange.Reason.DEADLINE: 504,
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -23,6 +23,7 @@
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
     NO_ROUTE = "no-route"
+    NOT_READY = "not-ready"
     NO_TARGET = "no-target"
     BUSY = "busy"
     DEADLINE = "deadline"
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -130,7 +130,7 @@
             kept,
         )
         self._listener = listener.Listener(
-            self._gateway, self._ticketing, config.limits
+            self._gateway, self._ticketing, config.limits, self._not_ready
         )
         self._restorer = restoring.Restorer(
             self._configuration, self._platform, self._rng
@@ -173,6 +173,7 @@
             self._rng,
         )
         await self._gossip.start(addresses.nodes)
+        await self._link_server.serve()
         for work in (
             self._watcher.run(),
             self._restorer.run(),
@@ -258,7 +259,7 @@
             config.operators,
         )
         host, port = _split(config.nodes)
-        nodes = await self._link_server.start(
+        nodes = await self._link_server.bind(
             host, port, tls.server_context(config.nodes_tls)
         )
         return Addresses(callers, targets, nodes, operators)
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -461,17 +461,31 @@
         """Waits until no exchange is being served."""
         await self._idle.wait()
 
-    async def start(
+    async def bind(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> str:
-        """Listens and returns the address bound."""
+        """Binds and returns the address; nothing is accepted before serve().
+
+        The node needs the address to build what answers the links.
+        """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._protocol, host, port, ssl=tls, reuse_address=True
+            self._protocol,
+            host,
+            port,
+            ssl=tls,
+            reuse_address=True,
+            start_serving=False,
         )
         bound = self._server.sockets[0].getsockname()
         return f"{host}:{bound[1]}"
 
+    async def serve(self) -> None:
+        """Accepts links from now on."""
+        if self._server is None:
+            raise RuntimeError("bind() comes first")
+        await self._server.start_serving()
+
     async def stop(self) -> None:
         """Stops listening and closes every link."""
         if self._server:
--- a/endivewind/tests/path_tests.py
+++ b/endivewind/tests/path_tests.py
@@ -1,5 +1,6 @@
 """The whole path in separate processes: platform, nodes, targets."""
 
+import asyncio
 import unittest
 
 import aiohttp
@@ -47,12 +48,36 @@
     async def test_unknown_route_is_refused_as_not_run(self):
         async with processes.Fleet() as fleet:
             entry = await fleet.node("node-a")
-
-            answer = await _get(entry, "/nowhere")
+            async with asyncio.timeout(processes.WAIT_SECONDS):
+                answer = await _get(entry, "/nowhere")
+                while answer.headers["Endivewind-Reason"] == "not-ready":
+                    answer = await _get(entry, "/nowhere")
 
             self.assertEqual(404, answer.status)
             self.assertEqual("not-run", answer.headers["Endivewind-Outcome"])
 
+    async def test_node_without_configuration_asks_to_come_back(self):
+        """The caller hears "come back", not that its route does not exist.
+
+        The platform is gone before the node starts, so the node has no routes
+        yet and can't know whether there is one for the request.
+        """
+        async with processes.Fleet() as fleet:
+            fleet.platform.kill()
+            entry = await fleet.node("node-a")
+
+            answer = await _get(entry, "/riders/42")
+
+            self.assertEqual(503, answer.status)
+            self.assertEqual(
+                ("not-run", "not-ready", "1"),
+                (
+                    answer.headers["Endivewind-Outcome"],
+                    answer.headers["Endivewind-Reason"],
+                    answer.headers["Retry-After"],
+                ),
+            )
+
 
 class _Answer:
     def __init__(self, response: aiohttp.ClientResponse, json) -> None:
