--- a/endivewind/tests/known_red.py
+++ b/endivewind/tests/known_red.py
@@ -1,5 +1,6 @@
 """Judges a test run against KNOWN-RED.txt."""
 
+import collections.abc
 import dataclasses
 import pathlib
 import unittest
@@ -7,35 +8,70 @@
 MAX_KNOWN_RED = 3
 
 
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What running one module came to.
+
+    Attributes:
+      name: dotted name of what was run.
+      ran: tests run.
+      failed: ids of the tests that failed.
+      skipped: tests skipped.
+      seconds: time it took.
+      output: what the runner printed.
+    """
+
+    name: str
+    ran: int
+    failed: frozenset[str]
+    skipped: int
+    seconds: float
+    output: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Verdict:
-    """What a run amounts to: lines to print, failures, and acceptance."""
+    """What a run amounts to: lines to print, counts, and acceptance."""
 
     lines: tuple[str, ...]
+    passed: int
     failed: int
     accepted: bool
 
 
-def judge(result: unittest.TestResult, listing: pathlib.Path) -> Verdict:
-    """Accepts failures of listed tests only; a listed pass is refused.
+def failed_tests(result: unittest.TestResult) -> frozenset[str]:
+    """Ids of the tests that failed; a failed subtest counts as its test."""
+    pairs = [*result.failures, *result.errors]
+    failed = {_test_id(test) for test, _ in pairs}
+    failed |= {_test_id(test) for test in result.unexpectedSuccesses}
+    return frozenset(failed)
+
+
+def judge(
+    reports: collections.abc.Sequence[Report], listing: pathlib.Path
+) -> Verdict:
+    """Accepts failures of listed tests only.
 
     Args:
-      result: the finished run.
+      reports: the finished modules.
       listing: KNOWN-RED.txt; each line starts with the test's id and a colon.
 
     Returns:
       The verdict; at most MAX_KNOWN_RED lines may be listed.
     """
     known = _read(listing)
-    failed = {_test_id(test) for test, _ in [*result.failures, *result.errors]}
+    failed = frozenset().union(*(report.failed for report in reports))
     lines = [f"KNOWN RED {known[name]}" for name in sorted(failed & set(known))]
     unlisted = failed - set(known)
     lines.extend(f"FAILED {name}" for name in sorted(unlisted))
     too_many = len(known) > MAX_KNOWN_RED
     if too_many:
         lines.append(f"KNOWN-RED.txt holds over {MAX_KNOWN_RED} lines")
-    accepted = not unlisted and not too_many and result.testsRun > 0
-    return Verdict(tuple(lines), len(failed), accepted)
+    empty = [report.name for report in reports if not report.ran]
+    lines.extend(f"NO TESTS in {name}" for name in empty)
+    ran = sum(report.ran - report.skipped for report in reports)
+    accepted = bool(ran) and not (unlisted or too_many or empty)
+    return Verdict(tuple(lines), ran - len(failed), len(failed), accepted)
 
 
 def _read(listing: pathlib.Path) -> dict[str, str]:
@@ -46,6 +82,5 @@
 
 
 def _test_id(test: unittest.TestCase) -> str:
-    # A failed subtest counts as its test.
     parent = getattr(test, "test_case", test)
     return str(parent.id())
--- /dev/null
+++ b/endivewind/tests/known_red_tests.py
@@ -0,0 +1,45 @@
+"""Tests of the verdict on a test run."""
+
+import pathlib
+import tempfile
+import unittest
+
+from endivewind.tests import known_red
+
+
+class JudgeTest(unittest.TestCase):
+    """Only failures that are listed are passed over, and they are printed."""
+
+    def setUp(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.listing = pathlib.Path(folder) / "KNOWN-RED.txt"
+
+    def test_unlisted_failure_is_refused(self):
+        verdict = known_red.judge([_report("a.B.c")], self.listing)
+
+        self.assertFalse(verdict.accepted)
+        self.assertEqual(("FAILED a.B.c",), verdict.lines)
+
+    def test_listed_failure_is_printed_and_accepted(self):
+        self.listing.write_text("a.B.c: cause, issue 4\n")
+
+        verdict = known_red.judge([_report("a.B.c")], self.listing)
+
+        self.assertTrue(verdict.accepted)
+        self.assertEqual(("KNOWN RED a.B.c: cause, issue 4",), verdict.lines)
+
+    def test_fourth_listed_line_is_refused(self):
+        self.listing.write_text("a: x\nb: x\nc: x\nd: x\n")
+
+        verdict = known_red.judge([_report()], self.listing)
+
+        self.assertFalse(verdict.accepted)
+
+    def test_module_without_tests_is_refused(self):
+        verdict = known_red.judge([_report(ran=0)], self.listing)
+
+        self.assertFalse(verdict.accepted)
+
+
+def _report(*failed: str, ran: int = 2) -> known_red.Report:
+    return known_red.Report("module", ran, frozenset(failed), 0, 0.1, "")
