--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -11,6 +11,7 @@
 from endivewind.callers import routing
 from endivewind.config import objects
 from endivewind.config import store
+from endivewind.decisions import placing
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.targets import dispatch
@@ -76,7 +77,8 @@
             NO_TARGET_RETRY,
         )
         for number in range(1, MAX_PLACINGS + 1):
-            record = self._placement.choose(route.service, tried)
+            demand = placing.Demand(may_repeat(route, head.method), tried)
+            record = self._placement.choose(route.service, demand)
             if record is None:
                 break
             tried.add(record.id)
@@ -98,20 +100,32 @@
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
-        self._placement.started(record.id)
+        loads = self._placement.loads
+        started = self._clock.monotonic()
+        loads.started(record.id)
         try:
-            if record.home == self._node:
-                return await self._dispatcher.run(record.id, head, body)
-            home = self._fleet.nodes.get(record.home)
-            if home is None:
-                return expression.Error(
-                    exchange.not_run(
-                        exchange.Reason.UNREACHABLE, f"{record.home} is gone"
-                    )
-                )
-            return await self._pool.forward(home, record.id, head, body)
+            result = await self._pass_on(record, head, body)
         finally:
-            self._placement.ended(record.id)
+            loads.ended(record.id)
+        loads.learn(record.id, result, self._clock.monotonic() - started)
+        return result
+
+    async def _pass_on(
+        self,
+        record: records.TargetRecord,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        if record.home == self._node:
+            return await self._dispatcher.run(record.id, head, body)
+        home = self._fleet.nodes.get(record.home)
+        if home is None:
+            return expression.Error(
+                exchange.not_run(
+                    exchange.Reason.UNREACHABLE, f"{record.home} is gone"
+                )
+            )
+        return await self._pool.forward(home, record.id, head, body)
 
 
 def _may_place_again(
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -1,66 +1,184 @@
 """Chooses a target for a request from what this node knows of the fleet."""
 
-import collections
 import collections.abc
-import dataclasses
+import datetime
 import random
 
+import expression
+
+from endivewind import clock as clocks
+from endivewind import exchange
+from endivewind.decisions import ejection
+from endivewind.decisions import floor
 from endivewind.decisions import placing
 from endivewind.nodes import view
 from endivewind.targets import records
 
+Place = placing.Place
+FloorOf = collections.abc.Callable[[str], int]
+
+# A target that refused for lack of slots frees one within its usual latency;
+# asking it again sooner is a wasted hop.
+REST = datetime.timedelta(milliseconds=50)
+# A target that sheds answers at once and so looks idle; without a rest it
+# would draw the work of all.
+SHED_REST = datetime.timedelta(milliseconds=250)
+# A path that has failed is out for this entry only; others may reach the
+# home. It is tried again after the time that a link may take to connect.
+PATH_REST = datetime.timedelta(seconds=1)
+_SHED_STATUS = frozenset({429, 503})
+_PATH = frozenset(
+    {
+        exchange.Reason.UNREACHABLE,
+        exchange.Reason.HOME_LOST,
+        exchange.Reason.STALE_HOME,
+    }
+)
+_LATENCY_WEIGHT = 1 / 8
+# An older latency says nothing of the present.
+_LATENCY_LIFE = datetime.timedelta(seconds=2)
+
+
+def _rest_after(
+    result: expression.Result[exchange.Answer, exchange.Refusal],
+) -> datetime.timedelta | None:
+    if result.is_ok():
+        return SHED_REST if result.ok.status in _SHED_STATUS else None
+    if result.error.reason is exchange.Reason.BUSY:
+        return REST
+    return PATH_REST if result.error.reason in _PATH else None
+
+
+class _TargetLoad:
+    """What this entry has at one target, and how it went."""
+
+    __slots__ = ("heard", "in_use", "latency", "rests_until")
+
+    def __init__(self) -> None:
+        self.in_use = 0
+        self.latency = 0.0
+        self.heard = datetime.timedelta()
+        self.rests_until = datetime.timedelta()
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Where this node is, for placing near it."""
+    def take(self, seconds: float, now: datetime.timedelta) -> None:
+        if now - self.heard >= _LATENCY_LIFE:
+            self.latency = seconds
+        self.latency += _LATENCY_WEIGHT * (seconds - self.latency)
+        self.heard = now
 
-    node: str
-    region: str
-    zone: str
+
+class Loads(placing.Load):
+    """This entry's work by target; only targets that it has used."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._loads: dict[str, _TargetLoad] = {}
+
+    def in_use(self, target: str) -> int:
+        """Requests of this entry that are there now."""
+        known = self._loads.get(target)
+        return known.in_use if known else 0
+
+    def latency(self, target: str) -> float:
+        """Usual latency in seconds; 0 where none is known of late."""
+        known = self._loads.get(target)
+        if known is None:
+            return 0.0
+        idle = self._clock.monotonic() - known.heard
+        return known.latency if idle < _LATENCY_LIFE else 0.0
+
+    def is_resting(self, target: str) -> bool:
+        """Whether it refused work a moment ago."""
+        known = self._loads.get(target)
+        return known is not None and known.rests_until > self._clock.monotonic()
+
+    def started(self, target: str) -> None:
+        """Counts a request sent to a target."""
+        self._of(target).in_use += 1
+
+    def ended(self, target: str) -> None:
+        """Counts the end of a request sent to a target."""
+        self._of(target).in_use -= 1
+
+    def learn(
+        self,
+        target: str,
+        result: expression.Result[exchange.Answer, exchange.Refusal],
+        latency: datetime.timedelta,
+    ) -> None:
+        """Takes how a request went, for the next choices."""
+        rest = _rest_after(result)
+        known = self._of(target)
+        if rest is not None:
+            known.rests_until = self._clock.monotonic() + rest
+        elif result.is_ok():
+            known.take(latency.total_seconds(), self._clock.monotonic())
+
+    def keep(self, known: collections.abc.Container[str]) -> None:
+        """Forgets idle targets that the fleet no longer has."""
+        for name, load in list(self._loads.items()):
+            if not load.in_use and name not in known:
+                del self._loads[name]
+
+    def _of(self, target: str) -> _TargetLoad:
+        return self._loads.setdefault(target, _TargetLoad())
 
 
 class Placement:
     """Feeds the placing decision and counts this entry's work."""
 
     def __init__(
-        self, place: Place, fleet: view.FleetView, rng: random.Random
+        self,
+        place: Place,
+        fleet: view.FleetView,
+        floor_of: FloorOf,
+        clock: clocks.Clock,
+        rng: random.Random,
     ) -> None:
         self._place = place
         self._fleet = fleet
+        self._floor_of = floor_of
         self._rng = rng
-        self._in_use: dict[str, int] = collections.defaultdict(int)
+        self._pools: dict[str, tuple[tuple[int, int], placing.Pool]] = {}
+        self.loads = Loads(clock)
 
     def choose(
-        self, service: str, tried: collections.abc.Set[str]
+        self, service: str, demand: placing.Demand
     ) -> records.TargetRecord | None:
         """A target that may take the request, or None."""
-        known = self._fleet.targets(service)
+        pool = self._pool(service)
+        chosen = placing.choose(pool, demand, self.loads, self._rng)
+        return self._fleet.targets(service)[chosen.id] if chosen else None
+
+    def _pool(self, service: str) -> placing.Pool:
+        """The service's pool; made again only when something has changed.
+
+        A request must not pay for the number of targets: at a service of
+        hundreds, a list of them all for each request would take longer than
+        the request is allowed to.
+        """
+        floor_slots = self._floor_of(service)
+        version = (self._fleet.revision(service), floor_slots)
+        known = self._pools.get(service)
+        if known and known[0] == version:
+            return known[1]
         candidates = [
-            placing.Candidate(
-                record.id,
-                self._distance(record),
-                record.slots,
-                self._in_use[record.id],
-            )
-            for record in known.values()
-            if record.id not in tried
-            and record.state is not records.State.DRAINING
-            and record.health is not records.Health.EJECTED
+            _candidate(record)
+            for record in self._fleet.targets(service).values()
+            if record.state is not records.State.DRAINING
         ]
-        chosen = placing.choose(candidates, self._rng)
-        return known[chosen.id] if chosen else None
+        pool = placing.Pool.from_candidates(
+            candidates, floor_slots, self._place
+        )
+        self._pools[service] = (version, pool)
+        return pool
 
-    def started(self, target: str) -> None:
-        """Counts a request sent to a target."""
-        self._in_use[target] += 1
 
-    def ended(self, target: str) -> None:
-        """Counts the end of a request sent to a target."""
-        self._in_use[target] -= 1
-        if not self._in_use[target]:
-            del self._in_use[target]
-
-    def _distance(self, record: records.TargetRecord) -> int:
-        if record.region != self._place.region:
-            return 2
-        return 0 if record.zone == self._place.zone else 1
+def _candidate(record: records.TargetRecord) -> floor.Candidate:
+    return floor.Candidate(
+        record.id,
+        record.region,
+        record.zone,
+        record.slots,
+        ejection.Status(record.health.value),
+    )
--- /dev/null
+++ b/endivewind/decisions/judging.py
@@ -0,0 +1,401 @@
+"""Judges the targets of one service by the outcomes of their real work.
+
+Events in, changes out: no input or output, and time comes as an argument.
+"""
+
+import collections
+import dataclasses
+import datetime
+import enum
+
+from endivewind.decisions import baseline
+from endivewind.decisions import bounds
+from endivewind.decisions import ejection
+from endivewind.decisions import sequential
+
+# A stalled request that is overdue twice as long says more, but only this
+# much: the first time it was overdue has already counted.
+_AGAIN = sequential.Step(hit=2.2, miss=0.0)
+_MAX_OVERDUE = 4
+# Evidence for "the others are well" that lays the errors on one workspace.
+_ACQUIT = 3.0
+_MAX_WORKSPACES = 16
+
+_TESTS = len(sequential.ALTERNATIVES)
+_SIGNALS = len(sequential.Signal)
+_STALLED_TEST = _TESTS - 1
+
+
+class Result(enum.Enum):
+    """What the answer of a target says by itself, apart from its latency."""
+
+    GOOD = "good"
+    FAILED = "failed"
+    # Ended before its answer, by the deadline or the caller: only the time
+    # until then counts.
+    UNFINISHED = "unfinished"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A target's new status, and what led to it.
+
+    Attributes:
+      target: the target's id.
+      status: its new status.
+      cause: the test that decided, for people; empty for a return.
+      badness: recent share of failing or slow requests, in percent; it orders
+        the targets that the floor brings back.
+    """
+
+    target: str
+    status: ejection.Status
+    cause: str
+    badness: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """A request at the target, and how often it was counted as overdue."""
+
+    started: datetime.timedelta
+    overdue: int = 0
+
+
+class _Concentration:
+    """Errors and good answers by workspace since the evidence began."""
+
+    __slots__ = ("_failed", "_good")
+
+    def __init__(self) -> None:
+        self._failed: collections.Counter[str] = collections.Counter()
+        self._good: collections.Counter[str] = collections.Counter()
+
+    def add(self, workspace: str, failed: bool) -> None:
+        counts = self._failed if failed else self._good
+        if workspace in counts or len(counts) < _MAX_WORKSPACES:
+            counts[workspace] += 1
+
+    def clear(self) -> None:
+        self._failed.clear()
+        self._good.clear()
+
+    def one_workspace(self, step: sequential.Step) -> bool:
+        """Whether the target is well for all workspaces but one."""
+        if not self._failed:
+            return False
+        blamed, count = self._failed.most_common(1)[0]
+        failed = self._failed.total() - count
+        good = self._good.total() - self._good[blamed]
+        return failed * step.hit + good * step.miss <= -_ACQUIT
+
+
+class _Target:
+    """Evidence about one target."""
+
+    __slots__ = (
+        "ejection",
+        "evidence",
+        "median",
+        "pending",
+        "seen",
+        "shares",
+        "workspaces",
+    )
+
+    def __init__(self, limits: bounds.ErrorBounds) -> None:
+        self.ejection = ejection.Ejection(limits)
+        self.evidence = [0.0] * _TESTS
+        self.shares = [0.0] * _SIGNALS
+        self.pending: dict[int, _Pending] = {}
+        self.seen = datetime.timedelta()
+        self.median = datetime.timedelta()
+        self.workspaces = _Concentration()
+
+    def badness(self) -> int:
+        return round(100 * max(self.shares))
+
+    def clear(self) -> None:
+        self.evidence = [0.0] * _TESTS
+        self.workspaces.clear()
+
+    def start_again(self, test: int) -> None:
+        """Drops the evidence of a test that spoke against others.
+
+        Requests that are still overdue count anew: if they stay so while the
+        peers are well again, it is this target that hangs.
+        """
+        self.evidence[test] = 0.0
+        self.workspaces.clear()
+        for pending in self.pending.values():
+            pending.overdue = 0
+
+    def sketch(self, name: str, threshold: float) -> baseline.Sketch:
+        evidence = tuple(value / threshold for value in self.evidence)
+        return baseline.Sketch(
+            name, self.seen, tuple(self.shares), evidence, self.median
+        )
+
+
+class ServiceJudge:
+    """Judges one service's targets at this home."""
+
+    def __init__(self, limits: bounds.ErrorBounds) -> None:
+        self._limits = limits
+        self._threshold = limits.threshold
+        self._baseline = baseline.Baseline()
+        self._targets: dict[str, _Target] = {}
+        self._peers: dict[str, baseline.Sketch] = {}
+
+    @property
+    def limits(self) -> bounds.ErrorBounds:
+        """The error bounds in force."""
+        return self._limits
+
+    @property
+    def usual(self) -> baseline.Baseline:
+        """What is usual for the service."""
+        return self._baseline
+
+    def targets(self) -> list[str]:
+        """The targets that this home has had work for."""
+        return list(self._targets)
+
+    def configure(self, limits: bounds.ErrorBounds) -> None:
+        """Takes new error bounds; evidence and ejections stay."""
+        self._limits = limits
+        self._threshold = limits.threshold
+        for target in self._targets.values():
+            target.ejection.configure(limits)
+
+    def status(self, target: str) -> ejection.Status:
+        """What work a target gets now."""
+        known = self._targets.get(target)
+        return known.ejection.status if known else ejection.Status.NORMAL
+
+    def sketches(self) -> list[baseline.Sketch]:
+        """What other homes should hear of this home's targets."""
+        median = self._baseline.median
+        for target in self._targets.values():
+            target.median = median
+        return [
+            target.sketch(name, self._threshold)
+            for name, target in self._targets.items()
+        ]
+
+    def heard(self, sketch: baseline.Sketch) -> None:
+        """Takes what another home tells of its target."""
+        if sketch.target not in self._targets:
+            self._peers[sketch.target] = sketch
+
+    def forget(self, target: str) -> None:
+        """Drops a target that has left."""
+        self._targets.pop(target, None)
+        self._peers.pop(target, None)
+
+    def started(
+        self, target: str, number: int, now: datetime.timedelta
+    ) -> None:
+        """Takes the start of a request; the number is its own."""
+        self._target(target).pending[number] = _Pending(now)
+
+    def finished(
+        self,
+        target: str,
+        number: int,
+        result: Result | None,
+        latency: datetime.timedelta,
+        workspace: str,
+        now: datetime.timedelta,
+    ) -> Change | None:
+        """Takes the end of a request; a result of None says nothing.
+
+        A target that sheds load (429, 503) is such a case: it is honest about
+        being full, and taking it out would load its peers the more.
+        """
+        item = self._target(target)
+        pending = item.pending.pop(number, None)
+        if result is None:
+            return None
+        self._refresh(now)
+        measure = self._baseline
+        signals = [
+            result is Result.FAILED,
+            latency > measure.slow,
+            latency > measure.stalled,
+        ]
+        if result is Result.UNFINISHED and not signals[sequential.Signal.SLOW]:
+            return None
+        item.seen = now
+        overdue = pending.overdue if pending else 0
+        self._count(item, signals, overdue, workspace, now)
+        if item.ejection.status is ejection.Status.NORMAL:
+            if result is not Result.UNFINISHED:
+                measure.add(latency, signals)
+            return self._verdict(target, item, now)
+        return self._trial(target, item, signals, now)
+
+    def advance(self, now: datetime.timedelta) -> list[Change]:
+        """Looks for overdue requests and for holds that have ended.
+
+        A target that hangs ends nothing: without this its slots would be
+        full and it would look idle. A request counts from the moment it is
+        later than the baseline allows, once for each step.
+        """
+        self._refresh(now)
+        changes = []
+        for name, item in self._targets.items():
+            if item.ejection.advance(now):
+                item.clear()
+                changes.append(self._change(name, item, ""))
+                continue
+            if self._overdue(item, now):
+                found = self._verdict(name, item, now)
+                if found:
+                    changes.append(found)
+        return changes
+
+    def _target(self, name: str) -> _Target:
+        known = self._targets.get(name)
+        if known is None:
+            known = self._targets[name] = _Target(self._limits)
+            self._peers.pop(name, None)
+        return known
+
+    def _refresh(self, now: datetime.timedelta) -> None:
+        if not self._baseline.due(now):
+            return
+        own = [
+            item.sketch(name, self._threshold)
+            for name, item in self._targets.items()
+        ]
+        self._baseline.refresh([*own, *self._peers.values()], now)
+
+    def _count(
+        self,
+        item: _Target,
+        signals: list[bool],
+        overdue: int,
+        workspace: str,
+        now: datetime.timedelta,
+    ) -> None:
+        self._fade(item, now)
+        weight = baseline.RECENT_WEIGHT
+        shares = item.shares
+        for index, seen in enumerate(signals):
+            shares[index] += weight * (seen - shares[index])
+        item.workspaces.add(workspace, signals[sequential.Signal.FAILED])
+        evidence = item.evidence
+        for index, alternative in enumerate(sequential.ALTERNATIVES):
+            signal = alternative.signal
+            step = self._baseline.steps[index]
+            if not signals[signal]:
+                evidence[index] = max(0.0, evidence[index] + step.miss)
+            elif signal == sequential.Signal.FAILED or overdue < signal:
+                # A step of overdue has the number of its signal; what has
+                # counted while the request was pending counts only once.
+                evidence[index] += step.hit
+        if not evidence[0]:
+            item.workspaces.clear()
+
+    def _fade(self, item: _Target, now: datetime.timedelta) -> None:
+        idle = now - item.seen
+        if idle < baseline.FRESH:
+            return
+        item.evidence = [
+            sequential.faded(value, idle) for value in item.evidence
+        ]
+
+    def _overdue(self, item: _Target, now: datetime.timedelta) -> bool:
+        counted = False
+        slow = self._baseline.slow
+        for pending in item.pending.values():
+            if now - pending.started <= slow:
+                break
+            counted |= self._count_overdue(item, pending, now)
+        return counted
+
+    def _count_overdue(
+        self, item: _Target, pending: _Pending, now: datetime.timedelta
+    ) -> bool:
+        age = now - pending.started
+        before = pending.overdue
+        while pending.overdue < _MAX_OVERDUE and age > self._limit(
+            pending.overdue
+        ):
+            self._one_overdue(item, pending.overdue)
+            pending.overdue += 1
+        if pending.overdue == before:
+            return False
+        item.seen = now
+        return True
+
+    def _limit(self, step: int) -> datetime.timedelta:
+        if step == 0:
+            return self._baseline.slow
+        return self._baseline.stalled * 2 ** (step - 1)
+
+    def _one_overdue(self, item: _Target, step: int) -> None:
+        if step >= sequential.Signal.STALLED:
+            if self._baseline.steps[_STALLED_TEST] is not sequential.NO_STEP:
+                item.evidence[_STALLED_TEST] += _AGAIN.hit
+            return
+        signal = sequential.Signal(step + 1)
+        weight = baseline.RECENT_WEIGHT
+        item.shares[signal] += weight * (1 - item.shares[signal])
+        for index, alternative in enumerate(sequential.ALTERNATIVES):
+            if alternative.signal is signal:
+                item.evidence[index] += self._baseline.steps[index].hit
+
+    def _verdict(
+        self, name: str, item: _Target, now: datetime.timedelta
+    ) -> Change | None:
+        if item.ejection.status is not ejection.Status.NORMAL:
+            return None
+        for index, alternative in enumerate(sequential.ALTERNATIVES):
+            if item.evidence[index] < self._threshold:
+                continue
+            if self._excused(item, index):
+                item.start_again(index)
+                continue
+            item.ejection.eject(now)
+            item.clear()
+            return self._change(name, item, alternative.name)
+        return None
+
+    def _excused(self, item: _Target, index: int) -> bool:
+        """Whether the evidence speaks against others than the target.
+
+        Load: a whole service in trouble, or one workspace that sends what
+        fails everywhere. Harm: healthy targets would go out one by one, each
+        leaving more of the trouble to the rest.
+        """
+        if self._baseline.is_shared(index):
+            return True
+        alternative = sequential.ALTERNATIVES[index]
+        if alternative.signal is not sequential.Signal.FAILED:
+            return False
+        return item.workspaces.one_workspace(self._baseline.steps[index])
+
+    def _trial(
+        self,
+        name: str,
+        item: _Target,
+        signals: list[bool],
+        now: datetime.timedelta,
+    ) -> Change | None:
+        if item.ejection.status is not ejection.Status.TRIAL:
+            return None
+        # What is usual for the service now must not keep a target out.
+        good = not any(
+            seen and self._baseline.is_unusual(signal)
+            for signal, seen in enumerate(signals)
+        )
+        if not item.ejection.tried(good, now):
+            return None
+        item.clear()
+        failed = item.ejection.status is ejection.Status.EJECTED
+        return self._change(name, item, "trial failed" if failed else "")
+
+    def _change(self, name: str, item: _Target, cause: str) -> Change:
+        return Change(name, item.ejection.status, cause, item.badness())
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -30,6 +30,7 @@
 from endivewind.platform import watcher
 from endivewind.targets import api
 from endivewind.targets import dispatch
+from endivewind.targets import judge
 from endivewind.targets import registry
 
 log = logging.getLogger(__name__)
@@ -74,6 +75,7 @@
         self._announce_now = asyncio.Event()
         self._stopping = False
         # Set by start(), which needs the running loop.
+        self._judge: judge.Judge
         self._dispatcher: dispatch.Dispatcher
         self._gateway: gateway.Gateway
         self._listener: listener.Listener
@@ -95,13 +97,23 @@
     async def start(self) -> Addresses:
         """Binds every address, joins the fleet and starts the tasks."""
         config = self._settings
-        self._dispatcher = dispatch.Dispatcher.from_registry(self._targets)
+        self._judge = judge.Judge(
+            self._targets,
+            self._profile,
+            self._clock,
+            self._targets_changed,
+        )
+        self._dispatcher = dispatch.Dispatcher.from_registry(
+            self._targets, self._judge, self._clock
+        )
         self._session = aiohttp.ClientSession()
         self._platform = client.PlatformClient(config.platform, self._session)
         place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
             config.name,
-            placement.Placement(place, self._fleet, self._rng),
+            placement.Placement(
+                place, self._fleet, self._floor, self._clock, self._rng
+            ),
             self._configuration,
             self._fleet,
             self._dispatcher,
@@ -128,6 +140,7 @@
             self._register(),
             self._announce(),
             self._expire(),
+            self._judge_often(),
         ):
             self._tasks.append(asyncio.create_task(work))
         return addresses
@@ -223,6 +236,14 @@
         found = self._configuration.service(service) or objects.Service()
         return found.slots
 
+    def _floor(self, service: str) -> int:
+        found = self._configuration.service(service)
+        return found.floor_slots if found else 0
+
+    def _profile(self, service: str) -> objects.Profile:
+        found = self._configuration.service(service) or objects.Service()
+        return found.profile
+
     def _targets_changed(self) -> None:
         self._announce_now.set()
         self._put_own()
@@ -305,6 +326,11 @@
                 log.warning("leases ended", extra=logs.fields(targets=gone))
                 self._targets_changed()
 
+    async def _judge_often(self) -> None:
+        while True:
+            await asyncio.sleep(judge.PERIOD.total_seconds())
+            self._judge.advance()
+
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
--- a/endivewind/nodes/view.py
+++ b/endivewind/nodes/view.py
@@ -35,6 +35,7 @@
         self._by_service: dict[str, dict[str, records.TargetRecord]] = (
             collections.defaultdict(dict)
         )
+        self._revisions: collections.Counter[str] = collections.Counter()
 
     @property
     def nodes(self) -> collections.abc.Mapping[str, NodeRecord]:
@@ -47,6 +48,10 @@
         """Known targets of a service by id."""
         return self._by_service.get(service, {})
 
+    def revision(self, service: str) -> int:
+        """Grows with every change of a service's targets."""
+        return self._revisions[service]
+
     def all_targets(self) -> list[records.TargetRecord]:
         """Every known target."""
         return [
@@ -91,9 +96,11 @@
         if known and known.target_incarnation > record.target_incarnation:
             return
         group[record.id] = record
+        self._revisions[record.service] += 1
 
     def _drop_home(self, home: str) -> None:
-        for group in self._by_service.values():
+        for service, group in self._by_service.items():
             gone = [name for name, item in group.items() if item.home == home]
             for name in gone:
                 del group[name]
+                self._revisions[service] += 1
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -10,8 +10,10 @@
 import multidict
 import yarl
 
+from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import headers
+from endivewind.targets import evidence
 from endivewind.targets import records
 from endivewind.targets import registry
 
@@ -34,12 +36,21 @@
         self,
         targets: registry.TargetRegistry,
         session: aiohttp.ClientSession,
+        observer: evidence.Observer,
+        clock: clocks.Clock,
     ) -> None:
         self._targets = targets
         self._session = session
+        self._observer = observer
+        self._clock = clock
 
     @classmethod
-    def from_registry(cls, targets: registry.TargetRegistry) -> "Dispatcher":
+    def from_registry(
+        cls,
+        targets: registry.TargetRegistry,
+        observer: evidence.Observer,
+        clock: clocks.Clock,
+    ) -> "Dispatcher":
         """Builds a dispatcher with a connection pool of its own."""
         connector = aiohttp.TCPConnector(
             limit=0, keepalive_timeout=KEEPALIVE.total_seconds()
@@ -51,7 +62,7 @@
             timeout=aiohttp.ClientTimeout(),
             skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
         )
-        return cls(targets, session)
+        return cls(targets, session, observer, clock)
 
     async def close(self) -> None:
         """Closes the connections to targets."""
@@ -76,7 +87,7 @@
         item.in_use += 1
         result: AnswerResult | None = None
         try:
-            result = await self._send(item, head, body)
+            result = await self._observed(item, head, body)
         finally:
             streaming = (
                 result is not None
@@ -87,6 +98,33 @@
                 item.in_use -= 1
         return result
 
+    async def _observed(
+        self,
+        item: registry.HomeTarget,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        """Sends a request, and tells the observer how it went."""
+        record = item.record
+        number = self._observer.started(record.id, record.service)
+        started = self._clock.monotonic()
+        kind = evidence.Kind.CANCELLED
+        try:
+            result = await self._send(item, head, body)
+            kind = _kind(result)
+            return result
+        finally:
+            self._observer.finished(
+                evidence.Sample(
+                    record.id,
+                    record.service,
+                    head.workspace,
+                    kind,
+                    self._clock.monotonic() - started,
+                    number,
+                )
+            )
+
     async def _send(
         self,
         item: registry.HomeTarget,
@@ -122,6 +160,18 @@
             )
 
 
+def _kind(result: AnswerResult) -> evidence.Kind:
+    if result.is_ok():
+        return evidence.kind_of_status(result.ok.status)
+    match result.error.reason:
+        case exchange.Reason.DEADLINE:
+            return evidence.Kind.TIMEOUT
+        case exchange.Reason.UNREACHABLE:
+            return evidence.Kind.REFUSED_CONNECTION
+        case _:
+            return evidence.Kind.LOST
+
+
 async def _answer(
     item: registry.HomeTarget, response: aiohttp.ClientResponse
 ) -> AnswerResult:
--- a/endivewind/targets/evidence.py
+++ b/endivewind/targets/evidence.py
@@ -28,6 +28,7 @@
       workspace: the caller's workspace.
       kind: how it ended.
       latency: from the hand-over to the answer's head, or to the failure.
+      number: what Observer.started returned for it.
     """
 
     target: str
@@ -35,15 +36,33 @@
     workspace: str
     kind: Kind
     latency: datetime.timedelta
+    number: int = 0
 
 
 class Observer(Protocol):
     """Takes samples as they come."""
 
+    def started(self, target: str, service: str) -> int:
+        """Takes the start of a hand-over; returns its number.
+
+        A request that never ends is evidence too, so the start must be told.
+        """
+
     def finished(self, sample: Sample) -> None:
         """Takes one sample; must not block."""
 
 
+class Unobserved:
+    """For a dispatcher whose evidence nobody takes."""
+
+    def started(self, target: str, service: str) -> int:
+        """Takes nothing."""
+        return 0
+
+    def finished(self, sample: Sample) -> None:
+        """Takes nothing."""
+
+
 def kind_of_status(status: int) -> Kind:
     """How a target's answer counts; 4xx are the caller's doing."""
     if status in (429, 503):
--- /dev/null
+++ b/endivewind/targets/judge.py
@@ -0,0 +1,110 @@
+"""Judges this home's targets by their real work, and tells the registry."""
+
+import collections.abc
+import datetime
+import itertools
+import logging
+
+from endivewind import clock as clocks
+from endivewind import logs
+from endivewind.config import objects
+from endivewind.decisions import bounds
+from endivewind.decisions import judging
+from endivewind.targets import evidence
+from endivewind.targets import records
+from endivewind.targets import registry
+
+log = logging.getLogger(__name__)
+
+# How late an overdue request may be noticed; a tenth of the detection time
+# that users ask for.
+PERIOD = datetime.timedelta(milliseconds=100)
+
+ProfileOf = collections.abc.Callable[[str], objects.Profile]
+
+_BOUNDS = {
+    objects.Profile.DETECTION: bounds.DETECTION,
+    objects.Profile.CAPACITY: bounds.CAPACITY,
+}
+_RESULTS = {
+    evidence.Kind.SUCCESS: judging.Result.GOOD,
+    evidence.Kind.ERROR: judging.Result.FAILED,
+    evidence.Kind.LOST: judging.Result.FAILED,
+    evidence.Kind.REFUSED_CONNECTION: judging.Result.FAILED,
+    evidence.Kind.TIMEOUT: judging.Result.UNFINISHED,
+    evidence.Kind.CANCELLED: judging.Result.UNFINISHED,
+    evidence.Kind.SHED: None,
+}
+
+
+class Judge(evidence.Observer):
+    """Feeds the decisions of each service and carries out their changes."""
+
+    def __init__(
+        self,
+        targets: registry.TargetRegistry,
+        profile_of: ProfileOf,
+        clock: clocks.Clock,
+        changed: collections.abc.Callable[[], None],
+    ) -> None:
+        self._targets = targets
+        self._profile_of = profile_of
+        self._clock = clock
+        self._changed = changed
+        self._numbers = itertools.count(1)
+        self._services: dict[str, judging.ServiceJudge] = {}
+
+    def service(self, name: str) -> judging.ServiceJudge:
+        """The judge of a service; made when it is first needed."""
+        limits = _BOUNDS[self._profile_of(name)]
+        known = self._services.get(name)
+        if known is None:
+            known = self._services[name] = judging.ServiceJudge(limits)
+        elif known.limits is not limits:
+            known.configure(limits)
+        return known
+
+    def started(self, target: str, service: str) -> int:
+        """Takes the start of a hand-over."""
+        number = next(self._numbers)
+        now = self._clock.monotonic()
+        self.service(service).started(target, number, now)
+        return number
+
+    def finished(self, sample: evidence.Sample) -> None:
+        """Takes the end of a hand-over."""
+        change = self.service(sample.service).finished(
+            sample.target,
+            sample.number,
+            _RESULTS[sample.kind],
+            sample.latency,
+            sample.workspace,
+            self._clock.monotonic(),
+        )
+        if change is not None:
+            self._apply(change)
+
+    def advance(self) -> None:
+        """Looks for overdue requests and ended holds; call it often."""
+        now = self._clock.monotonic()
+        for judge in self._services.values():
+            self._forget_gone(judge)
+            for change in judge.advance(now):
+                self._apply(change)
+
+    def _forget_gone(self, judge: judging.ServiceJudge) -> None:
+        for target in judge.targets():
+            if self._targets.get(target) is None:
+                judge.forget(target)
+
+    def _apply(self, change: judging.Change) -> None:
+        health = records.Health(change.status.value)
+        self._targets.set_health(change.target, health)
+        fields = logs.fields(
+            target=change.target,
+            health=health.value,
+            cause=change.cause,
+            badness_percent=change.badness,
+        )
+        log.warning("target judged", extra=fields)
+        self._changed()
