--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,5 +1,6 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
+import asyncio
 import dataclasses
 import datetime
 
@@ -43,13 +44,13 @@
         self._dispatcher = dispatcher
         self._pool = pool
         self._clock = clock
-        self._table = routing.RoutingTable(())
+        self._table = routing.RoutingTable()
 
-    def configure(self) -> None:
-        """Takes the routes that are in force now."""
-        groups = self._configuration.route_groups()
-        routes = [route for group in groups for route in group.routes]
-        self._table = routing.RoutingTable(routes)
+    def configure(self, kind: str, name: str) -> None:
+        """Takes one object that has come into force."""
+        if kind == store.ROUTE_GROUP:
+            group = self._configuration.route_group(name)
+            self._table.replace(name, group.routes if group else ())
 
     def route(
         self, host: str, path: str, workspace: str
@@ -100,14 +101,21 @@
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
-        loads = self._placement.loads
         started = self._clock.monotonic()
-        loads.started(record.id)
+        self._placement.started(record)
+        result: AnswerResult | None = None
         try:
-            result = await self._pass_on(record, head, body)
+            async with asyncio.timeout(head.remaining.total_seconds()):
+                result = await self._pass_on(record, head, body)
+        except TimeoutError:
+            result = expression.Error(
+                exchange.unknown(
+                    exchange.Reason.DEADLINE, "no answer before the deadline"
+                )
+            )
         finally:
-            loads.ended(record.id)
-        loads.learn(record.id, result, self._clock.monotonic() - started)
+            latency = self._clock.monotonic() - started
+            self._placement.ended(record, result, latency)
         return result
 
     async def _pass_on(
@@ -122,7 +130,7 @@
         if home is None:
             return expression.Error(
                 exchange.not_run(
-                    exchange.Reason.UNREACHABLE, f"{record.home} is gone"
+                    exchange.Reason.HOME_UNREACHABLE, f"{record.home} is gone"
                 )
             )
         return await self._pool.forward(home, record.id, head, body)
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -10,6 +10,7 @@
 from endivewind import exchange
 from endivewind.decisions import ejection
 from endivewind.decisions import floor
+from endivewind.decisions import paths
 from endivewind.decisions import placing
 from endivewind.nodes import view
 from endivewind.targets import records
@@ -23,17 +24,8 @@
 # A target that sheds answers at once and so looks idle; without a rest it
 # would draw the work of all.
 SHED_REST = datetime.timedelta(milliseconds=250)
-# A path that has failed is out for this entry only; others may reach the
-# home. It is tried again after the time that a link may take to connect.
-PATH_REST = datetime.timedelta(seconds=1)
 _SHED_STATUS = frozenset({429, 503})
-_PATH = frozenset(
-    {
-        exchange.Reason.UNREACHABLE,
-        exchange.Reason.HOME_LOST,
-        exchange.Reason.STALE_HOME,
-    }
-)
+_PATH_FAILURES = (exchange.Reason.HOME_LOST, exchange.Reason.HOME_UNREACHABLE)
 _LATENCY_WEIGHT = 1 / 8
 # An older latency says nothing of the present.
 _LATENCY_LIFE = datetime.timedelta(seconds=2)
@@ -46,7 +38,7 @@
         return SHED_REST if result.ok.status in _SHED_STATUS else None
     if result.error.reason is exchange.Reason.BUSY:
         return REST
-    return PATH_REST if result.error.reason in _PATH else None
+    return None
 
 
 class _TargetLoad:
@@ -70,8 +62,9 @@
 class Loads(placing.Load):
     """This entry's work by target; only targets that it has used."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(self, clock: clocks.Clock, known: paths.Paths) -> None:
         self._clock = clock
+        self._paths = known
         self._loads: dict[str, _TargetLoad] = {}
 
     def in_use(self, target: str) -> int:
@@ -92,6 +85,10 @@
         known = self._loads.get(target)
         return known is not None and known.rests_until > self._clock.monotonic()
 
+    def reaches(self, home: str) -> bool:
+        """Whether the path from this entry to a home is open."""
+        return self._paths.usable(home, self._clock.monotonic())
+
     def started(self, target: str) -> None:
         """Counts a request sent to a target."""
         self._of(target).in_use += 1
@@ -139,17 +136,40 @@
         self._fleet = fleet
         self._floor_of = floor_of
         self._rng = rng
+        self._clock = clock
         self._pools: dict[str, tuple[tuple[int, int], placing.Pool]] = {}
-        self.loads = Loads(clock)
+        self._paths = paths.Paths()
+        self._loads = Loads(clock, self._paths)
 
     def choose(
         self, service: str, demand: placing.Demand
     ) -> records.TargetRecord | None:
         """A target that may take the request, or None."""
         pool = self._pool(service)
-        chosen = placing.choose(pool, demand, self.loads, self._rng)
+        chosen = placing.choose(pool, demand, self._loads, self._rng)
         return self._fleet.targets(service)[chosen.id] if chosen else None
 
+    def started(self, record: records.TargetRecord) -> None:
+        """Takes note of a request sent to a target."""
+        self._loads.started(record.id)
+        self._paths.started(record.home, self._clock.monotonic())
+
+    def ended(
+        self,
+        record: records.TargetRecord,
+        result: expression.Result[exchange.Answer, exchange.Refusal] | None,
+        latency: datetime.timedelta,
+    ) -> None:
+        """Takes note of a request's end; None where its caller left."""
+        self._loads.ended(record.id)
+        if result is None:
+            return
+        self._loads.learn(record.id, result, latency)
+        if result.is_error() and result.error.reason in _PATH_FAILURES:
+            self._paths.failed(record.home, self._clock.monotonic())
+        else:
+            self._paths.succeeded(record.home)
+
     def _pool(self, service: str) -> placing.Pool:
         """The service's pool; made again only when something has changed.
 
@@ -181,4 +201,5 @@
         record.zone,
         record.slots,
         ejection.Status(record.health.value),
+        home=record.home,
     )
--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -18,6 +18,7 @@
     exchange.Reason.UNREACHABLE: 502,
     exchange.Reason.TARGET_LOST: 502,
     exchange.Reason.HOME_LOST: 502,
+    exchange.Reason.HOME_UNREACHABLE: 502,
     exchange.Reason.STALE_HOME: 503,
     exchange.Reason.STOPPING: 503,
     exchange.Reason.TICKET_REQUIRED: 428,
@@ -25,9 +26,11 @@
     exchange.Reason.TICKET_EXPIRED: 410,
     exchange.Reason.TICKET_REUSED: 422,
     exchange.Reason.ISSUER_LOST: 502,
+    exchange.Reason.ANSWER_NOT_KEPT: 409,
     exchange.Reason.SEALED: 409,
     exchange.Reason.RATE_LIMITED: 429,
     exchange.Reason.POISON: 422,
+    exchange.Reason.INTERNAL: 500,
 }
 
 
--- a/endivewind/decisions/floor.py
+++ b/endivewind/decisions/floor.py
@@ -27,6 +27,7 @@
       slots: requests it takes at once.
       status: what its home has judged.
       badness: how bad its recent work was, in percent.
+      home: the node that hands work over to it.
     """
 
     id: str
@@ -35,6 +36,7 @@
     slots: int
     status: ejection.Status
     badness: int = 0
+    home: str = ""
 
 
 def admitted(
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -86,6 +86,9 @@
     def latency(self, target: str) -> float:
         """Usual latency in seconds; 0 where nothing is known."""
 
+    def reaches(self, home: str) -> bool:
+        """Whether the path from this entry to a home is open."""
+
     def is_resting(self, target: str) -> bool:
         """Whether it refused work a moment ago."""
 
@@ -105,10 +108,12 @@
         tried = _trial(pool.trials, demand, load, rng)
         if tried:
             return tried
-    for tier in pool.tiers:
-        found = _of_tier(tier, demand, load, rng)
-        if found:
-            return found
+    # Where every path has failed, a doubtful one is better than none.
+    for any_path in (False, True):
+        for tier in pool.tiers:
+            found = _of_tier(tier, demand, load, rng, any_path)
+            if found:
+                return found
     return None
 
 
@@ -129,6 +134,7 @@
     demand: Demand,
     load: Load,
     rng: random.Random,
+    any_path: bool,
 ) -> floor.Candidate | None:
     """The better of the first two free ones in a random order."""
     size = len(tier)
@@ -142,6 +148,8 @@
         item = tier[(start + number * step) % size]
         if not _is_free(item, demand, load):
             continue
+        if not (any_path or load.reaches(item.home)):
+            continue
         if first is None:
             first = item
             continue
--- a/endivewind/targets/evidence.py
+++ b/endivewind/targets/evidence.py
@@ -52,17 +52,6 @@
         """Takes one sample; must not block."""
 
 
-class Unobserved:
-    """For a dispatcher whose evidence nobody takes."""
-
-    def started(self, target: str, service: str) -> int:
-        """Takes nothing."""
-        return 0
-
-    def finished(self, sample: Sample) -> None:
-        """Takes nothing."""
-
-
 def kind_of_status(status: int) -> Kind:
     """How a target's answer counts; 4xx are the caller's doing."""
     if status in (429, 503):
