--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -12,6 +12,7 @@
 from endivewind.callers import routing
 from endivewind.config import objects
 from endivewind.config import store
+from endivewind.decisions import placing
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.targets import dispatch
@@ -77,7 +78,8 @@
             NO_TARGET_RETRY,
         )
         for number in range(1, MAX_PLACINGS + 1):
-            record = self._placement.choose(route.service, tried)
+            demand = placing.Demand(may_repeat(route, head.method), tried)
+            record = self._placement.choose(route.service, demand)
             if record is None:
                 break
             tried.add(record.id)
@@ -99,6 +101,7 @@
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
+        started = self._clock.monotonic()
         self._placement.started(record)
         result: AnswerResult | None = None
         try:
@@ -111,7 +114,8 @@
                 )
             )
         finally:
-            self._placement.ended(record, result)
+            latency = self._clock.monotonic() - started
+            self._placement.ended(record, result, latency)
         return result
 
     async def _pass_on(
