--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,7 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ()
+MEASUREMENTS: tuple[str, ...] = ("overhead",)
 
 BINARY = running.Binary(
     name="endivewind-bench",
--- a/endivewind/commands/standin.py
+++ b/endivewind/commands/standin.py
@@ -1,4 +1,4 @@
-"""endivewind-standin: plays the platform or a target, for trials and tests.
+"""endivewind-standin: plays the platform, a target, a hop or load, for trials.
 
 It runs until SIGTERM or SIGINT and logs JSON lines; the line "listening"
 names the address that was bound.
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import logging
 import sys
 
@@ -15,6 +16,8 @@
 from endivewind import exceptions
 from endivewind import logs
 from endivewind.commands import running
+from endivewind.standins import hop
+from endivewind.standins import load
 from endivewind.standins import platform
 from endivewind.standins import target
 
@@ -28,7 +31,18 @@
     "nodes", [], "target: addresses of nodes to announce to, best first."
 )
 
-USAGE = "endivewind-standin platform|target [flags]"
+_NEXT = flags.DEFINE_string("next", "", "hop: URL to forward to.")
+_URL = flags.DEFINE_string("url", "", "load: URL to send to.")
+_HOST = flags.DEFINE_string("host", "", "load: Host header.")
+_CONNECTIONS = flags.DEFINE_integer(
+    "connections", 16, "load: connections kept busy."
+)
+_RATE = flags.DEFINE_float(
+    "rate", 0, "load: requests a second; 0 is as many as are answered."
+)
+_SECONDS = flags.DEFINE_float("seconds", 5, "load: how long.")
+
+USAGE = "endivewind-standin platform|target|hop|load [flags]"
 
 
 def run() -> None:
@@ -47,6 +61,14 @@
                     "a target needs --name, --service and --nodes"
                 )
             return running.loop(_target())
+        case ["hop"]:
+            if not _NEXT.value:
+                raise exceptions.UsageError("a hop needs --next")
+            return running.loop(_hop())
+        case ["load"]:
+            if not _URL.value:
+                raise exceptions.UsageError("load needs --url")
+            return running.loop(_load())
         case _:
             raise exceptions.UsageError(f"usage: {USAGE}")
 
@@ -69,6 +91,28 @@
     return 0
 
 
+async def _hop() -> int:
+    await _serve(hop.Hop(_NEXT.value).application())
+    await running.until_signal()
+    return 0
+
+
+async def _load() -> int:
+    request = load.Request(_URL.value, _HOST.value)
+    samples = load.Samples()
+    seconds = _SECONDS.value
+    async with load.session() as session:
+        if _RATE.value:
+            await load.at_rate(session, request, _RATE.value, seconds, samples)
+            rate = len(samples.latencies) / seconds
+        else:
+            rate = await load.saturate(
+                session, request, _CONNECTIONS.value, seconds, samples
+            )
+    print(json.dumps(load.summary(samples, rate)))
+    return 0
+
+
 async def _serve(application: web.Application) -> str:
     logs.configure("info")
     runner = web.AppRunner(application, access_log=None)
--- /dev/null
+++ b/endivewind/standins/load.py
@@ -0,0 +1,119 @@
+"""Load for measurements: at a fixed rate, or as much as is answered."""
+
+import asyncio
+import dataclasses
+import math
+import time
+from typing import Any
+
+import aiohttp
+
+BODY = b"x" * 256
+_TIMEOUT = aiohttp.ClientTimeout(total=30)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """What is sent again and again.
+
+    Attributes:
+      url: where to.
+      host: the Host header.
+    """
+
+    url: str
+    host: str
+
+
+@dataclasses.dataclass(slots=True)
+class Samples:
+    """Latencies in seconds of answers with status 200, and the failures."""
+
+    latencies: list[float] = dataclasses.field(default_factory=list)
+    failures: int = 0
+
+    def percentile_ms(self, percent: float) -> float:
+        """A latency in milliseconds that so many percent do not exceed."""
+        if not self.latencies:
+            return math.nan
+        ordered = sorted(self.latencies)
+        rank = max(math.ceil(len(ordered) * percent / 100), 1)
+        return ordered[rank - 1] * 1000
+
+
+async def at_rate(
+    session: aiohttp.ClientSession,
+    request: Request,
+    rate: float,
+    seconds: float,
+    samples: Samples,
+) -> None:
+    """Sends at a fixed rate, whether or not answers come (open loop).
+
+    A latency counts from when the request was due, so that a stall is felt
+    by all the requests that it holds up.
+    """
+    start = time.perf_counter()
+    tasks = []
+    for number in range(int(rate * seconds)):
+        due = start + number / rate
+        await asyncio.sleep(due - time.perf_counter())
+        tasks.append(asyncio.create_task(_send(session, request, due, samples)))
+    await asyncio.gather(*tasks)
+
+
+async def saturate(
+    session: aiohttp.ClientSession,
+    request: Request,
+    connections: int,
+    seconds: float,
+    samples: Samples,
+) -> float:
+    """Keeps connections busy (closed loop); returns answers a second."""
+    start = time.perf_counter()
+    end = start + seconds
+
+    async def caller() -> None:
+        while (now := time.perf_counter()) < end:
+            await _send(session, request, now, samples)
+
+    await asyncio.gather(*(caller() for _ in range(connections)))
+    return len(samples.latencies) / (time.perf_counter() - start)
+
+
+def session() -> aiohttp.ClientSession:
+    """A client session without a limit of connections."""
+    connector = aiohttp.TCPConnector(limit=0)
+    return aiohttp.ClientSession(connector=connector, timeout=_TIMEOUT)
+
+
+async def _send(
+    client: aiohttp.ClientSession,
+    request: Request,
+    due: float,
+    samples: Samples,
+) -> None:
+    fields = {"Host": request.host}
+    try:
+        async with client.post(
+            request.url, data=BODY, headers=fields
+        ) as response:
+            await response.read()
+            whole = response.status == 200
+    except (TimeoutError, aiohttp.ClientError):
+        whole = False
+    if whole:
+        samples.latencies.append(time.perf_counter() - due)
+    else:
+        samples.failures += 1
+
+
+def summary(samples: Samples, rate: float) -> dict[str, Any]:
+    """Samples as plain JSON values, times in milliseconds."""
+    return {
+        "answers": len(samples.latencies),
+        "failures": samples.failures,
+        "per_second": round(rate, 1),
+        "p50_ms": round(samples.percentile_ms(50), 3),
+        "p99_ms": round(samples.percentile_ms(99), 3),
+    }
