--- a/endivewind/commands/main.py
+++ b/endivewind/commands/main.py
@@ -7,6 +7,7 @@
     "submit",
     "get",
     "status",
+    "demo",
 )
 
 BINARY = running.Binary(
