--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -12,6 +12,7 @@
     exchange.Reason.BAD_REQUEST: 400,
     exchange.Reason.BODY_TOO_LARGE: 413,
     exchange.Reason.NO_ROUTE: 404,
+    exchange.Reason.NOT_READY: 503,
     exchange.Reason.NO_TARGET: 503,
     exchange.Reason.BUSY: 503,
     exchange.Reason.DEADLINE: 504,
@@ -26,9 +27,11 @@
     exchange.Reason.TICKET_EXPIRED: 410,
     exchange.Reason.TICKET_REUSED: 422,
     exchange.Reason.ISSUER_LOST: 502,
+    exchange.Reason.ANSWER_NOT_KEPT: 409,
     exchange.Reason.SEALED: 409,
     exchange.Reason.RATE_LIMITED: 429,
     exchange.Reason.POISON: 422,
+    exchange.Reason.INTERNAL: 500,
 }
 
 
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -17,16 +17,21 @@
 from endivewind.callers import gateway
 from endivewind.callers import listener
 from endivewind.callers import placement
+from endivewind.callers import ticket_book
+from endivewind.callers import ticketing
+from endivewind.callers import tickets
 from endivewind.config import objects
 from endivewind.config import settings
 from endivewind.config import store
+from endivewind.nodes import configuration
+from endivewind.nodes import leaving
 from endivewind.nodes import links
 from endivewind.nodes import service
 from endivewind.nodes import view
 from endivewind.operators import http
 from endivewind.platform import client
 from endivewind.platform import membership
-from endivewind.platform import messages
+from endivewind.platform import restoring
 from endivewind.platform import watcher
 from endivewind.targets import api
 from endivewind.targets import dispatch
@@ -77,9 +82,12 @@
         self._dispatcher: dispatch.Dispatcher
         self._gateway: gateway.Gateway
         self._listener: listener.Listener
+        self._ticketing: ticketing.Ticketing
         self._platform: client.PlatformClient
         self._session: aiohttp.ClientSession
         self._watcher: watcher.Watcher
+        self._restorer: restoring.Restorer
+        self._configuration_peer: configuration.ConfigurationPeer
         self._self_record: view.NodeRecord
         self._gossip: service.GossipService
 
@@ -96,7 +104,9 @@
     async def start(self) -> Addresses:
         """Binds every address, joins the fleet and starts the tasks."""
         config = self._settings
-        self._dispatcher = dispatch.Dispatcher.from_registry(self._targets)
+        self._dispatcher = dispatch.Dispatcher.from_registry(
+            self._targets, self._clock
+        )
         self._session = aiohttp.ClientSession()
         self._platform = client.PlatformClient(config.platform, self._session)
         place = placement.Place(config.name, config.region, config.zone)
@@ -109,9 +119,41 @@
             self._pool,
             self._clock,
         )
-        self._listener = listener.Listener(self._gateway, config.limits)
+        kept = config.limits.kept_answer_bytes
+        self._ticketing = ticketing.Ticketing(
+            tickets.Issuer.for_incarnation(config.name, self._incarnation),
+            ticket_book.TicketBook(kept_answer_bytes=kept),
+            self._gateway,
+            self._fleet,
+            self._pool,
+            self._clock,
+            kept,
+        )
+        self._listener = listener.Listener(
+            self._gateway, self._ticketing, config.limits, self._not_ready
+        )
+        self._restorer = restoring.Restorer(
+            self._configuration, self._platform, self._rng
+        )
+        self._configuration_peer = configuration.ConfigurationPeer(
+            view.NodeRecord(
+                config.name, self._incarnation, "", config.region, config.zone
+            ),
+            self._configuration,
+            self._fleet,
+            self._pool,
+            self._restorer,
+            self._in_force,
+            self._clock,
+            self._rng,
+        )
         self._watcher = watcher.Watcher(
-            self._platform, store.KINDS, self._seen, self._rng
+            self._platform,
+            store.KINDS,
+            self._configuration_peer.seen,
+            self._rng,
+            self._configuration_peer.listed,
+            lambda: self._configuration_peer.is_watcher,
         )
         addresses = await self._bind()
         self._self_record = view.NodeRecord(
@@ -131,8 +173,11 @@
             self._rng,
         )
         await self._gossip.start(addresses.nodes)
+        await self._link_server.serve()
         for work in (
             self._watcher.run(),
+            self._restorer.run(),
+            self._configuration_peer.run(),
             self._register(),
             self._expire(),
         ):
@@ -143,13 +188,12 @@
         """Leaves as planned: work in flight ends before the process does."""
         self._stopping = True
         self._targets.stop_taking()
+        departure = leaving.Departure(
+            self._listener, self._dispatcher, self._link_server, self._ticketing
+        )
         limit = self._settings.limits.stop_seconds
+        await departure.run(datetime.timedelta(seconds=limit))
         await membership.unregister(self._platform, self._self_record)
-        try:
-            async with asyncio.timeout(limit):
-                await self._listener.drained()
-        except TimeoutError:
-            log.warning("stopped with %d in flight", self._listener.in_flight)
         await self._gossip.leave()
         for task in self._tasks:
             task.cancel()
@@ -177,6 +221,18 @@
             )
         return await self._dispatcher.run(target, head, body)
 
+    async def run_as_issuer(
+        self,
+        incarnation: int,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+        priority: str,
+    ) -> links.AnswerResult:
+        """Runs a send of one of this node's tickets."""
+        return await self._ticketing.execute(
+            head, body, objects.Priority(priority), incarnation
+        )
+
     def gossiped(self, frame: Any) -> None:
         """Takes a frame of another node's gossip."""
         self._gossip.frame(frame)
@@ -203,7 +259,7 @@
             config.operators,
         )
         host, port = _split(config.nodes)
-        nodes = await self._link_server.start(
+        nodes = await self._link_server.bind(
             host, port, tls.server_context(config.nodes_tls)
         )
         return Addresses(callers, targets, nodes, operators)
@@ -230,18 +286,12 @@
         held = [item.id for item in self._targets.announced()]
         log.info("targets held", extra=logs.fields(targets=held))
 
-    def _seen(self, stored: messages.StoredObject) -> None:
-        result = self._configuration.apply(
-            stored.kind, stored.name, stored.version, stored.value
-        )
-        if result.is_error():
-            log.error("object refused: %s", result.error)
-        elif result.ok:
-            self._gateway.configure(stored.kind, stored.name)
-            fields = logs.fields(
-                kind=stored.kind, object=stored.name, version=stored.version
-            )
-            log.info("in force", extra=fields)
+    def configuration(self, message: Any) -> None:
+        """Takes what a peer tells of its configuration."""
+        self._configuration_peer.received(message)
+
+    def _in_force(self, key: store.Key) -> None:
+        self._gateway.configure(key.kind, key.name)
 
     async def _register(self) -> None:
         while True:
@@ -265,9 +315,7 @@
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
-        if not self._watcher.listed.is_set():
-            return "no configuration yet"
-        return self._gossip.not_ready()
+        return self._configuration_peer.missing() or self._gossip.not_ready()
 
     def _status(self) -> dict[str, object]:
         return {
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -22,6 +22,10 @@
   12: bool body_complete
   13: string ticket
   14: i32 attempt
+  // The receiver is meant as the issuer of the ticket; home_incarnation is
+  // then the issuer's, and target is empty.
+  15: bool to_issuer
+  16: string priority
 }
 
 struct Chunk {
@@ -128,6 +132,34 @@
   3: list<string> names
 }
 
+// An object of the configuration at a version; the fingerprint is the value's.
+struct ConfigurationStamp {
+  1: string kind
+  2: string name
+  3: i64 version
+  4: i64 fingerprint
+}
+
+// A whole object of the configuration, compressed.
+struct ConfigurationObject {
+  1: string kind
+  2: string name
+  3: i64 version
+  4: binary packed
+}
+
+// What a node tells of its configuration; see config/spreading.py.
+struct Configuration {
+  1: string sender
+  2: bool ready
+  3: list<i64> digest
+  4: bool same
+  5: list<ConfigurationStamp> have
+  6: list<i32> buckets
+  7: list<ConfigurationStamp> want
+  8: list<ConfigurationObject> objects
+}
+
 // Sent by a home while an exchange goes on: silence means a broken path.
 struct Heartbeat {
   1: i64 exchange
@@ -140,6 +172,7 @@
   4: optional Refusal refusal
   // 5 was the announcement that every home sent to every node.
   6: optional Heartbeat heartbeat
-  20: optional FleetState fleet_state
-  21: optional Pull pull
+  20: optional Configuration configuration
+  30: optional FleetState fleet_state
+  31: optional Pull pull
 }
