--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -16,29 +16,40 @@
 import yaml
 
 WAIT_SECONDS = 20
+MAX_LINE_BYTES = 1_048_576
 
 
 class Process:
-    """One started binary and the log lines read from it so far."""
+    """One started binary and its log lines.
+
+    One task reads all lines, so that several tests may wait for lines at once
+    and a process never stands still before a full pipe.
+    """
 
     def __init__(self, name: str, child: asyncio.subprocess.Process) -> None:
         self.name = name
         self.child = child
         self.listening: dict[str, Any] = {}
         self._seen: list[dict[str, Any]] = []
+        self._news = asyncio.Event()
+        self._ended = False
+        self._reader = asyncio.create_task(self._read())
 
     async def line(
         self, wanted: collections.abc.Callable[[dict[str, Any]], bool]
     ) -> dict[str, Any]:
         """Waits for a log line, one read before included."""
-        for line in self._seen:
-            if wanted(line):
-                return line
+        checked = 0
         async with asyncio.timeout(WAIT_SECONDS):
             while True:
-                line = await self._read()
-                if wanted(line):
-                    return line
+                news = self._news
+                for line in self._seen[checked:]:
+                    if wanted(line):
+                        return line
+                checked = len(self._seen)
+                if self._ended:
+                    raise EOFError(f"{self.name} ended; {self._seen[-3:]}")
+                await news.wait()
 
     async def message(self, message: str, **fields: Any) -> dict[str, Any]:
         """Waits for a log line with a message and fields."""
@@ -66,20 +77,30 @@
         if self.child.returncode is None:
             self.child.terminate()
         async with asyncio.timeout(WAIT_SECONDS):
-            while await self.child.stdout.readline():
-                pass
+            await self._reader
             return await self.child.wait()
 
-    async def _read(self) -> dict[str, Any]:
-        raw = await self.child.stdout.readline()
-        if not raw:
-            raise EOFError(f"{self.name} ended; last: {self._seen[-3:]}")
-        try:
-            line = json.loads(raw)
-        except ValueError:
-            line = {"message": raw.decode()}
-        self._seen.append(line)
-        return line
+    async def end(self) -> None:
+        """Ends it if it still runs."""
+        if self.child.returncode is None:
+            self.child.kill()
+        await self.child.wait()
+        await self._reader
+
+    async def _read(self) -> None:
+        while raw := await self.child.stdout.readline():
+            try:
+                line = json.loads(raw)
+            except ValueError:
+                line = {"message": raw.decode()}
+            self._seen.append(line)
+            self._tell()
+        self._ended = True
+        self._tell()
+
+    def _tell(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
 
 
 class Fleet:
@@ -159,7 +180,7 @@
 
     async def _start(self, name: str, *arguments: str) -> Process:
         process = Process(name, await _spawn(*arguments))
-        self._stack.push_async_callback(_end, process)
+        self._stack.push_async_callback(process.end)
         line = await process.message("listening")
         process.listening = line
         return process
@@ -173,10 +194,5 @@
         code,
         *arguments,
         stdout=asyncio.subprocess.PIPE,
+        limit=MAX_LINE_BYTES,
     )
-
-
-async def _end(process: Process) -> None:
-    if process.child.returncode is None:
-        process.child.kill()
-        await process.child.wait()
