--- a/endivewind/commands/demo.py
+++ b/endivewind/commands/demo.py
@@ -80,6 +80,16 @@
         default_factory=collections.Counter
     )
 
+    def as_json(self) -> dict[str, Any]:
+        """The counts as plain JSON values."""
+        return {
+            "whole": self.whole,
+            "failed": self.failed,
+            "failed_in_first_half": self.first_half_failed,
+            "refused": dict(self.refused),
+            "whole_by_target": dict(self.by_target),
+        }
+
     @property
     def unclear(self) -> int:
         """Callers who were not told whether their work ran."""
@@ -105,7 +115,7 @@
         await _call(nodes, seen)
         ejected = await _ejected(nodes)
     value = {
-        "callers": dataclasses.asdict(seen),
+        "callers": seen.as_json(),
         "gray_target": _GRAY,
         "ejected": ejected,
     }
@@ -117,7 +127,9 @@
     api = platform.PlatformStandin(platform.ObjectStore())
     url = "http://" + await _serve(stack, api.application())
     await _submit(url)
-    nodes = [await _node(stack, name, zone, url) for name, zone in _NODES]
+    members = [_node(name, zone, url) for name, zone in _NODES]
+    nodes = [await member.start() for member in members]
+    stack.push_async_callback(_stop, members)
     for number, name in enumerate(_TARGETS):
         await _target(stack, name, nodes[number % len(nodes)].targets)
     await _until_known(nodes)
@@ -149,18 +161,17 @@
                 raise exceptions.UnavailableError(str(written.error))
 
 
-async def _node(
-    stack: contextlib.AsyncExitStack, name: str, zone: str, url: str
-) -> node.Addresses:
+def _node(name: str, zone: str, url: str) -> node.Node:
     config = settings.NodeSettings(
         name=name, region="andina", zone=zone, platform=url
     )
-    member = node.Node.from_settings(
+    return node.Node.from_settings(
         config, clocks.SystemClock(), random.Random()
     )
-    addresses = await member.start()
-    stack.push_async_callback(member.stop)
-    return addresses
+
+
+async def _stop(members: list[node.Node]) -> None:
+    await asyncio.gather(*(member.stop() for member in members))
 
 
 async def _target(
