--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -35,6 +35,7 @@
 from endivewind.platform import watcher
 from endivewind.targets import api
 from endivewind.targets import dispatch
+from endivewind.targets import judge
 from endivewind.targets import registry
 
 log = logging.getLogger(__name__)
@@ -79,6 +80,7 @@
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
         # Set by start(), which needs the running loop.
+        self._judge: judge.Judge
         self._dispatcher: dispatch.Dispatcher
         self._gateway: gateway.Gateway
         self._listener: listener.Listener
@@ -104,15 +106,23 @@
     async def start(self) -> Addresses:
         """Binds every address, joins the fleet and starts the tasks."""
         config = self._settings
+        self._judge = judge.Judge(
+            self._targets,
+            self._profile,
+            self._clock,
+            self._targets_changed,
+        )
         self._dispatcher = dispatch.Dispatcher.from_registry(
-            self._targets, self._clock
+            self._targets, self._clock, self._judge
         )
         self._session = aiohttp.ClientSession()
         self._platform = client.PlatformClient(config.platform, self._session)
         place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
             config.name,
-            placement.Placement(place, self._fleet, self._clock, self._rng),
+            placement.Placement(
+                place, self._fleet, self._floor, self._clock, self._rng
+            ),
             self._configuration,
             self._fleet,
             self._dispatcher,
@@ -130,7 +140,7 @@
             kept,
         )
         self._listener = listener.Listener(
-            self._gateway, self._ticketing, config.limits
+            self._gateway, self._ticketing, config.limits, self._not_ready
         )
         self._restorer = restoring.Restorer(
             self._configuration, self._platform, self._rng
@@ -173,12 +183,14 @@
             self._rng,
         )
         await self._gossip.start(addresses.nodes)
+        await self._link_server.serve()
         for work in (
             self._watcher.run(),
             self._restorer.run(),
             self._configuration_peer.run(),
             self._register(),
             self._expire(),
+            self._judge_often(),
         ):
             self._tasks.append(asyncio.create_task(work))
         return addresses
@@ -258,7 +270,7 @@
             config.operators,
         )
         host, port = _split(config.nodes)
-        nodes = await self._link_server.start(
+        nodes = await self._link_server.bind(
             host, port, tls.server_context(config.nodes_tls)
         )
         return Addresses(callers, targets, nodes, operators)
@@ -280,6 +292,14 @@
         found = self._configuration.service(service) or objects.Service()
         return found.slots
 
+    def _floor(self, service: str) -> int:
+        found = self._configuration.service(service)
+        return found.floor_slots if found else 0
+
+    def _profile(self, service: str) -> objects.Profile:
+        found = self._configuration.service(service) or objects.Service()
+        return found.profile
+
     def _targets_changed(self) -> None:
         self._gossip.targets_changed()
         held = [item.id for item in self._targets.announced()]
@@ -311,6 +331,11 @@
                 log.warning("leases ended", extra=logs.fields(targets=gone))
                 self._targets_changed()
 
+    async def _judge_often(self) -> None:
+        while True:
+            await asyncio.sleep(judge.PERIOD.total_seconds())
+            self._judge.advance()
+
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
