Build a configuration in a program: endivewind.operators

Cause: operators drive the fleet by a library in their own language that prints what they submit, and there was none. Change: endivewind.operators.Firm adds services, routes and workspaces, typed, each checked where it is given; to_yaml checks the whole as validate does. Two examples of the first users' sizes. Findings no longer write out mappings or the gossip key, which a wrong settings file would have shown in a terminal. Conclusion: the examples validate without warnings, whole programs included.

--- a/endivewind/commands/options.py
+++ b/endivewind/commands/options.py
@@ -19,6 +19,8 @@
 )
 FORMAT = flags.DEFINE_enum("format", "text", ["text", "json"], "Output format.")
 
+STDIN = "<stdin>"
+
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
 
 PlatformWork = collections.abc.Callable[
@@ -41,7 +43,7 @@
 def load(file: str, model: type[ModelT]) -> base.Loaded[ModelT]:
     """Reads a YAML file into a model, "-" for standard input."""
     if file == "-":
-        loaded = base.load_bytes(sys.stdin.buffer.read(), "<stdin>", model)
+        loaded = base.load_bytes(sys.stdin.buffer.read(), STDIN, model)
     else:
         loaded = base.load_file(file, model)
     if loaded.is_error():
--- a/endivewind/commands/validate.py
+++ b/endivewind/commands/validate.py
@@ -38,7 +38,8 @@
     if warnings and _STRICT.value:
         raise exceptions.InvalidFileError(warnings)
     value = {"valid": True, "findings": [item.as_json() for item in warnings]}
-    options.show(value, _text(file, warnings))
+    name = options.STDIN if file == "-" else file
+    options.show(value, _text(name, warnings))
     return 0
 
 
--- a/endivewind/config/base.py
+++ b/endivewind/config/base.py
@@ -17,6 +17,9 @@
 from endivewind.config import findings
 
 _SEEN_LIMIT = 60
+# Keys whose values are shown nowhere: not in findings, not in logs.
+SECRETS = frozenset({"gossip_key"})
+_HIDDEN = "(hidden)"
 # Marks an error in a mapping's key in pydantic's locations.
 _KEY_MARK = "[key]"
 
@@ -136,6 +139,16 @@
     return expression.Ok(Loaded(value, tuple(found)))
 
 
+def findings_of(
+    error: pydantic.ValidationError,
+    source: str,
+    model: type[pydantic.BaseModel],
+) -> Findings:
+    """The findings of values that came from no file."""
+    document = _Document(source, None)
+    return tuple(document.error(item, model) for item in error.errors())
+
+
 def _unreadable(
     file: str, line: int, message: str
 ) -> expression.Result[Any, Findings]:
@@ -167,6 +180,8 @@
         if item["type"] == "extra_forbidden":
             message = _unknown_key(location, model)
         seen = "" if item["type"] == "missing" else item["input"]
+        if set(location) & SECRETS:
+            seen = _HIDDEN
         return self._finding(location, message, seen)
 
     def duplicates(self) -> list[findings.Finding]:
@@ -254,13 +269,15 @@
 
 
 def _shortened(value: object) -> str:
-    # Aliases can make a small file's value long beyond measure, so it is
-    # never written out whole.
+    # Mappings and lists are not written out: aliases can make a small file's
+    # long beyond measure, and one of settings may hold a secret.
+    if isinstance(value, dict):
+        return "a mapping"
+    if isinstance(value, list | tuple):
+        return "a list"
     shortener = reprlib.Repr()
-    shortener.maxlevel = 2
-    shortener.maxstring = shortener.maxother = _SEEN_LIMIT
-    seen = shortener.repr(value)
-    return seen if len(seen) <= _SEEN_LIMIT else seen[:_SEEN_LIMIT] + "…"
+    shortener.maxstring = shortener.maxlong = shortener.maxother = _SEEN_LIMIT
+    return shortener.repr(value)
 
 
 def _joined(path: str, key: object) -> str:
--- /dev/null
+++ b/endivewind/tests/operators/builder_tests.py
@@ -0,0 +1,119 @@
+"""The operators' library, and the two examples that use it."""
+
+import datetime
+import pathlib
+import runpy
+import subprocess
+import sys
+import unittest
+
+from endivewind import exceptions
+from endivewind import operators
+from endivewind.config import base
+from endivewind.config import objects
+
+_EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
+_SERVICES = {
+    "camerino_abierto": {"riders", "venues"},
+    "saltline_share_ledger": {"share-ledger", "landing-catalog"},
+}
+
+
+def _service(firm: operators.Firm, **changes) -> str:
+    values = {
+        "profile": operators.Profile.CAPACITY,
+        "slots": 3,
+        "targets_per_region": 4,
+        "floor_targets": 3,
+        "timeout": datetime.timedelta(seconds=2),
+        **changes,
+    }
+    return firm.service("riders", **values)
+
+
+class FirmTest(unittest.TestCase):
+    """What a program builds is what the file would say."""
+
+    def test_yaml_is_read_back_as_the_same_configuration(self):
+        firm = operators.Firm("camerino")
+        riders = _service(firm)
+        firm.workspace("crew", weight=2, rate=10, burst=5)
+        firm.route(riders, host="a.example", workspace="crew")
+
+        loaded = base.load_text(firm.to_yaml(), "f", objects.Configuration)
+
+        self.assertEqual(firm.configuration(), loaded.ok.model)
+        service = loaded.ok.model.services["riders"]
+        self.assertEqual((9, 2000), (service.floor_slots, service.timeout_ms))
+
+    def test_wrong_value_is_found_where_it_is_given(self):
+        firm = operators.Firm("camerino")
+
+        with self.assertRaises(exceptions.InvalidFileError) as caught:
+            _service(firm, slots=0, retry_percent=101)
+
+        self.assertEqual(
+            {"slots", "retry_percent"},
+            {item.path for item in caught.exception.findings},
+        )
+
+    def test_route_to_an_unknown_service(self):
+        firm = operators.Firm("camerino")
+        _service(firm)
+        firm.route("rider", host="a.example")
+
+        with self.assertRaises(exceptions.InvalidFileError) as caught:
+            firm.to_yaml()
+
+        self.assertIn("did you mean 'riders'?", str(caught.exception))
+
+    def test_names_given_twice(self):
+        firm = operators.Firm("camerino")
+        _service(firm)
+        firm.workspace("crew")
+
+        with self.assertRaises(exceptions.UsageError):
+            _service(firm)
+        with self.assertRaises(exceptions.UsageError):
+            firm.workspace("crew")
+
+
+class ExamplesTest(unittest.TestCase):
+    """The examples hold their firms' services and sizes."""
+
+    def test_examples_are_valid_without_warnings(self):
+        for name, services in _SERVICES.items():
+            with self.subTest(name):
+                module = runpy.run_path(str(_EXAMPLES / f"{name}.py"))
+                text = module["build"]().to_yaml()
+                loaded = base.load_text(text, name, objects.Configuration)
+                self.assertEqual((), loaded.ok.warnings)
+                found = loaded.ok.model.services
+                self.assertEqual(services, set(found))
+                for service in found.values():
+                    self.assertEqual(
+                        (3, 4, 9),
+                        (
+                            service.slots,
+                            service.expected_targets,
+                            service.floor_slots,
+                        ),
+                    )
+
+    def test_program_prints_what_validate_takes(self):
+        printed = subprocess.run(
+            [sys.executable, str(_EXAMPLES / "camerino_abierto.py")],
+            capture_output=True,
+            check=True,
+            env={"PYTHONPATH": str(_EXAMPLES.parent)},
+        )
+        code = "from endivewind.commands import main; main.run()"
+        checked = subprocess.run(
+            [sys.executable, "-c", code, "validate", "-"],
+            input=printed.stdout,
+            capture_output=True,
+            env={"PYTHONPATH": str(_EXAMPLES.parent)},
+        )
+
+        self.assertEqual(0, checked.returncode, checked.stderr)
+        self.assertEqual(b"<stdin>: valid\n", checked.stdout)
