Serve a node's metrics, secure its links for sure, log each unknown

Cause: /metrics served the library's process figures only; nodes_tls without an authority took links from anybody; a refusal left no trace with its request id; unreadable TLS files and busy addresses ended in a traceback; status did not say why a target was ejected. Change: eleven OpenTelemetry instruments, observed when scraped, in a registry of each node's own; the page that lists them is tested against the code. nodes_tls needs an authority. Refusals are logged with request id: unknown ones as warnings, the others at debug. Judge keeps causes and counts for status and metrics. Conclusion: TLS is tested with real handshakes: stranger, no certificate, plain text and a stranger's listener are refused, own nodes pass.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -7,6 +7,7 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind.callers import counts
 from endivewind.callers import placement
 from endivewind.callers import routing
 from endivewind.config import objects
@@ -44,6 +45,12 @@
         self._pool = pool
         self._clock = clock
         self._table = routing.RoutingTable()
+        self._counts = counts.RequestCounts(clock)
+
+    @property
+    def counts(self) -> counts.RequestCounts:
+        """Counts of this entry's requests."""
+        return self._counts
 
     def configure(self, kind: str, name: str) -> None:
         """Takes one object that has come into force."""
@@ -82,6 +89,7 @@
             if record is None:
                 break
             tried.add(record.id)
+            self._counts.placed(route.service, number)
             remaining = deadline - self._clock.monotonic()
             attempt = head.for_attempt(number, remaining)
             result = await self._attempt(record, attempt, body)
--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -14,6 +14,7 @@
 
 from endivewind import exchange
 from endivewind import headers
+from endivewind import logs
 from endivewind.callers import gateway
 from endivewind.callers import problems
 from endivewind.callers import ticketing
@@ -67,6 +68,7 @@
         self._tickets = ticketed
         self._limits = limits
         self._not_ready = not_ready
+        self._counts = served.counts
         self._leaving = False
         self._in_flight = 0
         self._idle = asyncio.Event()
@@ -99,13 +101,17 @@
         """Serves one request."""
         self._in_flight += 1
         self._idle.clear()
+        started = self._counts.started()
         call = _Call(request)
+        result: gateway.AnswerResult | None = None
         try:
             result = await self._serve(call)
             if result.is_error():
+                _log_refusal(call, result.error)
                 return self._refusal(call, result.error)
             return await self._respond(call, result.ok)
         finally:
+            self._counts.ended(started, call.service, result)
             self._in_flight -= 1
             if not self._in_flight:
                 self._idle.set()
@@ -145,6 +151,7 @@
         if route is None:
             return call.refuse(exchange.Reason.NO_ROUTE, f"no route for {host}")
         call.route = route
+        call.service = route.service
         call.once = not gateway.may_repeat(route, call.request.method)
         if call.once and not call.ticket:
             detail = "send again with the Idempotency-Key of this answer"
@@ -280,6 +287,7 @@
         self.ticket = request.headers.get(headers.IDEMPOTENCY_KEY, "")
         self.once = False
         self.route: objects.Route
+        self.service = ""
         self.body = exchange.RequestBody()
         self.remaining = datetime.timedelta()
 
@@ -363,6 +371,27 @@
     )
 
 
+def _log_refusal(call: _Call, refusal: exchange.Refusal) -> None:
+    """Logs a refusal: aloud only where the outcome is unknown.
+
+    Under overload a node refuses thousands a second, and a line for each
+    would cost more than the refusal.
+    """
+    unknown = refusal.outcome is exchange.Outcome.UNKNOWN
+    level = logging.WARNING if unknown else logging.DEBUG
+    if not log.isEnabledFor(level):
+        return
+    fields = logs.fields(
+        request_id=call.request_id,
+        service=call.service,
+        workspace=call.workspace,
+        outcome=refusal.outcome.value,
+        reason=refusal.reason.value,
+        detail=refusal.detail,
+    )
+    log.log(level, "refused", extra=fields)
+
+
 async def _held_body(
     request: web.BaseRequest, limit: int
 ) -> exchange.RequestBody | None:
--- a/endivewind/commands/node.py
+++ b/endivewind/commands/node.py
@@ -47,10 +47,17 @@
 
 async def _run(config: settings.NodeSettings) -> int:
     logs.configure(config.log_level)
-    member = node.Node.from_settings(
-        config, clocks.SystemClock(), random.Random()
-    )
-    addresses = await member.start()
+    try:
+        member = node.Node.from_settings(
+            config, clocks.SystemClock(), random.Random()
+        )
+    except OSError as error:
+        # ssl.SSLError is an OSError, too.
+        raise exceptions.UsageError(f"can't use TLS files: {error}") from error
+    try:
+        addresses = await member.start()
+    except OSError as error:
+        raise exceptions.EndivewindError(f"can't listen: {error}") from error
     log.info("listening", extra=logs.fields(**dataclasses.asdict(addresses)))
     await running.until_signal()
     await member.stop()
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -90,6 +90,15 @@
         default="info", pattern="^(debug|info|warning|error)$"
     )
 
+    @pydantic.field_validator("nodes_tls")
+    @classmethod
+    def _names_an_authority(cls, value: Tls | None) -> Tls | None:
+        # Without one, a node would take links from anybody who has a
+        # certificate, or none.
+        if value is not None and not value.authority:
+            raise ValueError("needs an authority: links are mutual TLS")
+        return value
+
     @pydantic.model_validator(mode="after")
     def _signs_where_links_are_secured(self) -> "NodeSettings":
         # TLS guards the links only. Unsigned datagrams beside them would let
--- /dev/null
+++ b/endivewind/metrics.py
@@ -0,0 +1,261 @@
+"""Metrics of a node: OpenTelemetry instruments, read by Prometheus.
+
+Every instrument is observed: the SDK asks for its value when it is scraped,
+so that counting costs a request no more than a dictionary. The latency
+histogram is a counter for each bucket, with the bound in the label `le`.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+
+from opentelemetry import metrics as api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+import prometheus_client
+
+from endivewind.callers import counts
+from endivewind.targets import records
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+
+Observations = collections.abc.Iterable[api.Observation]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sources:
+    """Where the values come from.
+
+    Attributes:
+      requests: what the listener and the gateway count.
+      health_changes: verdicts on this home's targets, by service and health.
+      targets: targets of this home.
+      nodes: nodes known, this one included.
+      idle_links: open links to other nodes that carry no request.
+      version: the highest version of a configuration object in force.
+    """
+
+    requests: counts.RequestCounts
+    health_changes: collections.abc.Mapping[tuple[str, str], int]
+    targets: collections.abc.Callable[
+        [], collections.abc.Iterable[records.TargetRecord]
+    ]
+    nodes: collections.abc.Callable[[], int]
+    idle_links: collections.abc.Callable[[], int]
+    version: collections.abc.Callable[[], int]
+
+
+class Kind(enum.Enum):
+    """What an instrument's value does."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instrument:
+    """One metric.
+
+    Attributes:
+      name: the name in OpenTelemetry.
+      kind: counter or gauge.
+      unit: the unit of its value, as UCUM writes it.
+      description: one sentence.
+      observe: reads the values.
+    """
+
+    name: str
+    kind: Kind
+    unit: str
+    description: str
+    observe: collections.abc.Callable[[Sources], Observations]
+
+    @property
+    def scraped_name(self) -> str:
+        """The name as Prometheus scrapes it."""
+        suffix = {"s": "_seconds"}.get(self.unit, "")
+        total = "_total" if self.kind is Kind.COUNTER else ""
+        return self.name.replace(".", "_") + suffix + total
+
+
+def _requests(sources: Sources) -> Observations:
+    for ending, count in sources.requests.endings():
+        yield api.Observation(count, dataclasses.asdict(ending))
+
+
+def _latency_buckets(sources: Sources) -> Observations:
+    for service, latencies in sources.requests.latencies.items():
+        below = 0
+        bounds = (*map(str, counts.LATENCY_BOUNDS), "+Inf")
+        for bound, count in zip(bounds, latencies.buckets, strict=True):
+            below += count
+            yield api.Observation(below, {"service": service, "le": bound})
+
+
+def _latency_sums(sources: Sources) -> Observations:
+    for service, latencies in sources.requests.latencies.items():
+        yield api.Observation(latencies.seconds, {"service": service})
+
+
+def _in_flight(sources: Sources) -> Observations:
+    yield api.Observation(sources.requests.in_flight)
+
+
+def _placings(sources: Sources) -> Observations:
+    for service, count in sources.requests.placings.items():
+        yield api.Observation(count, {"service": service})
+
+
+def _retries(sources: Sources) -> Observations:
+    for service, count in sources.requests.retries.items():
+        yield api.Observation(count, {"service": service})
+
+
+def _health_changes(sources: Sources) -> Observations:
+    for (service, health), count in sources.health_changes.items():
+        yield api.Observation(count, {"service": service, "health": health})
+
+
+def _targets(sources: Sources) -> Observations:
+    found: collections.Counter[tuple[str, str, str]] = collections.Counter()
+    for item in sources.targets():
+        found[item.service, item.state.value, item.health.value] += 1
+    for (service, state, health), count in found.items():
+        labels = {"service": service, "state": state, "health": health}
+        yield api.Observation(count, labels)
+
+
+def _version(sources: Sources) -> Observations:
+    yield api.Observation(sources.version())
+
+
+def _nodes(sources: Sources) -> Observations:
+    yield api.Observation(sources.nodes())
+
+
+def _idle_links(sources: Sources) -> Observations:
+    yield api.Observation(sources.idle_links())
+
+
+INSTRUMENTS = (
+    Instrument(
+        "endivewind.requests",
+        Kind.COUNTER,
+        "{request}",
+        "Callers' requests that have ended, by service, outcome and reason.",
+        _requests,
+    ),
+    Instrument(
+        "endivewind.request.latency.bucket",
+        Kind.COUNTER,
+        "{request}",
+        "Requests that took at most `le` seconds, by service.",
+        _latency_buckets,
+    ),
+    Instrument(
+        "endivewind.request.latency.sum",
+        Kind.COUNTER,
+        "s",
+        "Sum of the latencies of all requests, by service.",
+        _latency_sums,
+    ),
+    Instrument(
+        "endivewind.requests.in_flight",
+        Kind.GAUGE,
+        "{request}",
+        "Callers' requests being served now.",
+        _in_flight,
+    ),
+    Instrument(
+        "endivewind.placings",
+        Kind.COUNTER,
+        "{attempt}",
+        "Attempts at a target, by service.",
+        _placings,
+    ),
+    Instrument(
+        "endivewind.retries",
+        Kind.COUNTER,
+        "{attempt}",
+        "Attempts at a target after a request's first, by service.",
+        _retries,
+    ),
+    Instrument(
+        "endivewind.target.health_changes",
+        Kind.COUNTER,
+        "{verdict}",
+        "Verdicts on this home's targets, by service and health; ejections "
+        "have the health `ejected`.",
+        _health_changes,
+    ),
+    Instrument(
+        "endivewind.targets",
+        Kind.GAUGE,
+        "{target}",
+        "Targets of this home, by service, state and health.",
+        _targets,
+    ),
+    Instrument(
+        "endivewind.configuration.version",
+        Kind.GAUGE,
+        "{version}",
+        "The highest version of a configuration object in force here.",
+        _version,
+    ),
+    Instrument(
+        "endivewind.nodes",
+        Kind.GAUGE,
+        "{node}",
+        "Nodes that this one knows, itself included.",
+        _nodes,
+    ),
+    Instrument(
+        "endivewind.links.idle",
+        Kind.GAUGE,
+        "{link}",
+        "Open links to other nodes that carry no request.",
+        _idle_links,
+    ),
+)
+
+
+class NodeMetrics:
+    """The metrics of one node, in a registry of its own."""
+
+    def __init__(self, sources: Sources) -> None:
+        self._sources = sources
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = prometheus.PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        provider = sdk.MeterProvider(
+            metric_readers=[reader],
+            exemplar_filter=sdk.AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        meter = provider.get_meter("endivewind")
+        for instrument in INSTRUMENTS:
+            self._create(meter, instrument)
+
+    def render(self) -> bytes:
+        """The metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def _create(self, meter: api.Meter, instrument: Instrument) -> None:
+        def observe(options: api.CallbackOptions) -> Observations:
+            del options
+            return list(instrument.observe(self._sources))
+
+        create = (
+            meter.create_observable_counter
+            if instrument.kind is Kind.COUNTER
+            else meter.create_observable_gauge
+        )
+        create(
+            instrument.name,
+            [observe],
+            instrument.unit,
+            instrument.description,
+        )
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -13,6 +13,7 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import logs
+from endivewind import metrics
 from endivewind import tls
 from endivewind.callers import gateway
 from endivewind.callers import listener
@@ -262,7 +263,11 @@
             web.AppRunner(target_api.application(), access_log=None),
             config.targets,
         )
-        sources = http.Sources(self._not_ready, self._status)
+        sources = http.Sources(
+            self._not_ready,
+            self._status,
+            metrics.NodeMetrics(self._metric_sources()).render,
+        )
         operators = await self._serve(
             web.AppRunner(
                 http.OperatorApi(sources).application(), access_log=None
@@ -336,6 +341,16 @@
             await asyncio.sleep(judge.PERIOD.total_seconds())
             self._judge.advance()
 
+    def _metric_sources(self) -> metrics.Sources:
+        return metrics.Sources(
+            requests=self._gateway.counts,
+            health_changes=self._judge.changes,
+            targets=self._targets.announced,
+            nodes=lambda: len(self._fleet.nodes),
+            idle_links=lambda: self._pool.idle,
+            version=lambda: self._configuration.version,
+        )
+
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
@@ -349,7 +364,11 @@
             "nodes": sorted(self._fleet.nodes),
             "members": self._gossip.status(),
             "targets": [
-                dataclasses.asdict(item) for item in self._fleet.all_targets()
+                {
+                    **dataclasses.asdict(item),
+                    "reason": self._judge.causes.get(item.id, ""),
+                }
+                for item in self._fleet.all_targets()
             ],
             "in_flight": self._listener.in_flight,
         }
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -64,6 +64,11 @@
         self._idle: dict[str, list[_Link]] = {}
         self._numbers = itertools.count(1)
 
+    @property
+    def idle(self) -> int:
+        """Open links that carry nothing now."""
+        return sum(len(links) for links in self._idle.values())
+
     async def forward(
         self,
         home: view.NodeRecord,
--- a/endivewind/operators/http.py
+++ b/endivewind/operators/http.py
@@ -4,7 +4,8 @@
 import dataclasses
 
 from aiohttp import web
-import prometheus_client
+
+from endivewind import metrics
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,10 +15,12 @@
     Attributes:
       ready: None when ready, else what is missing.
       status: the node's status as JSON.
+      metrics: the node's metrics in Prometheus' text format.
     """
 
     ready: collections.abc.Callable[[], str | None]
     status: collections.abc.Callable[[], dict[str, object]]
+    metrics: collections.abc.Callable[[], bytes]
 
 
 class OperatorApi:
@@ -46,8 +49,8 @@
 
     async def _metrics(self, request: web.Request) -> web.Response:
         return web.Response(
-            body=prometheus_client.generate_latest(),
-            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+            body=self._sources.metrics(),
+            headers={"Content-Type": metrics.CONTENT_TYPE},
         )
 
     async def _status(self, request: web.Request) -> web.Response:
--- a/endivewind/targets/judge.py
+++ b/endivewind/targets/judge.py
@@ -1,5 +1,6 @@
 """Judges this home's targets by their real work, and tells the registry."""
 
+import collections
 import collections.abc
 import datetime
 import itertools
@@ -53,6 +54,18 @@
         self._changed = changed
         self._numbers = itertools.count(1)
         self._services: dict[str, judging.ServiceJudge] = {}
+        self._causes: dict[str, str] = {}
+        self._changes: dict[tuple[str, str], int] = collections.defaultdict(int)
+
+    @property
+    def causes(self) -> collections.abc.Mapping[str, str]:
+        """Why a target is not in full service, by target; for operators."""
+        return self._causes
+
+    @property
+    def changes(self) -> collections.abc.Mapping[tuple[str, str], int]:
+        """Verdicts so far, by service and health."""
+        return self._changes
 
     def service(self, name: str) -> judging.ServiceJudge:
         """The judge of a service; made when it is first needed."""
@@ -96,10 +109,18 @@
         for target in judge.targets():
             if self._targets.get(target) is None:
                 judge.forget(target)
+                self._causes.pop(target, None)
 
     def _apply(self, change: judging.Change) -> None:
         health = records.Health(change.status.value)
         self._targets.set_health(change.target, health)
+        item = self._targets.get(change.target)
+        if item is not None:
+            self._changes[item.record.service, health.value] += 1
+        if health is records.Health.NORMAL:
+            self._causes.pop(change.target, None)
+        elif change.cause:
+            self._causes[change.target] = change.cause
         fields = logs.fields(
             target=change.target,
             health=health.value,
--- /dev/null
+++ b/endivewind/tests/logs_tests.py
@@ -0,0 +1,84 @@
+"""Logs: JSON lines with request ids, without bodies and secrets."""
+
+import io
+import json
+import logging
+import unittest
+
+import aiohttp
+
+from endivewind import logs
+from endivewind.tests import path_tests
+from endivewind.tests import processes
+
+_SECRETS = ("BODY-7", "AUTHORIZATION-7", "COOKIE-7", "GOSSIP-KEY-7")
+
+
+class FormatTest(unittest.TestCase):
+    """One line each, whatever is logged."""
+
+    def test_line_breaks_and_exceptions_stay_in_one_line(self):
+        stream = io.StringIO()
+        handler = logging.StreamHandler(stream)
+        handler.setFormatter(logs.JsonFormatter())
+        logger = logging.Logger("test")
+        logger.addHandler(handler)
+        try:
+            raise ValueError("one\ntwo")
+        except ValueError:
+            logger.exception("a\nb", extra=logs.fields(request_id="r1"))
+
+        (line,) = stream.getvalue().splitlines()
+        value = json.loads(line)
+        self.assertEqual(
+            ("a\nb", "r1"), (value["message"], value["request_id"])
+        )
+        self.assertIn("one\ntwo", value["exception"])
+
+
+class NodeLogsTest(unittest.IsolatedAsyncioTestCase):
+    """What a node logs at its most talkative."""
+
+    async def test_refusal_has_its_request_id_and_nothing_secret(self):
+        async with processes.Fleet() as fleet:
+            node = await fleet.node("node-a", gossip_key="GOSSIP-KEY-7" * 4)
+            await fleet.target("riders-1", "riders", [node])
+            await fleet.submit(path_tests.CONFIGURATION)
+            await node.message("in force", object="camerino")
+            await _send(
+                node, "/riders/1", "kept-id", {"Standin-Fault": "close"}
+            )
+            await _send(node, "/nowhere", "lost-id")
+            lost = await node.message(
+                "refused", request_id="lost-id", reason="no-route"
+            )
+            node.child.terminate()
+            output = (await node.child.stdout.read()).decode()
+
+        self.assertEqual("not-run", lost["outcome"])
+        lines = [json.loads(line) for line in output.splitlines()]
+        whole = json.dumps([*lines, *node.seen])
+        self.assertIn("kept-id", whole)
+        for secret in _SECRETS:
+            self.assertNotIn(secret, whole)
+
+
+async def _send(
+    node: processes.Process, path: str, request_id: str, more=None
+) -> None:
+    fields = {
+        "Host": "camerino.example",
+        "Endivewind-Request-Id": request_id,
+        "Authorization": "AUTHORIZATION-7",
+        "Cookie": "COOKIE-7",
+        **(more or {}),
+    }
+    url = f"http://{node.listening['callers']}{path}"
+    reason = "not-ready"
+    async with aiohttp.ClientSession() as session:
+        while reason == "not-ready":
+            async with session.get(
+                url, headers=fields, data=b"BODY-7"
+            ) as response:
+                await response.read()
+                reason = response.headers.get("Endivewind-Reason")
--- /dev/null
+++ b/endivewind/tests/metrics_tests.py
@@ -0,0 +1,107 @@
+"""Metrics: what is scraped, and that the page lists just that."""
+
+import datetime
+import pathlib
+import re
+import unittest
+
+import expression
+
+from endivewind import clock as clocks
+from endivewind import exchange
+from endivewind import metrics
+from endivewind.callers import counts
+from endivewind.targets import records
+
+_PAGE = (
+    pathlib.Path(__file__).resolve().parents[2] / "docs/user-guide/metrics.md"
+)
+_ROW = re.compile(r"^\| `([a-z_]+)` \| (\w+) \| ([^|]+) \|", re.MULTILINE)
+
+
+def _target(health: records.Health) -> records.TargetRecord:
+    return records.TargetRecord(
+        "riders-1",
+        "riders",
+        "node-a",
+        1,
+        1,
+        "andina",
+        "andina-a",
+        3,
+        1,
+        records.State.READY,
+        health,
+    )
+
+
+def _scraped() -> str:
+    clock = clocks.ManualClock()
+    requests = counts.RequestCounts(clock)
+    started = requests.started()
+    requests.placed("riders", 1)
+    requests.placed("riders", 2)
+    clock.advance(datetime.timedelta(milliseconds=3))
+    requests.ended(started, "riders", expression.Ok(exchange.Answer(200, ())))
+    sources = metrics.Sources(
+        requests=requests,
+        health_changes={("riders", "ejected"): 2},
+        targets=lambda: [_target(records.Health.EJECTED)],
+        nodes=lambda: 5,
+        idle_links=lambda: 4,
+        version=lambda: 17,
+    )
+    return metrics.NodeMetrics(sources).render().decode()
+
+
+class ScrapeTest(unittest.TestCase):
+    """What Prometheus reads from /metrics."""
+
+    def test_values(self):
+        lines = _scraped().splitlines()
+
+        for line in (
+            'endivewind_requests_total{outcome="answered",reason="",service="riders"} 1.0',
+            'endivewind_request_latency_bucket_total{le="0.0025",service="riders"} 0.0',
+            'endivewind_request_latency_bucket_total{le="0.005",service="riders"} 1.0',
+            'endivewind_request_latency_bucket_total{le="+Inf",service="riders"} 1.0',
+            'endivewind_request_latency_sum_seconds_total{service="riders"} 0.003',
+            "endivewind_requests_in_flight 0.0",
+            'endivewind_placings_total{service="riders"} 2.0',
+            'endivewind_retries_total{service="riders"} 1.0',
+            'endivewind_target_health_changes_total{health="ejected",service="riders"} 2.0',
+            'endivewind_targets{health="ejected",service="riders",state="ready"} 1.0',
+            "endivewind_configuration_version 17.0",
+            "endivewind_nodes 5.0",
+            "endivewind_links_idle 4.0",
+        ):
+            self.assertIn(line, lines)
+
+    def test_two_nodes_in_one_process_do_not_mix(self):
+        self.assertEqual(_scraped(), _scraped())
+
+    def test_names_are_scraped_as_listed(self):
+        scraped = re.findall(r"^# TYPE (\S+)", _scraped(), re.MULTILINE)
+
+        self.assertEqual(
+            sorted(item.scraped_name for item in metrics.INSTRUMENTS),
+            sorted(scraped),
+        )
+
+
+class PageTest(unittest.TestCase):
+    """The operators' page names every metric with kind and unit."""
+
+    def test_page_and_code_agree(self):
+        listed = {
+            (name, kind, unit.strip())
+            for name, kind, unit in _ROW.findall(_PAGE.read_text())
+        }
+
+        self.assertEqual(
+            {
+                (item.scraped_name, item.kind.value, item.unit.strip("{}"))
+                for item in metrics.INSTRUMENTS
+            },
+            listed,
+        )
--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -27,6 +27,11 @@
         self.listening: dict[str, Any] = {}
         self._seen: list[dict[str, Any]] = []
 
+    @property
+    def seen(self) -> list[dict[str, Any]]:
+        """Log lines read so far."""
+        return self._seen
+
     async def line(
         self, wanted: collections.abc.Callable[[dict[str, Any]], bool]
     ) -> dict[str, Any]:
--- /dev/null
+++ b/endivewind/tests/tls_tests.py
@@ -0,0 +1,140 @@
+"""TLS of the callers' listener, and mutual TLS between nodes."""
+
+import asyncio
+import pathlib
+import ssl
+import unittest
+
+import aiohttp
+
+from endivewind import tls
+from endivewind.config import settings
+from endivewind.tests import path_tests
+from endivewind.tests import processes
+
+_FOLDER = pathlib.Path(__file__).with_name("certificates")
+
+
+def _tls(name: str, authority: str = "authority") -> dict[str, str]:
+    return {
+        "certificate": str(_FOLDER / f"{name}.pem"),
+        "key": str(_FOLDER / f"{name}.key"),
+        "authority": str(_FOLDER / f"{authority}.pem"),
+    }
+
+
+_SECURED = {
+    "callers_tls": {**_tls("node"), "authority": ""},
+    "nodes_tls": _tls("node"),
+    "gossip_key": "a-test-key-of-no-secret-at-all-0123456789",
+}
+
+
+class SecuredFleetTest(unittest.IsolatedAsyncioTestCase):
+    """Callers come by HTTPS; nodes take only each other's certificates."""
+
+    async def test_request_across_two_nodes(self):
+        trusted = ssl.create_default_context(
+            cafile=str(_FOLDER / "authority.pem")
+        )
+        async with processes.Fleet() as fleet:
+            entry = await fleet.node("node-a", "andina-a", **_SECURED)
+            home = await fleet.node("node-b", "andina-b", **_SECURED)
+            await fleet.target("riders-1", "riders", [home])
+            await fleet.submit(path_tests.CONFIGURATION)
+            await entry.message("in force", object="camerino")
+            await entry.line(lambda line: "riders-1" in str(line))
+
+            async with aiohttp.ClientSession() as session:
+                address = entry.listening["callers"]
+                async with session.get(
+                    f"https://{address}/riders/1",
+                    headers={"Host": "camerino.example"},
+                    ssl=trusted,
+                    server_hostname="localhost",
+                ) as response:
+                    answer = await response.json()
+
+            self.assertEqual("riders-1", answer["target"])
+
+
+class LinkTlsTest(unittest.IsolatedAsyncioTestCase):
+    """What a node's listener for nodes accepts."""
+
+    async def asyncSetUp(self):
+        # Refused handshakes are expected here; asyncio would print each.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        self._server = await asyncio.start_server(
+            _echo,
+            "127.0.0.1",
+            0,
+            ssl=tls.server_context(settings.Tls(**_tls("node"))),
+        )
+        self.addAsyncCleanup(_closed, self._server)
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def _exchange(self, context: ssl.SSLContext | None) -> bytes:
+        """The echo of "frame"; empty where the connection is refused.
+
+        In TLS 1.3 a client learns only at its first read that the server
+        has refused its certificate.
+        """
+        try:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self._port, ssl=context
+            )
+            writer.write(b"frame")
+            answer = await reader.read(5)
+        except (ssl.SSLError, ConnectionError):
+            return b""
+        writer.close()
+        return answer
+
+    async def test_node_of_the_same_authority(self):
+        context = tls.link_context(settings.Tls(**_tls("node")))
+
+        self.assertEqual(b"frame", await self._exchange(context))
+
+    async def test_stranger_is_refused(self):
+        # The stranger trusts the node, so that the node alone can refuse.
+        context = tls.link_context(settings.Tls(**_tls("stranger")))
+
+        self.assertEqual(b"", await self._exchange(context))
+
+    async def test_no_certificate_is_refused(self):
+        context = ssl.create_default_context(
+            cafile=str(_FOLDER / "authority.pem")
+        )
+        context.check_hostname = False
+
+        self.assertEqual(b"", await self._exchange(context))
+
+    async def test_node_refuses_a_strangers_listener(self):
+        stranger = await asyncio.start_server(
+            _echo,
+            "127.0.0.1",
+            0,
+            ssl=tls.server_context(
+                settings.Tls(**_tls("stranger", "stranger-authority"))
+            ),
+        )
+        self.addAsyncCleanup(_closed, stranger)
+        self._port = stranger.sockets[0].getsockname()[1]
+
+        context = tls.link_context(settings.Tls(**_tls("node")))
+        self.assertEqual(b"", await self._exchange(context))
+
+    async def test_plain_text_gets_nothing(self):
+        self.assertNotEqual(b"frame", await self._exchange(None))
+
+
+async def _echo(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(await reader.read(5))
+    writer.close()
+
+
+async def _closed(server: asyncio.Server) -> None:
+    server.close()
+    await server.wait_closed()
