--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,13 +1,13 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
 import asyncio
-import dataclasses
 import datetime
 
 import expression
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind.callers import counts
 from endivewind.callers import placement
 from endivewind.callers import routing
 from endivewind.config import objects
@@ -45,6 +45,12 @@
         self._pool = pool
         self._clock = clock
         self._table = routing.RoutingTable()
+        self._counts = counts.RequestCounts(clock)
+
+    @property
+    def counts(self) -> counts.RequestCounts:
+        """Counts of this entry's requests."""
+        return self._counts
 
     def configure(self, kind: str, name: str) -> None:
         """Takes one object that has come into force."""
@@ -83,10 +89,9 @@
             if record is None:
                 break
             tried.add(record.id)
+            self._counts.placed(route.service, number)
             remaining = deadline - self._clock.monotonic()
-            attempt = dataclasses.replace(
-                head, remaining=remaining, attempt=number
-            )
+            attempt = head.for_attempt(number, remaining)
             result = await self._attempt(record, attempt, body)
             if result.is_ok():
                 return result
@@ -105,8 +110,7 @@
         self._placement.started(record)
         result: AnswerResult | None = None
         try:
-            async with asyncio.timeout(head.remaining.total_seconds()):
-                result = await self._pass_on(record, head, body)
+            result = await self._pass_on(record, head, body)
         except TimeoutError:
             result = expression.Error(
                 exchange.unknown(
@@ -133,7 +137,10 @@
                     exchange.Reason.HOME_UNREACHABLE, f"{record.home} is gone"
                 )
             )
-        return await self._pool.forward(home, record.id, head, body)
+        # The dispatcher above bounds its own work; here the bound holds also
+        # where the home has gone silent.
+        async with asyncio.timeout(head.remaining.total_seconds()):
+            return await self._pool.forward(home, record.id, head, body)
 
 
 def _may_place_again(
--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -35,6 +35,11 @@
         self._ended = False
         self._reader = asyncio.create_task(self._read())
 
+    @property
+    def seen(self) -> list[dict[str, Any]]:
+        """Log lines read so far."""
+        return self._seen
+
     async def line(
         self, wanted: collections.abc.Callable[[dict[str, Any]], bool]
     ) -> dict[str, Any]:
