--- a/endivewind/platform/retries.py
+++ b/endivewind/platform/retries.py
@@ -7,6 +7,7 @@
 
 FIRST_BACKOFF = datetime.timedelta(milliseconds=100)
 LAST_BACKOFF = datetime.timedelta(seconds=5)
+SHORTEST_WAIT = datetime.timedelta(milliseconds=50)
 
 
 class Backoff:
@@ -55,7 +56,8 @@
 
     def __init__(self) -> None:
         self._nodes = 1
-        self._left = self.BURST_CALLS
+        self._burst = self.BURST_CALLS
+        self._left = self._burst
         self._at: datetime.timedelta | None = None
         self._running = 0
 
@@ -71,17 +73,24 @@
         """Takes the number of nodes that share the platform."""
         self._nodes = max(1, nodes)
 
+    def refill(self, calls: float) -> None:
+        """Allows calls beyond the burst; for commands that make many."""
+        self._left = calls
+        self._burst = max(self._burst, calls)
+
     def start(self, now: datetime.timedelta) -> datetime.timedelta:
         """Starts a call, or tells how long to wait before trying again."""
         if self._at is not None:
             gained = (now - self._at).total_seconds() * self.per_second
-            self._left = min(self._left + gained, self.BURST_CALLS)
+            self._left = min(self._left + gained, self._burst)
         self._at = now
         if self._running >= self.MAX_AT_ONCE:
-            return datetime.timedelta(milliseconds=50)
+            return SHORTEST_WAIT
         if self._left < 1:
             missing = (1 - self._left) / self.per_second
-            return datetime.timedelta(seconds=missing)
+            # Zero means admitted: a rest too small for a timedelta must not
+            # round down to that.
+            return max(datetime.timedelta(seconds=missing), SHORTEST_WAIT)
         self._left -= 1
         self._running += 1
         return datetime.timedelta()
--- a/endivewind/standins/platform.py
+++ b/endivewind/standins/platform.py
@@ -5,8 +5,13 @@
 from typing import Any
 
 from aiohttp import web
+import pydantic
 
 from endivewind.platform import messages
+from endivewind.standins import faults
+
+# Writes that a watch can still be told of; an older revision answers 410.
+LOG_LENGTH = 10_000
 
 
 class ObjectStore:
@@ -16,6 +21,7 @@
         self._revision = 0
         self._objects: dict[tuple[str, str], messages.StoredObject] = {}
         self._log: list[messages.StoredObject] = []
+        self._compacted = 0
         self._changed = asyncio.Event()
 
     @property
@@ -28,6 +34,32 @@
         """Set at the next write; a new event follows each write."""
         return self._changed
 
+    def copy(self) -> "ObjectStore":
+        """The store as it is now, for stale reads and for backups."""
+        other = ObjectStore()
+        other.restore(self)
+        return other
+
+    def restore(self, backup: "ObjectStore") -> None:
+        """Goes back to a copy; what was written since is lost."""
+        self._revision = backup._revision
+        self._objects = dict(backup._objects)
+        self._log = list(backup._log)
+        self._compacted = backup._compacted
+        self._wake()
+
+    def compact(self, revision: int) -> None:
+        """Forgets the log of writes up to a revision."""
+        self._compacted = max(self._compacted, min(revision, self._revision))
+        self._log = [
+            item for item in self._log if item.version > self._compacted
+        ]
+        self._wake()
+
+    def knows(self, revision: int) -> bool:
+        """Whether writes after a revision can be told in full."""
+        return self._compacted <= revision <= self._revision
+
     def get(self, kind: str, name: str) -> messages.StoredObject | None:
         """The object, or None."""
         return self._objects.get((kind, name))
@@ -77,39 +109,116 @@
             kind=kind, name=name, version=self._revision, value=value
         )
         self._log.append(stored)
+        if len(self._log) > LOG_LENGTH:
+            self.compact(self._log[-LOG_LENGTH // 2].version)
+        self._wake()
+        return stored
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return stored
 
 
 class PlatformStandin:
-    """Serves an ObjectStore over HTTP."""
+    """Serves an ObjectStore over HTTP, with faults on demand.
+
+    `PUT /standin/fault` sets faults, `POST /standin/compact` forgets the log,
+    `POST /standin/empty` loses the whole store, `POST /standin/backup` and
+    `POST /standin/restore` go back to an older state.
+    """
 
     def __init__(self, store: ObjectStore) -> None:
         self._store = store
+        self._faults = faults.Faults()
+        self._stale: ObjectStore | None = None
+        self._backup = store.copy()
 
     @property
     def store(self) -> ObjectStore:
         """The store behind the API."""
         return self._store
 
+    @property
+    def calls(self) -> dict[str, int]:
+        """Calls by method since the start."""
+        return self._faults.counted
+
+    def set_faults(self, *wanted: faults.Fault) -> None:
+        """Switches faults on in place of those before; none clears them."""
+        self._faults.set(faults.FaultList(faults=wanted))
+        self._stale = self._store.copy()
+
     def application(self) -> web.Application:
-        """The routes of the object API."""
-        app = web.Application()
+        """The routes of the object API and of the control path."""
+        app = web.Application(middlewares=[self._faulty])
         app.router.add_get("/v1/objects", self._list)
         app.router.add_get("/v1/objects/{kind}/{name}", self._get)
         app.router.add_put("/v1/objects/{kind}/{name}", self._put)
         app.router.add_delete("/v1/objects/{kind}/{name}", self._delete)
         app.router.add_get("/v1/watch", self._watch)
+        app.router.add_put("/standin/fault", self._set_fault)
+        app.router.add_post("/standin/{action}", self._control)
+        app.router.add_get("/standin/calls", self._calls)
         return app
 
+    @web.middleware
+    async def _faulty(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        if request.path.startswith("/standin/"):
+            response: web.StreamResponse = await handler(request)
+            return response
+        now = asyncio.get_running_loop().time()
+        hits = self._faults.hits(request.method, now)
+        refused = _refused(request, hits)
+        if refused is not None:
+            return refused
+        if faults.Mode.SLOW in hits:
+            await asyncio.sleep(hits[faults.Mode.SLOW].delay_ms / 1000)
+        request["stale"] = faults.Mode.STALE in hits
+        answer: web.Response = await handler(request)
+        if faults.Mode.ANSWER_LOST in hits:
+            return _cut(request)
+        if faults.Mode.PARTIAL in hits:
+            return await _half(request, answer)
+        return answer
+
+    async def _set_fault(self, request: web.Request) -> web.Response:
+        try:
+            wanted = faults.FaultList.model_validate_json(await request.read())
+        except pydantic.ValidationError as error:
+            return web.Response(status=400, text=str(error))
+        self.set_faults(*wanted.faults)
+        return web.Response(status=204)
+
+    async def _control(self, request: web.Request) -> web.Response:
+        match request.match_info["action"]:
+            case "compact":
+                self._store.compact(self._store.revision)
+            case "empty":
+                self._store.restore(ObjectStore())
+            case "backup":
+                self._backup = self._store.copy()
+            case "restore":
+                self._store.restore(self._backup)
+            case _:
+                return web.Response(status=404)
+        return web.Response(status=204)
+
+    async def _calls(self, request: web.Request) -> web.Response:
+        return web.json_response(self.calls)
+
+    def _read_store(self, request: web.Request) -> ObjectStore:
+        stale = request.get("stale") and self._stale
+        return self._stale if stale and self._stale else self._store
+
     async def _get(self, request: web.Request) -> web.Response:
-        found = self._store.get(*_key(request))
+        found = self._read_store(request).get(*_key(request))
         return _object(found) if found else web.Response(status=404)
 
     async def _list(self, request: web.Request) -> web.Response:
-        objects = self._store.select(_kinds(request))
-        return self._listing(objects)
+        store = self._read_store(request)
+        return _listing(store, store.select(_kinds(request)))
 
     async def _put(self, request: web.Request) -> web.Response:
         kind, name = _key(request)
@@ -118,6 +227,8 @@
             expected = int(request.headers["If-Match"])
         except (KeyError, ValueError):
             return web.Response(status=400)
+        if not isinstance(value, dict):
+            return web.Response(status=400)
         stored = self._store.put(kind, name, value, expected)
         return _object(stored) if stored else self._conflict(kind, name)
 
@@ -132,15 +243,21 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         kinds = _kinds(request)
-        revision = int(request.query.get("revision", "0"))
-        wait = int(request.query.get("wait_ms", "0")) / 1000
+        store = self._read_store(request)
+        try:
+            revision = int(request.query.get("revision", "0"))
+            wait = int(request.query.get("wait_ms", "0")) / 1000
+        except ValueError:
+            return web.Response(status=400)
         deadline = asyncio.get_running_loop().time() + wait
         while True:
-            changed = self._store.changed
-            objects = self._store.since(kinds, revision)
+            if not store.knows(revision):
+                return web.Response(status=410)
+            changed = store.changed
+            objects = store.since(kinds, revision)
             left = deadline - asyncio.get_running_loop().time()
             if objects or left <= 0:
-                return self._listing(objects)
+                return _listing(store, objects)
             try:
                 await asyncio.wait_for(changed.wait(), left)
             except TimeoutError:
@@ -153,13 +270,51 @@
             status=409, text=text, content_type="application/json"
         )
 
-    def _listing(self, objects: list[messages.StoredObject]) -> web.Response:
-        listing = messages.Listing(
-            revision=self._store.revision, objects=tuple(objects)
-        )
-        return web.Response(
-            text=listing.model_dump_json(), content_type="application/json"
-        )
+
+def _refused(
+    request: web.Request, hits: dict[faults.Mode, faults.Fault]
+) -> web.Response | None:
+    """The answer of a call that is not done at all, or None."""
+    if faults.Mode.RATE_LIMIT in hits:
+        return web.Response(status=429, headers={"Retry-After": "1"})
+    if faults.Mode.ERROR in hits:
+        return web.Response(status=500)
+    if faults.Mode.OUTAGE in hits:
+        return _cut(request)
+    if faults.Mode.GARBAGE in hits:
+        return web.Response(text="<html>", content_type="application/json")
+    return None
+
+
+def _cut(request: web.Request) -> web.Response:
+    """Closes the connection in place of an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=503)
+
+
+async def _half(
+    request: web.Request, answer: web.Response
+) -> web.StreamResponse:
+    """Sends the first half of an answer and closes the connection."""
+    body = answer.body
+    whole = body if isinstance(body, bytes) else b""
+    response = web.StreamResponse(status=answer.status)
+    response.content_length = len(whole)
+    await response.prepare(request)
+    await response.write(whole[: len(whole) // 2])
+    if request.transport is not None:
+        request.transport.close()
+    return response
+
+
+def _listing(
+    store: ObjectStore, objects: list[messages.StoredObject]
+) -> web.Response:
+    listing = messages.Listing(revision=store.revision, objects=tuple(objects))
+    return web.Response(
+        text=listing.model_dump_json(), content_type="application/json"
+    )
 
 
 def _key(request: web.Request) -> tuple[str, str]:
