--- /dev/null
+++ b/endivewind/commands/demo.py
@@ -0,0 +1,276 @@
+"""endivewind demo: a small fleet in one process, with one gray target.
+
+Starts the platform's stand-in, two nodes and six targets on loopback. All six
+answer their health check; one of them fails part of its real work. Callers
+send work for some seconds. Printed are what callers saw, what each target ran
+and which targets were ejected. Exits 0 if every caller was answered or told
+that its work was not run, and the gray target was ejected and no other.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import pathlib
+import random
+import time
+from typing import Any
+
+from absl import flags
+import aiohttp
+from aiohttp import web
+
+from endivewind import clock as clocks
+from endivewind import exceptions
+from endivewind import headers
+from endivewind import logs
+from endivewind import node
+from endivewind.commands import options
+from endivewind.commands import running
+from endivewind.commands import submit
+from endivewind.commands import tables
+from endivewind.config import base
+from endivewind.config import objects
+from endivewind.config import settings
+from endivewind.platform import client
+from endivewind.standins import platform
+from endivewind.standins import target
+
+USAGE = "demo [--seconds=8] [--format=json]"
+
+_SECONDS = flags.DEFINE_float(
+    "seconds",
+    8,
+    "How long callers send work.",
+    lower_bound=1,
+    upper_bound=20,
+)
+flags.declare_key_flag("format")
+
+_CONFIGURATION = pathlib.Path(__file__).with_name("demo.yaml")
+_SERVICE = "riders"
+_HOST = "camerino.example"
+_NODES = (("node-a", "andina-a"), ("node-b", "andina-b"))
+_TARGETS = tuple(f"riders-{number}" for number in range(1, 7))
+_GRAY = "riders-3"
+_GRAY_SHARE = 0.5
+_RATE = 100
+_START_SECONDS = 10
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """What callers saw, counted.
+
+    Attributes:
+      whole: whole answers with status 200.
+      failed: answers of a target that failed the work.
+      refused: refusals by outcome and reason.
+      by_target: whole answers by target.
+      first_half_failed: failed answers in the first half of the time.
+    """
+
+    whole: int = 0
+    failed: int = 0
+    first_half_failed: int = 0
+    refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    by_target: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    @property
+    def unclear(self) -> int:
+        """Callers who were not told whether their work ran."""
+        return sum(
+            count
+            for reason, count in self.refused.items()
+            if not reason.startswith("not-run")
+        )
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the demo and prints what came of it."""
+    if arguments:
+        raise exceptions.UsageError(f"usage: endivewind {USAGE}")
+    logs.configure("critical")
+    return running.loop(_demo())
+
+
+async def _demo() -> int:
+    async with contextlib.AsyncExitStack() as stack:
+        nodes = await _start(stack)
+        seen = Seen()
+        await _call(nodes, seen)
+        ejected = await _ejected(nodes)
+    value = {
+        "callers": dataclasses.asdict(seen),
+        "gray_target": _GRAY,
+        "ejected": ejected,
+    }
+    options.show(value, text(seen, ejected))
+    return 0 if not seen.unclear and set(ejected) == {_GRAY} else 1
+
+
+async def _start(stack: contextlib.AsyncExitStack) -> list[node.Addresses]:
+    api = platform.PlatformStandin(platform.ObjectStore())
+    url = "http://" + await _serve(stack, api.application())
+    await _submit(url)
+    nodes = [await _node(stack, name, zone, url) for name, zone in _NODES]
+    for number, name in enumerate(_TARGETS):
+        await _target(stack, name, nodes[number % len(nodes)].targets)
+    await _until_known(nodes)
+    return nodes
+
+
+async def _serve(
+    stack: contextlib.AsyncExitStack, application: web.Application
+) -> str:
+    runner = web.AppRunner(application, access_log=None, shutdown_timeout=1)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return f"127.0.0.1:{runner.addresses[0][1]}"
+
+
+async def _submit(url: str) -> None:
+    loaded = base.load_file(str(_CONFIGURATION), objects.Configuration)
+    async with aiohttp.ClientSession() as session:
+        store = client.PlatformClient(url, session)
+        for item in submit.items(loaded.ok.model):
+            value = {
+                "spec": item.model.model_dump(mode="json"),
+                "operation": "demo",
+                "author": "demo",
+            }
+            written = await store.put(item.kind, item.name, value, 0)
+            if written.is_error():
+                raise exceptions.UnavailableError(str(written.error))
+
+
+async def _node(
+    stack: contextlib.AsyncExitStack, name: str, zone: str, url: str
+) -> node.Addresses:
+    config = settings.NodeSettings(
+        name=name, region="andina", zone=zone, platform=url
+    )
+    member = node.Node.from_settings(
+        config, clocks.SystemClock(), random.Random()
+    )
+    addresses = await member.start()
+    stack.push_async_callback(member.stop)
+    return addresses
+
+
+async def _target(
+    stack: contextlib.AsyncExitStack, name: str, home: str
+) -> None:
+    standin = target.TargetStandin(name, _SERVICE, [home])
+    address = await _serve(stack, standin.application())
+    if name == _GRAY:
+        async with aiohttp.ClientSession() as session:
+            fault = {"errors": _GRAY_SHARE}
+            url = f"http://{address}{target.FAULT_PATH}"
+            async with session.put(url, json=fault) as response:
+                response.raise_for_status()
+    task = asyncio.create_task(standin.announce(address))
+    stack.push_async_callback(_cancel, task)
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def _until_known(nodes: list[node.Addresses]) -> None:
+    try:
+        async with asyncio.timeout(_START_SECONDS):
+            while True:
+                known = [await _status(item) for item in nodes]
+                if all(len(item["targets"]) == len(_TARGETS) for item in known):
+                    return
+                await asyncio.sleep(0.05)
+    except TimeoutError:
+        raise exceptions.EndivewindError("the fleet did not start") from None
+
+
+async def _status(addresses: node.Addresses) -> dict[str, Any]:
+    url = f"http://{addresses.operators}/v1/status"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        status: dict[str, Any] = await response.json()
+        return status
+
+
+async def _call(nodes: list[node.Addresses], seen: Seen) -> None:
+    """Sends work at a fixed rate, to the nodes in turn."""
+    start = time.monotonic()
+    total = int(_RATE * _SECONDS.value)
+    calls = []
+    async with aiohttp.ClientSession() as session:
+        for number in range(total):
+            await asyncio.sleep(start + number / _RATE - time.monotonic())
+            address = nodes[number % len(nodes)].callers
+            early = number < total // 2
+            calls.append(
+                asyncio.create_task(_one(session, address, seen, early))
+            )
+        await asyncio.gather(*calls)
+
+
+async def _one(
+    session: aiohttp.ClientSession, address: str, seen: Seen, early: bool
+) -> None:
+    url = f"http://{address}/riders/42"
+    async with session.get(url, headers={"Host": _HOST}) as response:
+        outcome = response.headers.get(headers.OUTCOME, "")
+        reason = response.headers.get(headers.REASON)
+        if reason:
+            seen.refused[f"{outcome} {reason}"] += 1
+        elif response.status == 200:
+            seen.whole += 1
+            answer = await response.json()
+            seen.by_target[answer["target"]] += 1
+        else:
+            seen.failed += 1
+            seen.first_half_failed += early
+
+
+async def _ejected(nodes: list[node.Addresses]) -> dict[str, str]:
+    """Ejected targets by id, each with the reason that its home gives."""
+    ejected: dict[str, str] = {}
+    for addresses in nodes:
+        status = await _status(addresses)
+        for item in status["targets"]:
+            if item["health"] != "normal" and item["home"] == status["node"]:
+                ejected[item["id"]] = item.get("reason") or item["health"]
+    return ejected
+
+
+def text(seen: Seen, ejected: dict[str, str]) -> str:
+    """The demo's outcome for people."""
+    second_half = seen.failed - seen.first_half_failed
+    rows = [
+        ("whole answers", seen.whole),
+        ("failed answers, first half", seen.first_half_failed),
+        ("failed answers, second half", second_half),
+        *((f"refused: {name}", n) for name, n in sorted(seen.refused.items())),
+    ]
+    lines = [
+        f"Six targets; {_GRAY} fails {_GRAY_SHARE:.0%} of its work and still "
+        "answers its health check.",
+        "",
+        tables.table(("WHAT CALLERS SAW", "COUNT"), rows),
+        "",
+        tables.table(
+            ("TARGET", "WHOLE ANSWERS", "STATE"),
+            [
+                (name, seen.by_target[name], ejected.get(name, "in service"))
+                for name in _TARGETS
+            ],
+        ),
+        "",
+        "Ejected: " + (", ".join(sorted(ejected)) or "none"),
+    ]
+    return "\n".join(lines)
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -17,26 +17,29 @@
 from endivewind.callers import gateway
 from endivewind.callers import listener
 from endivewind.callers import placement
+from endivewind.callers import ticket_book
+from endivewind.callers import ticketing
+from endivewind.callers import tickets
 from endivewind.config import objects
 from endivewind.config import settings
 from endivewind.config import store
-from endivewind.nodes import codec
 from endivewind.nodes import configuration
+from endivewind.nodes import leaving
 from endivewind.nodes import links
+from endivewind.nodes import service
 from endivewind.nodes import view
 from endivewind.operators import http
 from endivewind.platform import client
 from endivewind.platform import membership
-from endivewind.platform import messages
 from endivewind.platform import restoring
 from endivewind.platform import watcher
 from endivewind.targets import api
 from endivewind.targets import dispatch
+from endivewind.targets import judge
 from endivewind.targets import registry
 
 log = logging.getLogger(__name__)
 
-ANNOUNCE_PERIOD = datetime.timedelta(milliseconds=500)
 EXPIRE_PERIOD = datetime.timedelta(milliseconds=200)
 
 
@@ -68,24 +71,27 @@
         identity = registry.HomeIdentity(
             config.name, self._incarnation, config.region, config.zone
         )
-        self._targets = registry.TargetRegistry(identity, clock)
+        self._targets = registry.TargetRegistry(
+            identity, clock, self._fleet.claim
+        )
         self._pool = links.LinkPool(clock, tls.link_context(config.nodes_tls))
         self._link_server = links.LinkServer(self)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.BaseRunner] = []
-        self._announce_now = asyncio.Event()
         self._stopping = False
         # Set by start(), which needs the running loop.
+        self._judge: judge.Judge
         self._dispatcher: dispatch.Dispatcher
         self._gateway: gateway.Gateway
         self._listener: listener.Listener
+        self._ticketing: ticketing.Ticketing
         self._platform: client.PlatformClient
         self._session: aiohttp.ClientSession
         self._watcher: watcher.Watcher
-        self._members: watcher.Watcher
         self._restorer: restoring.Restorer
         self._configuration_peer: configuration.ConfigurationPeer
         self._self_record: view.NodeRecord
+        self._gossip: service.GossipService
 
     @classmethod
     def from_settings(
@@ -100,22 +106,41 @@
     async def start(self) -> Addresses:
         """Binds every address, joins the fleet and starts the tasks."""
         config = self._settings
-        self._dispatcher = dispatch.Dispatcher.from_registry(self._targets)
+        self._judge = judge.Judge(
+            self._targets,
+            self._profile,
+            self._clock,
+            self._targets_changed,
+        )
+        self._dispatcher = dispatch.Dispatcher.from_registry(
+            self._targets, self._clock, self._judge
+        )
         self._session = aiohttp.ClientSession()
         self._platform = client.PlatformClient(config.platform, self._session)
         place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
             config.name,
-            placement.Placement(place, self._fleet, self._clock, self._rng),
+            placement.Placement(
+                place, self._fleet, self._floor, self._clock, self._rng
+            ),
             self._configuration,
             self._fleet,
             self._dispatcher,
             self._pool,
             self._clock,
         )
-        self._listener = listener.Listener(self._gateway, config.limits)
-        self._members = watcher.Watcher(
-            self._platform, (membership.NODE,), self._seen_node, self._rng
+        kept = config.limits.kept_answer_bytes
+        self._ticketing = ticketing.Ticketing(
+            tickets.Issuer.for_incarnation(config.name, self._incarnation),
+            ticket_book.TicketBook(kept_answer_bytes=kept),
+            self._gateway,
+            self._fleet,
+            self._pool,
+            self._clock,
+            kept,
+        )
+        self._listener = listener.Listener(
+            self._gateway, self._ticketing, config.limits, self._not_ready
         )
         self._restorer = restoring.Restorer(
             self._configuration, self._platform, self._rng
@@ -148,14 +173,24 @@
             config.region,
             config.zone,
         )
+        self._gossip = service.GossipService(
+            config,
+            self._self_record,
+            service.State(self._fleet, self._targets),
+            self._pool,
+            self._platform,
+            self._clock,
+            self._rng,
+        )
+        await self._gossip.start(addresses.nodes)
+        await self._link_server.serve()
         for work in (
-            self._members.run(),
             self._watcher.run(),
             self._restorer.run(),
             self._configuration_peer.run(),
             self._register(),
-            self._announce(),
             self._expire(),
+            self._judge_often(),
         ):
             self._tasks.append(asyncio.create_task(work))
         return addresses
@@ -163,13 +198,14 @@
     async def stop(self) -> None:
         """Leaves as planned: work in flight ends before the process does."""
         self._stopping = True
+        self._targets.stop_taking()
+        departure = leaving.Departure(
+            self._listener, self._dispatcher, self._link_server, self._ticketing
+        )
         limit = self._settings.limits.stop_seconds
+        await departure.run(datetime.timedelta(seconds=limit))
         await membership.unregister(self._platform, self._self_record)
-        try:
-            async with asyncio.timeout(limit):
-                await self._listener.drained()
-        except TimeoutError:
-            log.warning("stopped with %d in flight", self._listener.in_flight)
+        await self._gossip.leave()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -196,19 +232,21 @@
             )
         return await self._dispatcher.run(target, head, body)
 
-    def announced(self, announce: Any) -> None:
-        """Takes all targets of another home."""
-        targets = [codec.target_in(item) for item in announce.targets]
-        taken = self._fleet.put_home(
-            announce.home,
-            announce.home_incarnation,
-            announce.sequence,
-            targets,
+    async def run_as_issuer(
+        self,
+        incarnation: int,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+        priority: str,
+    ) -> links.AnswerResult:
+        """Runs a send of one of this node's tickets."""
+        return await self._ticketing.execute(
+            head, body, objects.Priority(priority), incarnation
         )
-        if taken:
-            heard = [item.id for item in targets]
-            fields = logs.fields(home=announce.home, targets=heard)
-            log.debug("home heard", extra=fields)
+
+    def gossiped(self, frame: Any) -> None:
+        """Takes a frame of another node's gossip."""
+        self._gossip.frame(frame)
 
     async def _bind(self) -> Addresses:
         config = self._settings
@@ -221,15 +259,18 @@
             self._targets, self._default_slots, self._targets_changed
         )
         targets = await self._serve(
-            web.AppRunner(target_api.application()), config.targets
+            web.AppRunner(target_api.application(), access_log=None),
+            config.targets,
         )
         sources = http.Sources(self._not_ready, self._status)
         operators = await self._serve(
-            web.AppRunner(http.OperatorApi(sources).application()),
+            web.AppRunner(
+                http.OperatorApi(sources).application(), access_log=None
+            ),
             config.operators,
         )
         host, port = _split(config.nodes)
-        nodes = await self._link_server.start(
+        nodes = await self._link_server.bind(
             host, port, tls.server_context(config.nodes_tls)
         )
         return Addresses(callers, targets, nodes, operators)
@@ -251,20 +292,19 @@
         found = self._configuration.service(service) or objects.Service()
         return found.slots
 
+    def _floor(self, service: str) -> int:
+        found = self._configuration.service(service)
+        return found.floor_slots if found else 0
+
+    def _profile(self, service: str) -> objects.Profile:
+        found = self._configuration.service(service) or objects.Service()
+        return found.profile
+
     def _targets_changed(self) -> None:
-        self._announce_now.set()
-        self._put_own()
+        self._gossip.targets_changed()
         held = [item.id for item in self._targets.announced()]
         log.info("targets held", extra=logs.fields(targets=held))
 
-    def _put_own(self) -> None:
-        self._fleet.put_home(
-            self._settings.name,
-            self._incarnation,
-            self._targets.sequence,
-            self._targets.announced(),
-        )
-
     def configuration(self, message: Any) -> None:
         """Takes what a peer tells of its configuration."""
         self._configuration_peer.received(message)
@@ -272,50 +312,17 @@
     def _in_force(self, key: store.Key) -> None:
         self._gateway.configure(key.kind, key.name)
 
-    def _seen_node(self, stored: messages.StoredObject) -> None:
-        record = membership.record_of(stored)
-        if record is None:
-            self._fleet.remove_node(stored.name)
-        elif self._fleet.put_node(record):
-            self._announce_now.set()
-
     async def _register(self) -> None:
         while True:
             written = await membership.register(
                 self._platform, self._self_record
             )
             if written.is_ok():
+                self._gossip.registered()
                 return
             log.warning("can't register: %s", written.error)
             await asyncio.sleep(self._rng.uniform(0.5, 1.5))
 
-    async def _announce(self) -> None:
-        while True:
-            self._announce_now.clear()
-            await asyncio.gather(
-                *(
-                    self._pool.send(peer.address, self._announcement())
-                    for peer in list(self._fleet.nodes.values())
-                    if peer.name != self._settings.name
-                )
-            )
-            try:
-                async with asyncio.timeout(ANNOUNCE_PERIOD.total_seconds()):
-                    await self._announce_now.wait()
-            except TimeoutError:
-                continue
-
-    def _announcement(self) -> Any:
-        announce = codec.messages.Announce(
-            home=self._settings.name,
-            home_incarnation=self._incarnation,
-            sequence=self._targets.sequence,
-            targets=[
-                codec.target_out(item) for item in self._targets.announced()
-            ],
-        )
-        return codec.messages.Frame(announce=announce)
-
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_PERIOD.total_seconds())
@@ -324,10 +331,15 @@
                 log.warning("leases ended", extra=logs.fields(targets=gone))
                 self._targets_changed()
 
+    async def _judge_often(self) -> None:
+        while True:
+            await asyncio.sleep(judge.PERIOD.total_seconds())
+            self._judge.advance()
+
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
-        return self._configuration_peer.missing()
+        return self._configuration_peer.missing() or self._gossip.not_ready()
 
     def _status(self) -> dict[str, object]:
         return {
@@ -335,6 +347,7 @@
             "incarnation": self._incarnation,
             "version": self._configuration.version,
             "nodes": sorted(self._fleet.nodes),
+            "members": self._gossip.status(),
             "targets": [
                 dataclasses.asdict(item) for item in self._fleet.all_targets()
             ],
