Merge racing submissions per object and say what is in force where

Cause: submit wrote every object that differed from the platform, so that a file a little behind took another operator's change back; it knew nothing of what came into force, and left no trail.

Conclusion: nothing is claimed of a node that has not answered.

--- a/endivewind/commands/demo.py
+++ b/endivewind/commands/demo.py
@@ -27,10 +27,10 @@
 from endivewind import node
 from endivewind.commands import options
 from endivewind.commands import running
-from endivewind.commands import submit
 from endivewind.commands import tables
 from endivewind.config import base
 from endivewind.config import objects
+from endivewind.config import planning
 from endivewind.config import settings
 from endivewind.platform import client
 from endivewind.standins import platform
@@ -138,13 +138,9 @@
     loaded = base.load_file(str(_CONFIGURATION), objects.Configuration)
     async with aiohttp.ClientSession() as session:
         store = client.PlatformClient(url, session)
-        for item in submit.items(loaded.ok.model):
-            value = {
-                "spec": item.model.model_dump(mode="json"),
-                "operation": "demo",
-                "author": "demo",
-            }
-            written = await store.put(item.kind, item.name, value, 0)
+        for key, spec in planning.specs(loaded.ok.model).items():
+            value = {"spec": spec, "operation": "demo", "author": "demo"}
+            written = await store.put(*key, value, 0)
             if written.is_error():
                 raise exceptions.UnavailableError(str(written.error))
 
--- a/endivewind/commands/main.py
+++ b/endivewind/commands/main.py
@@ -6,6 +6,9 @@
     "validate",
     "submit",
     "get",
+    "diff",
+    "watch",
+    "audit",
     "status",
     "demo",
 )
--- a/endivewind/config/store.py
+++ b/endivewind/config/store.py
@@ -53,6 +53,8 @@
       time: when it was submitted, ISO 8601 in UTC.
       replaced_version: the version that the submitter had read; 0 if none.
       replaced_operation: the operation that had written that version.
+      ancestors: fingerprints of earlier specs, so that a file that holds one
+        of them is known to be older and not a change back.
     """
 
     spec: dict[str, Any] | None
@@ -62,6 +64,7 @@
     time: str = ""
     replaced_version: int = 0
     replaced_operation: str = ""
+    ancestors: tuple[str, ...] = ()
 
 
 class Key(NamedTuple):
@@ -326,6 +329,11 @@
     return value if isinstance(value, dict) else None
 
 
+def fingerprint(value: dict[str, Any]) -> int:
+    """Hash of a JSON value, the same for any order of its keys."""
+    return _fingerprint(_canonical(value))
+
+
 def _canonical(value: dict[str, Any]) -> bytes:
     return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
 
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -28,6 +28,7 @@
 from endivewind.nodes import links
 from endivewind.nodes import service
 from endivewind.nodes import view
+from endivewind.operators import configuration as operators
 from endivewind.operators import http
 from endivewind.platform import client
 from endivewind.platform import membership
@@ -153,6 +154,7 @@
             self._fleet,
             self._pool,
             self._restorer,
+            self._platform.budget,
             self._in_force,
             self._clock,
             self._rng,
@@ -263,17 +265,20 @@
             config.targets,
         )
         sources = http.Sources(self._not_ready, self._status)
-        operators = await self._serve(
-            web.AppRunner(
-                http.OperatorApi(sources).application(), access_log=None
-            ),
+        operators_address = await self._serve(
+            web.AppRunner(self._operator_application(sources), access_log=None),
             config.operators,
         )
         host, port = _split(config.nodes)
         nodes = await self._link_server.bind(
             host, port, tls.server_context(config.nodes_tls)
         )
-        return Addresses(callers, targets, nodes, operators)
+        return Addresses(callers, targets, nodes, operators_address)
+
+    def _operator_application(self, sources: http.Sources) -> web.Application:
+        application = http.OperatorApi(sources).application()
+        operators.add_route(application, self._configuration_peer.asking)
+        return application
 
     async def _serve(
         self,
@@ -305,9 +310,9 @@
         held = [item.id for item in self._targets.announced()]
         log.info("targets held", extra=logs.fields(targets=held))
 
-    def configuration(self, message: Any) -> None:
-        """Takes what a peer tells of its configuration."""
-        self._configuration_peer.received(message)
+    def configuration(self, frame: Any) -> None:
+        """Takes what a peer tells of its configuration, or asks."""
+        self._configuration_peer.frame(frame)
 
     def _in_force(self, key: store.Key) -> None:
         self._gateway.configure(key.kind, key.name)
--- a/endivewind/nodes/configuration.py
+++ b/endivewind/nodes/configuration.py
@@ -15,11 +15,13 @@
 from endivewind.config import spreading
 from endivewind.config import store
 from endivewind.config import watchers
+from endivewind.nodes import asking
 from endivewind.nodes import codec
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.platform import messages
 from endivewind.platform import restoring
+from endivewind.platform import retries
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +43,7 @@
         fleet: view.FleetView,
         pool: links.LinkPool,
         restorer: restoring.Restorer,
+        budget: retries.CallBudget,
         in_force: InForce,
         clock: clocks.Clock,
         rng: random.Random,
@@ -50,6 +53,7 @@
         self._fleet = fleet
         self._pool = pool
         self._restorer = restorer
+        self._budget = budget
         self._in_force = in_force
         self._clock = clock
         self._rng = rng
@@ -57,8 +61,14 @@
             place.name, place.region, configuration, self._peers, rng
         )
         self._joining = joining.Joining(self._spreader)
+        self._asking = asking.Asking(place.name, configuration, fleet, pool)
         self._sending: set[asyncio.Task[None]] = set()
 
+    @property
+    def asking(self) -> asking.Asking:
+        """Asks the fleet what is in force."""
+        return self._asking
+
     @property
     def is_watcher(self) -> bool:
         """Whether this node is to hold the platform's watch."""
@@ -91,8 +101,19 @@
         self._restorer.listed(listing)
         self._joining.listed(self._clock.monotonic())
 
-    def received(self, message: Any) -> None:
-        """Takes a peer's message."""
+    def frame(self, frame: Any) -> None:
+        """Takes a peer's frame."""
+        if frame.configuration:
+            self._received(frame.configuration)
+        elif frame.configuration_ask:
+            answer = self._asking.answer(frame.configuration_ask)
+            peer = self._fleet.nodes.get(frame.configuration_ask.sender)
+            if peer is not None:
+                self._send_frame(peer.address, answer)
+        else:
+            self._asking.answered(frame.configuration_state)
+
+    def _received(self, message: Any) -> None:
         now = self._clock.monotonic()
         result = self._spreader.received(message_in(message), now)
         for key in result.in_force:
@@ -105,6 +126,7 @@
         """Ticks for ever."""
         while True:
             await asyncio.sleep(spreading.TICK.total_seconds())
+            self._budget.set_nodes(len(self._fleet.nodes))
             was_ready = self._spreader.ready
             if self.missing() is None and not was_ready:
                 agreed = sorted(self._spreader.agreed)
@@ -130,14 +152,16 @@
             peer = self._fleet.nodes.get(item.to)
             if peer is None or len(self._sending) >= MAX_SENDING:
                 continue
-            task = asyncio.create_task(
-                self._send_one(peer.address, message_out(item.message))
-            )
-            self._sending.add(task)
-            task.add_done_callback(self._sending.discard)
+            wire = message_out(item.message)
+            frame = codec.messages.Frame(configuration=wire)
+            self._send_frame(peer.address, frame)
+
+    def _send_frame(self, address: str, frame: Any) -> None:
+        task = asyncio.create_task(self._send_one(address, frame))
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
 
-    async def _send_one(self, address: str, message: Any) -> None:
-        frame = codec.messages.Frame(configuration=message)
+    async def _send_one(self, address: str, frame: Any) -> None:
         try:
             async with asyncio.timeout(SEND_TIMEOUT.total_seconds()):
                 await self._pool.send(address, frame)
@@ -152,9 +176,9 @@
         ready=message.ready,
         digest=list(message.digest),
         same=message.same,
-        have=[_stamp_out(item.key, item.stamp) for item in message.have],
+        have=[asking.stamp_out(item.key, item.stamp) for item in message.have],
         buckets=list(message.buckets),
-        want=[_stamp_out(key, store.ABSENT) for key in message.want],
+        want=[asking.stamp_out(key, store.ABSENT) for key in message.want],
         objects=[
             codec.messages.ConfigurationObject(
                 kind=item.key.kind,
@@ -167,15 +191,6 @@
     )
 
 
-def _stamp_out(key: store.Key, stamp: store.Stamp) -> Any:
-    return codec.messages.ConfigurationStamp(
-        kind=key.kind,
-        name=key.name,
-        version=stamp.version,
-        fingerprint=stamp.fingerprint,
-    )
-
-
 def message_in(message: Any) -> spreading.Message:
     """A message from a thrift struct; missing fields are empty."""
     return spreading.Message(
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -413,8 +413,8 @@
         """Takes a frame of another node's gossip."""
         raise NotImplementedError
 
-    def configuration(self, message: Any) -> None:
-        """Takes what a peer tells of its configuration."""
+    def configuration(self, frame: Any) -> None:
+        """Takes what a peer tells of its configuration, or asks."""
         raise NotImplementedError
 
 
@@ -517,8 +517,12 @@
                     frame = await codec.read_frame(reader)
                 if frame.fleet_state or frame.pull:
                     self._home.gossiped(frame)
-                elif frame.configuration:
-                    self._home.configuration(frame.configuration)
+                elif (
+                    frame.configuration
+                    or frame.configuration_ask
+                    or frame.configuration_state
+                ):
+                    self._home.configuration(frame)
                 elif frame.forward:
                     await self._counted(frame.forward, reader, writer)
                 else:
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -160,6 +160,21 @@
   8: list<ConfigurationObject> objects
 }
 
+// Asks a node for what it has in force; an answer carries the same number.
+struct ConfigurationAsk {
+  1: string sender
+  2: i64 number
+  3: list<ConfigurationStamp> keys
+}
+
+// What is in force at a node; known holds higher versions that it refused.
+struct ConfigurationState {
+  1: string sender
+  2: i64 number
+  3: list<ConfigurationStamp> known
+  4: list<ConfigurationStamp> in_force
+}
+
 // Sent by a home while an exchange goes on: silence means a broken path.
 struct Heartbeat {
   1: i64 exchange
@@ -173,6 +188,8 @@
   // 5 was the announcement that every home sent to every node.
   6: optional Heartbeat heartbeat
   20: optional Configuration configuration
+  21: optional ConfigurationAsk configuration_ask
+  22: optional ConfigurationState configuration_state
   30: optional FleetState fleet_state
   31: optional Pull pull
 }
--- /dev/null
+++ b/endivewind/operators/configuration.py
@@ -0,0 +1,48 @@
+"""`GET /v1/configuration`: what is in force on every node of the fleet."""
+
+import dataclasses
+
+from aiohttp import web
+
+from endivewind.config import store
+from endivewind.nodes import asking
+
+PATH = "/v1/configuration"
+
+
+def add_route(application: web.Application, fleet: asking.Asking) -> None:
+    """Adds the path; `?object=KIND/NAME` names each object asked about."""
+
+    async def handle(request: web.Request) -> web.Response:
+        keys = [_key(item) for item in request.query.getall("object", [])]
+        if not keys or None in keys or len(keys) > asking.MAX_KEYS:
+            return web.json_response(
+                {
+                    "title": "bad query",
+                    "detail": "object=KIND/NAME, once to "
+                    f"{asking.MAX_KEYS} times",
+                },
+                status=400,
+            )
+        states = await fleet.ask([key for key in keys if key])
+        return web.json_response(
+            {
+                "silent": states.silent,
+                "nodes": {
+                    name: {
+                        str(key): dataclasses.asdict(state)
+                        for key, state in found.items()
+                    }
+                    for name, found in states.nodes.items()
+                },
+            }
+        )
+
+    application.router.add_get(PATH, handle)
+
+
+def _key(text: str) -> store.Key | None:
+    kind, slash, name = text.partition("/")
+    if kind not in store.KINDS or not slash or not name:
+        return None
+    return store.Key(kind, name)
