--- a/endivewind/commands/diff.py
+++ b/endivewind/commands/diff.py
@@ -18,10 +18,8 @@
 
 USAGE = "diff FILE|- --platform=URL [--base=FILE] [--remove=KIND/NAME,...]"
 
-_BASE = flags.DEFINE_string(
-    "base", "", "File that was edited, as it was before."
-)
-_REMOVE = flags.DEFINE_list("remove", [], "Objects to remove, as KIND/NAME.")
+flags.declare_key_flag("base")
+flags.declare_key_flag("remove")
 flags.declare_key_flag("platform")
 flags.declare_key_flag("format")
 
@@ -33,9 +31,7 @@
 
     async def work(platform: client.PlatformClient) -> int:
         held = await submissions.current(platform)
-        steps = submissions.steps(
-            arguments[0], _BASE.value, _REMOVE.value, held
-        )
+        steps = submissions.steps(arguments[0], held)
         shown = [
             step for step in steps if step.action is not planning.Action.SAME
         ]
--- a/endivewind/commands/options.py
+++ b/endivewind/commands/options.py
@@ -17,6 +17,9 @@
 PLATFORM = flags.DEFINE_string(
     "platform", "", "URL of the platform's object API."
 )
+OPERATORS = flags.DEFINE_list(
+    "operators", [], "Operators' addresses of the nodes to ask."
+)
 FORMAT = flags.DEFINE_enum("format", "text", ["text", "json"], "Output format.")
 
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
--- a/endivewind/commands/status.py
+++ b/endivewind/commands/status.py
@@ -18,9 +18,7 @@
 
 USAGE = "status --operators=ADDRESS[,ADDRESS...]"
 
-_OPERATORS = flags.DEFINE_list(
-    "operators", [], "Operators' addresses of the nodes to ask."
-)
+flags.declare_key_flag("operators")
 flags.declare_key_flag("format")
 
 _TIMEOUT_SECONDS = 3
@@ -31,9 +29,9 @@
 
 def main(arguments: list[str]) -> int:
     """Prints the status of every node asked."""
-    if arguments or not _OPERATORS.value:
+    if arguments or not options.OPERATORS.value:
         raise exceptions.UsageError(f"usage: endivewind {USAGE}")
-    return running.loop(_status(_OPERATORS.value))
+    return running.loop(_status(options.OPERATORS.value))
 
 
 async def _status(addresses: list[str]) -> int:
--- a/endivewind/commands/submissions.py
+++ b/endivewind/commands/submissions.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import TypeVar
 
+from absl import flags
 import expression
 import pydantic
 
@@ -17,6 +18,10 @@
 from endivewind.platform import messages
 from endivewind.platform import retries
 
+BASE = flags.DEFINE_string(
+    "base", "", "File that was edited, as it was before."
+)
+REMOVE = flags.DEFINE_list("remove", [], "Objects to remove, as KIND/NAME.")
 READ_ATTEMPTS = 5
 
 ResultT = TypeVar("ResultT")
@@ -65,20 +70,18 @@
 
 def steps(
     file: str,
-    base: str,
-    removed: collections.abc.Iterable[str],
     held: collections.abc.Mapping[store.Key, planning.Current],
 ) -> list[planning.Step]:
-    """Plans the submission of a file."""
+    """Plans the submission of a file with --base and --remove."""
     wanted = dict(planning.specs(options.load_configuration(file)))
-    for text in removed:
+    for text in REMOVE.value:
         key = _key(text)
         if key in wanted:
             raise exceptions.UsageError(f"{key} is in {file} and in --remove")
         wanted[key] = None
     origin = None
-    if base:
-        origin = planning.specs(options.load_configuration(base))
+    if BASE.value:
+        origin = planning.specs(options.load_configuration(BASE.value))
     return planning.plan(wanted, held, origin)
 
 
--- a/endivewind/commands/submit.py
+++ b/endivewind/commands/submit.py
@@ -42,19 +42,15 @@
     " [--wait --operators=ADDRESS]"
 )
 
-_BASE = flags.DEFINE_string(
-    "base", "", "File that was edited, as it was before."
-)
-_REMOVE = flags.DEFINE_list("remove", [], "Objects to remove, as KIND/NAME.")
+flags.declare_key_flag("base")
+flags.declare_key_flag("remove")
 _WAIT = flags.DEFINE_bool("wait", False, "Wait until in force everywhere.")
 _WAIT_SECONDS = flags.DEFINE_float(
     "wait_seconds", 15, "How long --wait waits.", lower_bound=0
 )
-_OPERATORS = flags.DEFINE_list(
-    "operators", [], "Operators' addresses of nodes to ask for --wait."
-)
+flags.declare_key_flag("operators")
 _OPERATION = flags.DEFINE_string(
-    "operation", "", "Operation id; a new one unless given."
+    "operation_id", "", "Operation id; a new one unless given."
 )
 flags.declare_key_flag("platform")
 flags.declare_key_flag("format")
@@ -196,7 +192,7 @@
     """Writes each object that differs, by conditional update."""
     if len(arguments) != 1:
         raise exceptions.UsageError(f"usage: endivewind {USAGE}")
-    if _WAIT.value and not _OPERATORS.value:
+    if _WAIT.value and not options.OPERATORS.value:
         raise exceptions.UsageError("--wait needs --operators=ADDRESS")
 
     async def work(platform: client.PlatformClient) -> int:
@@ -210,7 +206,7 @@
 async def _submit(platform: client.PlatformClient, file: str) -> int:
     operation = _OPERATION.value or uuid.uuid4().hex
     held = await submissions.current(platform)
-    steps = submissions.steps(file, _BASE.value, _REMOVE.value, held)
+    steps = submissions.steps(file, held)
     submission = Submission(
         platform, operation, getpass.getuser(), clocks.SystemClock()
     )
@@ -320,7 +316,7 @@
     """What nodes say, through the first operators' address that answers."""
     query = [("object", name) for name in versions][:_MAX_OBJECTS_ASKED]
     problem = ""
-    for address in _OPERATORS.value:
+    for address in options.OPERATORS.value:
         url = f"http://{address}{operators.PATH}"
         try:
             async with session.get(url, params=query) as response:
