Run test classes side by side

Cause: one module with four process classes was the longest of all. Change: the unit is the test class; six processes.

--- a/endivewind/tests/__main__.py
+++ b/endivewind/tests/__main__.py
@@ -1,11 +1,13 @@
-"""Runs every test module (`*_tests.py`) and prints one closing line.
+"""Runs every test class of `*_tests.py` and prints one closing line.
 
-Modules run side by side in a few processes: most of the time of a test with
+Classes run side by side in a few processes: most of the time of a test with
 real processes is their start. A name on the command line is run here alone.
 """
 
 import collections.abc
 import concurrent.futures
+import importlib
+import inspect
 import io
 import pathlib
 import sys
@@ -15,30 +17,33 @@
 from endivewind.tests import known_red
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
-WORKERS = 4
+WORKERS = 6
 
 
 def main() -> int:
     """Runs the tests named on the command line, or all of them."""
     names = sys.argv[1:]
     if names:
-        reports = [run_module(name) for name in names]
+        reports = [run(name) for name in names]
     else:
         with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
-            reports = list(pool.map(run_module, modules()))
+            reports = list(pool.map(run, classes()))
     return _close(reports)
 
 
-def modules() -> collections.abc.Iterator[str]:
-    """Dotted names of all test modules, those with real processes first."""
+def classes() -> collections.abc.Iterator[str]:
+    """Dotted names of all test classes, those with real processes first."""
     tests = _ROOT / "endivewind" / "tests"
     files = sorted(tests.rglob("*_tests.py"), key=_slow_first)
     for file in files:
-        yield ".".join(file.relative_to(_ROOT).with_suffix("").parts)
+        module = ".".join(file.relative_to(_ROOT).with_suffix("").parts)
+        found = [f"{module}.{name}" for name in _class_names(module)]
+        # A module without any class is run, and refused for its emptiness.
+        yield from found or [module]
 
 
-def run_module(name: str) -> known_red.Report:
-    """Runs one module, class or test and reports on it."""
+def run(name: str) -> known_red.Report:
+    """Runs one class, module or test and reports on it."""
     output = io.StringIO()
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
     started = time.monotonic()
@@ -53,6 +58,18 @@
     )
 
 
+def _class_names(module: str) -> list[str]:
+    members = vars(importlib.import_module(module)).values()
+    return [
+        item.__name__
+        for item in members
+        if inspect.isclass(item)
+        and issubclass(item, unittest.TestCase)
+        and item.__module__ == module
+        and unittest.defaultTestLoader.getTestCaseNames(item)
+    ]
+
+
 def _slow_first(file: pathlib.Path) -> tuple[bool, str]:
     return (file.parent.name != "proofs", str(file))
 
