--- a/endivewind/config/objects.py
+++ b/endivewind/config/objects.py
@@ -103,19 +103,34 @@
 
 
 class RouteGroup(base.Model):
-    """Routes that one firm owns; one object in the platform."""
+    """Routes that one firm owns; one object in the platform.
+
+    Attributes:
+      routes: the routes, in any order.
+    """
 
     routes: tuple[Route, ...] = ()
 
 
 class WorkspaceShard(base.Model):
-    """Workspaces that are stored together; one object in the platform."""
+    """Workspaces that are stored together; one object in the platform.
+
+    Attributes:
+      workspaces: the workspaces, as callers name them in Endivewind-Workspace.
+    """
 
     workspaces: dict[Name, Workspace] = {}
 
 
 class Configuration(base.Model):
-    """A whole file of configuration, as `endivewind submit` takes it."""
+    """A whole file of configuration, as `endivewind submit` takes it.
+
+    Attributes:
+      services: the services.
+      route_groups: groups of routes, one for each firm.
+      workspace_shards: groups of workspaces, each small enough for the
+        platform.
+    """
 
     services: dict[Name, Service] = {}
     route_groups: dict[Name, RouteGroup] = {}
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -15,7 +15,15 @@
 
 
 class Tls(base.Model):
-    """Files of one TLS end; peers between nodes must show a certificate."""
+    """Files of one TLS end; peers between nodes must show a certificate.
+
+    Attributes:
+      certificate: PEM file with the certificate and those that signed it.
+      key: PEM file with its private key.
+      authority: PEM file of the authority that signs the other end's
+        certificate; a must between nodes. At the callers' listener it makes
+        callers show a certificate, too.
+    """
 
     certificate: str
     key: str
@@ -70,6 +78,10 @@
       platform: URL of the platform's object API.
       seeds: nodes to join by when the platform can't be asked.
       gossip_key: signs the datagrams between nodes; the same at every node.
+      callers_tls: makes the listener for callers speak HTTPS.
+      nodes_tls: secures the links to other nodes by mutual TLS.
+      limits: bounds of the process.
+      log_level: debug, info, warning or error.
     """
 
     name: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
--- /dev/null
+++ b/endivewind/tests/style_tests.py
@@ -0,0 +1,48 @@
+"""House style that neither the formatter nor the linter knows of."""
+
+import ast
+import unittest
+
+from endivewind.tests import style
+
+
+class StyleTest(unittest.TestCase):
+    """Rules of the developers' guide."""
+
+    def test_every_module_has_a_docstring(self):
+        without = [
+            str(file)
+            for file in style.modules()
+            if not ast.get_docstring(ast.parse(file.read_text()))
+        ]
+
+        self.assertEqual([], without)
+
+    def test_no_test_sleeps(self):
+        found = [
+            f"{file.name}: {call}"
+            for file in style.TESTS.rglob("*.py")
+            for call in style.calls(file)
+            if call.endswith("sleep") and not _yields_only(file)
+        ]
+
+        self.assertEqual([], found)
+
+    def test_tests_stay_a_third_of_the_code(self):
+        modules = set(style.modules())
+        tests = {file for file in modules if style.TESTS in file.parents}
+        share = style.code_lines(tests) / style.code_lines(modules)
+        print(f"tests are {share:.0%} of the code")
+
+        self.assertLess(share, 1 / 3)
+
+
+def _yields_only(file) -> bool:
+    """Whether every sleep in a file is sleep(0), which only yields."""
+    tree = ast.parse(file.read_text())
+    return all(
+        ast.unparse(node.args[0]) == "0"
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Call)
+        and ast.unparse(node.func).endswith("sleep")
+    )
