Look up a judge's profile when time passes, not at each request

Cause: each request looked up its service's profile twice; the profile showed 3% of a node's time at saturation. Change: the periodic step does it. Tests of the overhead bench's verdicts and percentiles are added. Conclusion: no decision changes.

--- a/endivewind/targets/judge.py
+++ b/endivewind/targets/judge.py
@@ -69,12 +69,11 @@
 
     def service(self, name: str) -> judging.ServiceJudge:
         """The judge of a service; made when it is first needed."""
-        limits = _BOUNDS[self._profile_of(name)]
         known = self._services.get(name)
         if known is None:
-            known = self._services[name] = judging.ServiceJudge(limits)
-        elif known.limits is not limits:
-            known.configure(limits)
+            known = self._services[name] = judging.ServiceJudge(
+                self._limits(name)
+            )
         return known
 
     def started(self, target: str, service: str) -> int:
@@ -100,11 +99,18 @@
     def advance(self) -> None:
         """Looks for overdue requests and ended holds; call it often."""
         now = self._clock.monotonic()
-        for judge in self._services.values():
+        for name, judge in self._services.items():
+            # Here and not at each request: a profile changes seldom.
+            limits = self._limits(name)
+            if judge.limits is not limits:
+                judge.configure(limits)
             self._forget_gone(judge)
             for change in judge.advance(now):
                 self._apply(change)
 
+    def _limits(self, name: str) -> bounds.ErrorBounds:
+        return _BOUNDS[self._profile_of(name)]
+
     def _forget_gone(self, judge: judging.ServiceJudge) -> None:
         for target in judge.targets():
             if self._targets.get(target) is None:
--- /dev/null
+++ b/endivewind/tests/commands/bench_overhead_tests.py
@@ -0,0 +1,64 @@
+"""The overhead bench's verdicts, on figures given by hand."""
+
+import unittest
+
+from endivewind.commands import bench_overhead as bench
+from endivewind.standins import load
+
+
+def _figures(**across) -> dict[str, dict]:
+    def path(p99_ms, per_second):
+        return {
+            "p99_ms": p99_ms,
+            "saturation_per_second": per_second,
+            "failures": 0,
+        }
+
+    return {
+        bench.DIRECT: path(1.0, 9000),
+        bench.ONE_HOP: path(2.0, 4000),
+        bench.TWO_HOPS: path(3.0, 3000),
+        bench.AT_HOME: path(2.0, 3200),
+        bench.ACROSS: {**path(3.0, 2400), **across},
+    }
+
+
+def _missed(figures) -> set[str]:
+    aims = bench.judge(figures)
+    return {name for name, aim in aims.items() if not aim["reached"]}
+
+
+class JudgeTest(unittest.TestCase):
+    """Each aim is missed by its own figure alone."""
+
+    def test_all_reached_at_the_limits(self):
+        self.assertEqual(set(), _missed(_figures()))
+
+    def test_more_than_two_hops(self):
+        self.assertEqual(
+            {"across p99 added, against two hops (ms)"},
+            _missed(_figures(p99_ms=3.1)),
+        )
+
+    def test_more_than_allowed_in_all(self):
+        self.assertIn("across p99 added (ms)", _missed(_figures(p99_ms=3.8)))
+
+    def test_saturation(self):
+        self.assertEqual(
+            {"across saturation, share of two hops"},
+            _missed(_figures(saturation_per_second=2300)),
+        )
+
+    def test_a_failed_request(self):
+        self.assertEqual({"failures"}, _missed(_figures(failures=1)))
+
+
+class SamplesTest(unittest.TestCase):
+    """Percentiles by sorted samples."""
+
+    def test_percentile_is_a_sample_that_was_taken(self):
+        samples = load.Samples([n / 1000 for n in range(100, 0, -1)])
+
+        self.assertAlmostEqual(99, samples.percentile_ms(99))
+        self.assertAlmostEqual(50, samples.percentile_ms(50))
+        self.assertAlmostEqual(1, samples.percentile_ms(0.1))
