--- a/endivewind/commands/demo.py
+++ b/endivewind/commands/demo.py
@@ -36,12 +36,12 @@
 from endivewind.standins import platform
 from endivewind.standins import target
 
-USAGE = "demo [--seconds=8] [--format=json]"
+USAGE = "demo [--duration=8] [--format=json]"
 
 _SECONDS = flags.DEFINE_float(
-    "seconds",
+    "duration",
     8,
-    "How long callers send work.",
+    "Seconds that callers send work.",
     lower_bound=1,
     upper_bound=20,
 )
--- a/endivewind/tests/commands/demo_tests.py
+++ b/endivewind/tests/commands/demo_tests.py
@@ -14,7 +14,7 @@
     def test_every_caller_is_told_and_counted(self):
         code = "from endivewind.commands import main; main.run()"
         child = subprocess.run(
-            [sys.executable, "-c", code, "demo", "--seconds=2"]
+            [sys.executable, "-c", code, "demo", "--duration=2"]
             + ["--format=json"],
             capture_output=True,
             text=True,
