--- /dev/null
+++ b/endivewind/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the decisions in virtual time: no sockets, no processes."""
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -170,6 +170,10 @@
         else:
             self._paths.succeeded(record.home)
 
+    def admitted_slots(self, service: str) -> int:
+        """Slots of the targets that this entry may give normal work."""
+        return self._pool(service).slots
+
     def _pool(self, service: str) -> placing.Pool:
         """The service's pool; made again only when something has changed.
 
--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,7 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ("spreading",)
+MEASUREMENTS: tuple[str, ...] = ("decisions", "spreading")
 
 BINARY = running.Binary(
     name="endivewind-bench",
--- /dev/null
+++ b/endivewind/commands/bench_decisions.py
@@ -0,0 +1,194 @@
+"""endivewind-bench decisions: detection time and false ejections.
+
+Runs the node's own judge, floor and placing in virtual time against targets
+that fail in many ways, and two baselines under the same callers: round robin
+without ejection, and five consecutive errors. No sockets, no processes.
+"""
+
+import collections.abc
+import dataclasses
+import logging
+import statistics
+
+from absl import flags
+
+from endivewind import exceptions
+from endivewind import names
+from endivewind.bench import experiment
+from endivewind.bench import scenarios
+from endivewind.commands import options
+from endivewind.commands import tables
+from endivewind.config import objects
+
+USAGE = (
+    "decisions [--scenario=NAME] [--profile=P] [--seeds=N | --seed=N]"
+    " [--format=json]"
+)
+
+POLICIES = ("own", "consecutive-errors", "round-robin")
+
+_SCENARIO = flags.DEFINE_list(
+    "scenario", [], "Scenarios; all but those of a whole day unless given."
+)
+_PROFILE = flags.DEFINE_enum_class(
+    "profile", objects.Profile.DETECTION, objects.Profile, "Error bounds."
+)
+_SEED = flags.DEFINE_integer("seed", None, "One seed instead of several.")
+_SEEDS = flags.DEFINE_integer(
+    "seeds", 5, "Seeds 1 to N for each scenario.", lower_bound=1
+)
+_POLICIES = flags.DEFINE_list("policies", list(POLICIES), "What to compare.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Figures:
+    """Several seeds of one scenario and policy.
+
+    Attributes:
+      detected: seeds in which the sick target was ejected while sick.
+      median_detection_seconds: over those seeds.
+      worst_detection_seconds: over those seeds.
+    """
+
+    scenario: str
+    policy: str
+    profile: str
+    seeds: int
+    requests: int
+    detected: int
+    median_detection_seconds: float | None
+    worst_detection_seconds: float | None
+    sick_requests: float
+    work_lost: float
+    false_ejections: int
+    true_ejections: int
+    median_return_seconds: float | None
+    p50_ms: float
+    p99_ms: float
+    refusals: float
+    amplification: float
+    least_slots: int
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the command; returns the exit code."""
+    logging.getLogger("endivewind").setLevel(logging.ERROR)
+    chosen = _chosen(_SCENARIO.value)
+    seeds = range(1, _SEEDS.value + 1)
+    if _SEED.value is not None:
+        seeds = range(_SEED.value, _SEED.value + 1)
+    unknown = sorted(set(_POLICIES.value) - set(POLICIES))
+    if unknown:
+        raise exceptions.UsageError(f"--policies: unknown {unknown}")
+    found = [
+        measure(scenario, policy, _PROFILE.value, seeds)
+        for scenario in chosen
+        for policy in _POLICIES.value
+    ]
+    options.show([dataclasses.asdict(item) for item in found], _text(found))
+    return 0
+
+
+def measure(
+    scenario: scenarios.Scenario,
+    policy: str,
+    profile: objects.Profile,
+    seeds: collections.abc.Iterable[int],
+) -> Figures:
+    """Runs a scenario with each seed and puts the rows together."""
+    rows = [
+        experiment.Experiment(scenario, policy, profile, seed).run()
+        for seed in seeds
+    ]
+    detections = _known(row.detection_seconds for row in rows)
+    returns = _known(row.return_seconds for row in rows)
+    return Figures(
+        scenario=scenario.name,
+        policy=policy,
+        profile=profile.value if policy == "own" else "",
+        seeds=len(rows),
+        requests=sum(row.requests for row in rows),
+        detected=len(detections),
+        median_detection_seconds=_median(detections),
+        worst_detection_seconds=_rounded(max(detections, default=None)),
+        sick_requests=_mean(row.sick_requests for row in rows),
+        work_lost=_mean(row.work_lost for row in rows),
+        false_ejections=sum(row.false_ejections for row in rows),
+        true_ejections=sum(row.true_ejections for row in rows),
+        median_return_seconds=_median(returns),
+        p50_ms=_mean(row.p50_ms for row in rows),
+        p99_ms=_mean(row.p99_ms for row in rows),
+        refusals=_mean(row.refusals for row in rows),
+        amplification=round(
+            statistics.fmean(row.amplification for row in rows), 4
+        ),
+        least_slots=min(row.least_slots for row in rows),
+    )
+
+
+def _chosen(wanted: list[str]) -> list[scenarios.Scenario]:
+    known = {item.name: item for item in scenarios.SCENARIOS}
+    for name in wanted:
+        if name not in known:
+            hint = names.hint(name, known)
+            raise exceptions.UsageError(f"unknown scenario {name!r}{hint}")
+    if wanted:
+        return [known[name] for name in wanted]
+    return [item for item in known.values() if item.end < scenarios.DAY]
+
+
+def _known(values: collections.abc.Iterable[float | None]) -> list[float]:
+    return [value for value in values if value is not None]
+
+
+def _mean(values: collections.abc.Iterable[float]) -> float:
+    return round(statistics.fmean(values), 1)
+
+
+def _median(values: list[float]) -> float | None:
+    return _rounded(statistics.median(values)) if values else None
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 3)
+
+
+def _text(found: list[Figures]) -> str:
+    titles = (
+        "scenario",
+        "policy",
+        "detected",
+        "median s",
+        "worst s",
+        "lost",
+        "false",
+        "return s",
+        "p50 ms",
+        "p99 ms",
+        "refused",
+        "tries",
+        "slots",
+    )
+    rows = [
+        (
+            item.scenario,
+            item.policy,
+            f"{item.detected}/{item.seeds}",
+            _cell(item.median_detection_seconds),
+            _cell(item.worst_detection_seconds),
+            item.work_lost,
+            item.false_ejections,
+            _cell(item.median_return_seconds),
+            item.p50_ms,
+            item.p99_ms,
+            item.refusals,
+            item.amplification,
+            item.least_slots,
+        )
+        for item in found
+    ]
+    return tables.table(titles, rows)
+
+
+def _cell(value: float | None) -> str:
+    return "-" if value is None else f"{value:.2f}"
--- a/endivewind/decisions/baseline.py
+++ b/endivewind/decisions/baseline.py
@@ -2,9 +2,9 @@
 
 Load: a service of which every target is slow, overloaded or failing at once.
 Harm: a fixed limit would find every target sick and take out all capacity
-just when it is short. A target is therefore compared with the median of its
-peers over the same seconds: what all of them show is no target's sickness.
-The median stays sound while fewer than half of the targets are sick.
+just when it is short. A target is therefore compared with the typical one of its
+peers over the same seconds: what most of them show is no target's sickness.
+The typical peer stays well while fewer than four in ten are sick.
 """
 
 import collections.abc
@@ -23,9 +23,16 @@
 LEAST_SLOW = datetime.timedelta(milliseconds=10)
 LEAST_STALLED = datetime.timedelta(milliseconds=100)
 # Below this the median is not known well enough to call anything slow.
-MIN_HISTORY = 50
-# Each request moves a target's recent shares by this part.
-RECENT_WEIGHT = 1 / 8
+MIN_HISTORY = 200
+# Each request moves a target's shares by one of these parts: the first sees
+# a change within a few requests, the second is exact enough to measure by.
+FAST_WEIGHT = 1 / 8
+RECENT_WEIGHT = 1 / 64
+# What a share measured on so few requests may be wrong by.
+MARGIN = 1.25
+# The typical peer: more than half, so that noise does not decide, and less
+# than what one zone of three takes down.
+TYPICAL = 0.6
 # The shares of the service's history move this slowly.
 HISTORY_WEIGHT = 1 / 4096
 # A peer that has had no work for so long says nothing of the present.
@@ -33,7 +40,7 @@
 REFRESH = datetime.timedelta(milliseconds=50)
 # Where the typical peer has gathered this share of the evidence that ejects,
 # the trouble is the service's and not one target's.
-SHARED_TROUBLE = 0.2
+SHARED_TROUBLE = 0.1
 # Under this share of the service's work a signal still tells something when
 # it comes once.
 UNUSUAL = 0.1
@@ -50,7 +57,8 @@
     Attributes:
       target: the target's id.
       at: when it was heard, on the hearer's clock.
-      shares: recent share of requests with each signal.
+      shares: recent share of requests with each signal; the higher of the
+        last few requests and the last hundred.
       evidence: of each test, as a share of what ejects.
       median: the target's usual latency.
     """
@@ -68,6 +76,7 @@
     def __init__(self) -> None:
         self._history = latency.LatencyHistory()
         self._usual = [0.0] * _SIGNALS
+        self._measured = 0
         self._expected = [0.0] * _SIGNALS
         self._typical_evidence = [0.0] * _TESTS
         self._steps = [
@@ -102,8 +111,12 @@
     ) -> None:
         """Takes one request of a target that is not ejected."""
         self._history.add(latency_seen)
+        if self._slow == _UNKNOWN:
+            return
+        self._measured += 1
+        weight = max(HISTORY_WEIGHT, 1 / self._measured)
         for index, seen in enumerate(signals):
-            self._usual[index] += HISTORY_WEIGHT * (seen - self._usual[index])
+            self._usual[index] += weight * (seen - self._usual[index])
 
     def is_shared(self, test: int) -> bool:
         """Whether the typical target is as much under suspicion."""
@@ -127,17 +140,15 @@
         expected = list(self._usual)
         if fresh:
             for signal in range(_SIGNALS):
-                median = statistics.median_low(
-                    [peer.shares[signal] for peer in fresh]
-                )
-                expected[signal] = max(expected[signal], median)
+                shares = [peer.shares[signal] for peer in fresh]
+                expected[signal] = max(expected[signal], _typical(shares))
             self._typical_evidence = [
-                statistics.median_low([peer.evidence[test] for peer in fresh])
+                _typical([peer.evidence[test] for peer in fresh])
                 for test in range(_TESTS)
             ]
         self._expected = expected
         self._steps = [
-            sequential.step(item, expected[item.signal])
+            sequential.step(item, MARGIN * expected[item.signal])
             for item in sequential.ALTERNATIVES
         ]
 
@@ -150,3 +161,7 @@
         usual = statistics.median_low(known)
         self._slow = max(usual * SLOW_FACTOR, LEAST_SLOW)
         self._stalled = max(usual * STALLED_FACTOR, LEAST_STALLED)
+
+
+def _typical(values: list[float]) -> float:
+    return sorted(values)[int(TYPICAL * (len(values) - 1))]
--- a/endivewind/decisions/judging.py
+++ b/endivewind/decisions/judging.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 import enum
+import math
 
 from endivewind.decisions import baseline
 from endivewind.decisions import bounds
@@ -17,8 +18,10 @@
 # much: the first time it was overdue has already counted.
 _AGAIN = sequential.Step(hit=2.2, miss=0.0)
 _MAX_OVERDUE = 4
-# Evidence for "the others are well" that lays the errors on one workspace.
-_ACQUIT = 3.0
+# How long a target that was excused still counts as one in trouble.
+_EXCUSED = datetime.timedelta(seconds=3)
+_BY_CHANCE = 0.02
+_WELL_SHARE = 0.05
 _MAX_WORKSPACES = 16
 
 _TESTS = len(sequential.ALTERNATIVES)
@@ -63,31 +66,58 @@
 
 
 class _Concentration:
-    """Errors and good answers by workspace since the evidence began."""
+    """Errors and requests by workspace since the evidence began."""
 
-    __slots__ = ("_failed", "_good")
+    __slots__ = ("_failed", "_requests", "_total", "_total_failed")
 
     def __init__(self) -> None:
         self._failed: collections.Counter[str] = collections.Counter()
-        self._good: collections.Counter[str] = collections.Counter()
+        self._requests: collections.Counter[str] = collections.Counter()
+        self._total = 0
+        self._total_failed = 0
 
     def add(self, workspace: str, failed: bool) -> None:
-        counts = self._failed if failed else self._good
-        if workspace in counts or len(counts) < _MAX_WORKSPACES:
-            counts[workspace] += 1
+        self._total += 1
+        self._total_failed += failed
+        known = workspace in self._requests
+        if not known and len(self._requests) >= _MAX_WORKSPACES:
+            return
+        self._requests[workspace] += 1
+        if failed:
+            self._failed[workspace] += 1
 
     def clear(self) -> None:
-        self._failed.clear()
-        self._good.clear()
+        if self._total:
+            self._failed.clear()
+            self._requests.clear()
+            self._total = self._total_failed = 0
+
+    def one_workspace(self) -> bool:
+        """Whether the target is well for all workspaces but one.
 
-    def one_workspace(self, step: sequential.Step) -> bool:
-        """Whether the target is well for all workspaces but one."""
+        A sick target fails each workspace's requests alike. The errors are
+        laid on a workspace where it is unlikely that so many of them fell to
+        it by chance, and the others have hardly any.
+        """
         if not self._failed:
             return False
         blamed, count = self._failed.most_common(1)[0]
-        failed = self._failed.total() - count
-        good = self._good.total() - self._good[blamed]
-        return failed * step.hit + good * step.miss <= -_ACQUIT
+        others = self._total - self._requests[blamed]
+        others_failed = self._total_failed - count
+        if others_failed > _WELL_SHARE * others:
+            return False
+        share = self._requests[blamed] / self._total
+        return _at_least(count, self._total_failed, share) < _BY_CHANCE
+
+
+def _at_least(count: int, total: int, share: float) -> float:
+    """Probability of so many out of the total, each with the share."""
+    return math.fsum(
+        math.comb(total, number)
+        * share**number
+        * (1 - share) ** (total - number)
+        for number in range(count, total + 1)
+    )
 
 
 class _Target:
@@ -96,6 +126,8 @@
     __slots__ = (
         "ejection",
         "evidence",
+        "excused",
+        "fast",
         "median",
         "pending",
         "seen",
@@ -107,33 +139,62 @@
         self.ejection = ejection.Ejection(limits)
         self.evidence = [0.0] * _TESTS
         self.shares = [0.0] * _SIGNALS
+        self.fast = [0.0] * _SIGNALS
         self.pending: dict[int, _Pending] = {}
         self.seen = datetime.timedelta()
+        self.excused = -_EXCUSED
         self.median = datetime.timedelta()
         self.workspaces = _Concentration()
 
     def badness(self) -> int:
-        return round(100 * max(self.shares))
+        return round(100 * max(self.fast))
 
     def clear(self) -> None:
+        """Starts anew after a change of status.
+
+        What was sent before says nothing of the time after: a request that a
+        hanging target holds from its trial must not eject it once it is well.
+        """
         self.evidence = [0.0] * _TESTS
         self.workspaces.clear()
+        self.pending.clear()
 
-    def start_again(self, test: int) -> None:
-        """Drops the evidence of a test that spoke against others.
+    def move_shares(self, signal: int, seen: bool) -> None:
+        fast = self.fast
+        recent = self.shares
+        fast[signal] += baseline.FAST_WEIGHT * (seen - fast[signal])
+        recent[signal] += baseline.RECENT_WEIGHT * (seen - recent[signal])
+
+    def excuse(
+        self, signal: sequential.Signal, now: datetime.timedelta
+    ) -> None:
+        """Drops the evidence of a signal that spoke against others.
 
         Requests that are still overdue count anew: if they stay so while the
         peers are well again, it is this target that hangs.
         """
-        self.evidence[test] = 0.0
+        for index, alternative in enumerate(sequential.ALTERNATIVES):
+            if alternative.signal is signal:
+                self.evidence[index] = 0.0
+        self.excused = now
         self.workspaces.clear()
         for pending in self.pending.values():
             pending.overdue = 0
 
-    def sketch(self, name: str, threshold: float) -> baseline.Sketch:
+    def sketch(
+        self, name: str, threshold: float, now: datetime.timedelta
+    ) -> baseline.Sketch:
         evidence = tuple(value / threshold for value in self.evidence)
+        if now - self.excused < _EXCUSED:
+            # Else the last of many targets in one trouble would look alone,
+            # because the others' evidence has been dropped.
+            evidence = (1.0,) * _TESTS
         return baseline.Sketch(
-            name, self.seen, tuple(self.shares), evidence, self.median
+            name,
+            self.seen,
+            tuple(map(max, self.shares, self.fast)),
+            evidence,
+            self.median,
         )
 
 
@@ -173,14 +234,15 @@
         known = self._targets.get(target)
         return known.ejection.status if known else ejection.Status.NORMAL
 
-    def sketches(self) -> list[baseline.Sketch]:
+    def sketches(self, now: datetime.timedelta) -> list[baseline.Sketch]:
         """What other homes should hear of this home's targets."""
         median = self._baseline.median
         for target in self._targets.values():
             target.median = median
         return [
-            target.sketch(name, self._threshold)
+            target.sketch(name, self._threshold, now)
             for name, target in self._targets.items()
+            if target.ejection.status is ejection.Status.NORMAL
         ]
 
     def heard(self, sketch: baseline.Sketch) -> None:
@@ -215,7 +277,7 @@
         """
         item = self._target(target)
         pending = item.pending.pop(number, None)
-        if result is None:
+        if result is None or pending is None:
             return None
         self._refresh(now)
         measure = self._baseline
@@ -227,8 +289,7 @@
         if result is Result.UNFINISHED and not signals[sequential.Signal.SLOW]:
             return None
         item.seen = now
-        overdue = pending.overdue if pending else 0
-        self._count(item, signals, overdue, workspace, now)
+        self._count(item, signals, pending.overdue, workspace, now)
         if item.ejection.status is ejection.Status.NORMAL:
             if result is not Result.UNFINISHED:
                 measure.add(latency, signals)
@@ -244,15 +305,19 @@
         """
         self._refresh(now)
         changes = []
+        overdue = []
         for name, item in self._targets.items():
             if item.ejection.advance(now):
                 item.clear()
                 changes.append(self._change(name, item, ""))
-                continue
-            if self._overdue(item, now):
-                found = self._verdict(name, item, now)
-                if found:
-                    changes.append(found)
+            elif self._overdue(item, now):
+                overdue.append(name)
+        # All targets are counted before one is judged: where all hang, the
+        # first one must not look alone.
+        for name in overdue:
+            found = self._verdict(name, self._targets[name], now)
+            if found:
+                changes.append(found)
         return changes
 
     def _target(self, name: str) -> _Target:
@@ -263,11 +328,14 @@
         return known
 
     def _refresh(self, now: datetime.timedelta) -> None:
-        if not self._baseline.due(now):
-            return
+        if self._baseline.due(now):
+            self._look_at_peers(now)
+
+    def _look_at_peers(self, now: datetime.timedelta) -> None:
         own = [
-            item.sketch(name, self._threshold)
+            item.sketch(name, self._threshold, now)
             for name, item in self._targets.items()
+            if item.ejection.status is ejection.Status.NORMAL
         ]
         self._baseline.refresh([*own, *self._peers.values()], now)
 
@@ -280,10 +348,8 @@
         now: datetime.timedelta,
     ) -> None:
         self._fade(item, now)
-        weight = baseline.RECENT_WEIGHT
-        shares = item.shares
         for index, seen in enumerate(signals):
-            shares[index] += weight * (seen - shares[index])
+            item.move_shares(index, seen)
         item.workspaces.add(workspace, signals[sequential.Signal.FAILED])
         evidence = item.evidence
         for index, alternative in enumerate(sequential.ALTERNATIVES):
@@ -341,8 +407,7 @@
                 item.evidence[_STALLED_TEST] += _AGAIN.hit
             return
         signal = sequential.Signal(step + 1)
-        weight = baseline.RECENT_WEIGHT
-        item.shares[signal] += weight * (1 - item.shares[signal])
+        item.move_shares(signal, True)
         for index, alternative in enumerate(sequential.ALTERNATIVES):
             if alternative.signal is signal:
                 item.evidence[index] += self._baseline.steps[index].hit
@@ -355,27 +420,30 @@
         for index, alternative in enumerate(sequential.ALTERNATIVES):
             if item.evidence[index] < self._threshold:
                 continue
-            if self._excused(item, index):
-                item.start_again(index)
+            if self._excused(item, index, now):
+                item.excuse(alternative.signal, now)
                 continue
             item.ejection.eject(now)
             item.clear()
             return self._change(name, item, alternative.name)
         return None
 
-    def _excused(self, item: _Target, index: int) -> bool:
+    def _excused(
+        self, item: _Target, index: int, now: datetime.timedelta
+    ) -> bool:
         """Whether the evidence speaks against others than the target.
 
         Load: a whole service in trouble, or one workspace that sends what
         fails everywhere. Harm: healthy targets would go out one by one, each
         leaving more of the trouble to the rest.
         """
+        self._look_at_peers(now)
         if self._baseline.is_shared(index):
             return True
         alternative = sequential.ALTERNATIVES[index]
         if alternative.signal is not sequential.Signal.FAILED:
             return False
-        return item.workspaces.one_workspace(self._baseline.steps[index])
+        return item.workspaces.one_workspace()
 
     def _trial(
         self,
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -35,10 +35,12 @@
     Attributes:
       tiers: targets of the entry's zone, of its region, and elsewhere.
       trials: targets that get a few idempotent requests.
+      slots: of all admitted targets, this entry's subset or not.
     """
 
     tiers: tuple[tuple[floor.Candidate, ...], ...]
     trials: tuple[floor.Candidate, ...]
+    slots: int
 
     @classmethod
     def from_candidates(
@@ -61,6 +63,7 @@
         return cls(
             tuple(_subset(tier, place.node) for tier in tiers),
             _subset(trials, place.node),
+            sum(item.slots for item in kept),
         )
 
 
--- a/endivewind/tests/proofs/ejection_tests.py
+++ b/endivewind/tests/proofs/ejection_tests.py
@@ -10,6 +10,8 @@
 
 TARGETS = ("riders-1", "riders-2", "riders-3", "riders-4")
 AT_ONCE = 4
+# More than what the latencies of a service are judged by.
+WARM_UP = 320
 # Longer than any wait of a test: what hangs never ends by its deadline.
 TIMEOUT_MS = 120_000
 
@@ -85,7 +87,7 @@
         await node.message("in force", object="camerino")
         session = await self.enterAsyncContext(aiohttp.ClientSession())
         scene = _Scene(session, node, self.fleet.targets)
-        await scene.ask_many(200)
+        await scene.ask_many(WARM_UP)
         return scene
 
 
