--- a/endivewind/bench/policies.py
+++ b/endivewind/bench/policies.py
@@ -24,9 +24,10 @@
 GOSSIP_SECONDS = 0.2
 FLOOR_SLOTS = 18
 
+RENEW_SECONDS = 20.0
+
 _REGION = "andina"
 _ZONE = "andina-a"
-_LONG = datetime.timedelta(days=30)
 _ANSWERS = {
     evidence.Kind.SUCCESS: expression.Ok(exchange.Answer(200, ())),
     evidence.Kind.ERROR: expression.Ok(exchange.Answer(500, ())),
@@ -94,8 +95,7 @@
         self._ejected = ejected
         home = registry.HomeIdentity("node-a", 1, _REGION, _ZONE)
         self._registry = registry.TargetRegistry(home, time)
-        for target in range(scenarios.TARGETS):
-            self._announce(name_of(target))
+        self._announce()
         self._fleet = view.FleetView()
         self._fleet.put_node(
             view.NodeRecord("node-a", 1, "192.0.2.1:1", _REGION, _ZONE)
@@ -155,14 +155,16 @@
         """Slots of the targets that get normal work."""
         return self._placement.admitted_slots(SERVICE)
 
-    def _announce(self, name: str) -> None:
-        self._registry.announce(
-            name,
-            registry.Announcement(
-                service=SERVICE, address="http://192.0.2.2", lease_ms=60_000
-            ),
-            scenarios.SLOTS,
+    def _announce(self) -> None:
+        """Keeps the leases of all targets."""
+        announcement = registry.Announcement(
+            service=SERVICE, address="http://192.0.2.2", lease_ms=60_000
         )
+        for target in range(scenarios.TARGETS):
+            self._registry.announce(
+                name_of(target), announcement, scenarios.SLOTS
+            )
+        self._time.after(RENEW_SECONDS, self._announce)
 
     def _advance(self) -> None:
         self._judge.advance()
--- a/endivewind/decisions/baseline.py
+++ b/endivewind/decisions/baseline.py
@@ -118,9 +118,14 @@
         for index, seen in enumerate(signals):
             self._usual[index] += weight * (seen - self._usual[index])
 
-    def is_shared(self, test: int) -> bool:
-        """Whether the typical target is as much under suspicion."""
-        return self._typical_evidence[test] >= SHARED_TROUBLE
+    @property
+    def is_shared(self) -> bool:
+        """Whether the typical target is under suspicion too, for anything.
+
+        One trouble shows in several ways: where all are three times as slow,
+        a few requests of some target stall.
+        """
+        return max(self._typical_evidence) >= SHARED_TROUBLE
 
     def is_unusual(self, signal: int) -> bool:
         """Whether a request with the signal stands out now."""
--- a/endivewind/decisions/bounds.py
+++ b/endivewind/decisions/bounds.py
@@ -29,10 +29,11 @@
         return -math.log(self.false_alarm)
 
 
-# Camerino's crews feel every slow second: three failures in a row are enough,
-# and a target that was wrongly ejected is back after seconds.
+# Camerino's crews feel every slow second: four failures in a row are enough,
+# and a target that was wrongly ejected is back after seconds. Three would be
+# met by chance whenever one workspace begins to send what fails everywhere.
 DETECTION = ErrorBounds(
-    false_alarm=1e-4,
+    false_alarm=1e-6,
     hold=datetime.timedelta(seconds=3),
     max_hold=datetime.timedelta(minutes=5),
     trial_successes=8,
--- a/endivewind/decisions/judging.py
+++ b/endivewind/decisions/judging.py
@@ -438,7 +438,7 @@
         leaving more of the trouble to the rest.
         """
         self._look_at_peers(now)
-        if self._baseline.is_shared(index):
+        if self._baseline.is_shared:
             return True
         alternative = sequential.ALTERNATIVES[index]
         if alternative.signal is not sequential.Signal.FAILED:
--- /dev/null
+++ b/endivewind/tests/bench/experiment_tests.py
@@ -0,0 +1,70 @@
+"""The measures that users ask for, on one fixed seed each.
+
+The full figures take many seeds and a day of virtual time; these runs keep a
+change that loses a measure from passing unseen.
+"""
+
+import dataclasses
+import logging
+import unittest
+
+from endivewind.bench import experiment
+from endivewind.bench import scenarios
+from endivewind.config import objects
+
+_BY_NAME = {item.name: item for item in scenarios.SCENARIOS}
+
+
+def _run(name, policy="own", profile=objects.Profile.DETECTION):
+    shorter = dataclasses.replace(_BY_NAME[name], fault_to=28, end=35)
+    return experiment.Experiment(shorter, policy, profile, 7).run()
+
+
+class DecisionsTest(unittest.TestCase):
+    def setUp(self):
+        logger = logging.getLogger("endivewind")
+        level = logger.level
+        logger.setLevel(logging.ERROR)
+        self.addCleanup(logger.setLevel, level)
+
+    def assert_detected(self, row, seconds):
+        self.assertIsNotNone(row.detection_seconds)
+        self.assertLessEqual(row.detection_seconds, seconds)
+        self.assertEqual(0, row.false_ejections)
+        self.assertGreaterEqual(row.least_slots, 33)
+
+    def test_detection_times(self):
+        for name, seconds in (
+            ("errors-100", 1),
+            ("crash", 1),
+            ("hang", 1),
+            ("errors-30", 2),
+            ("slow-3x", 3),
+        ):
+            with self.subTest(name):
+                self.assert_detected(_run(name), seconds)
+
+    def test_hard_failure_on_capacity(self):
+        row = _run("crash", profile=objects.Profile.CAPACITY)
+
+        self.assert_detected(row, 3)
+
+    def test_callers_hardly_notice_a_slow_target(self):
+        healthy = _run("healthy")
+        slow = _run("slow-3x")
+
+        self.assertLess(slow.p99_ms, 1.5 * healthy.p99_ms)
+
+    def test_nobody_is_ejected_when_all_fail(self):
+        row = _run("all-errors-100")
+
+        self.assertEqual(0, row.false_ejections)
+        self.assertLess(row.amplification, 1.2)
+
+    def test_consecutive_errors_miss_a_share_of_errors(self):
+        """The baseline must not look better than it is, nor be broken."""
+        self.assertIsNone(
+            _run("errors-10", "consecutive-errors").detection_seconds
+        )
+        found = _run("errors-100", "consecutive-errors").detection_seconds
+        self.assertLess(found, 2)
--- a/endivewind/tests/decisions/judging_tests.py
+++ b/endivewind/tests/decisions/judging_tests.py
@@ -84,7 +84,7 @@
     def test_all_requests_fail(self):
         bench = self.bench()
 
-        bench.rounds(3, riders_2={"result": FAILED})
+        bench.rounds(4, riders_2={"result": FAILED})
 
         self.assertEqual(["riders-2"], bench.ejected())
 
@@ -116,9 +116,9 @@
     def test_capacity_profile_asks_for_more_evidence(self):
         bench = self.bench(bounds.CAPACITY)
 
-        bench.rounds(3, riders_2={"result": FAILED})
-        early = bench.ejected()
         bench.rounds(4, riders_2={"result": FAILED})
+        early = bench.ejected()
+        bench.rounds(3, riders_2={"result": FAILED})
 
         self.assertEqual(([], ["riders-2"]), (early, bench.ejected()))
 
@@ -214,7 +214,7 @@
 
     def test_returns_after_good_trials(self):
         bench = self.bench()
-        bench.rounds(3, riders_2={"result": FAILED})
+        bench.rounds(4, riders_2={"result": FAILED})
 
         bench.wait(bounds.DETECTION.hold)
         in_trial = bench.judge.status("riders-2")
@@ -226,7 +226,7 @@
 
     def test_stays_out_after_bad_trials(self):
         bench = self.bench()
-        bench.rounds(3, riders_2={"result": FAILED})
+        bench.rounds(4, riders_2={"result": FAILED})
 
         bench.wait(bounds.DETECTION.hold)
         for _ in range(bounds.DETECTION.trial_failures):
@@ -257,7 +257,7 @@
         That request is overdue for long, but it was sent to the sick target.
         """
         bench = self.bench()
-        bench.rounds(3, riders_2={"result": FAILED})
+        bench.rounds(4, riders_2={"result": FAILED})
         bench.wait(bounds.DETECTION.hold)
         for _ in range(3):
             bench.start("riders-2")
--- /dev/null
+++ b/endivewind/tests/decisions/placing_tests.py
@@ -0,0 +1,164 @@
+"""Placing: near, spread, bounded, and only where work may go."""
+
+import collections
+import random
+import unittest
+
+from endivewind.decisions import ejection
+from endivewind.decisions import floor
+from endivewind.decisions import placing
+
+PLACE = placing.Place("node-a", "andina", "andina-a")
+
+
+class _Load(placing.Load):
+    """Loads that a test sets; everything else is idle and reachable."""
+
+    def __init__(self):
+        self.busy = collections.Counter()
+        self.seconds = {}
+        self.resting = set()
+        self.cut = set()
+
+    def in_use(self, target):
+        return self.busy[target]
+
+    def latency(self, target):
+        return self.seconds.get(target, 0.0)
+
+    def is_resting(self, target):
+        return target in self.resting
+
+    def reaches(self, home):
+        return home not in self.cut
+
+
+def _target(name, zone="andina-a", status=ejection.Status.NORMAL, home="h"):
+    region = zone.rpartition("-")[0]
+    return floor.Candidate(name, region, zone, 3, status, home=home)
+
+
+class PlacingTest(unittest.TestCase):
+    def setUp(self):
+        self.load = _Load()
+        self.rng = random.Random(1)
+
+    def choose(self, candidates, number=1, repeatable=True, excluded=()):
+        """How often each target was chosen."""
+        pool = placing.Pool.from_candidates(candidates, 0, PLACE)
+        demand = placing.Demand(repeatable, frozenset(excluded))
+        return collections.Counter(
+            found.id if found else None
+            for found in (
+                placing.choose(pool, demand, self.load, self.rng)
+                for _ in range(number)
+            )
+        )
+
+    def test_near_targets_go_first(self):
+        candidates = [
+            _target("far", "caribe-a"),
+            _target("region", "andina-b"),
+            _target("zone"),
+        ]
+
+        self.assertEqual({"zone": 50}, self.choose(candidates, 50))
+
+    def test_next_zone_where_the_near_one_is_full(self):
+        self.load.busy["zone"] = 3
+
+        found = self.choose([_target("region", "andina-b"), _target("zone")])
+
+        self.assertEqual({"region": 1}, found)
+
+    def test_a_target_that_has_just_come_draws_no_herd(self):
+        """One empty target among loaded ones, as after a return.
+
+        If every entry took the emptiest, all would take this one at once and
+        its callers would wait behind each other.
+        """
+        names = [f"t{number}" for number in range(10)]
+        for name in names[1:]:
+            self.load.busy[name] = 1
+
+        found = self.choose([_target(name) for name in names], 1_000)
+
+        self.assertLess(found["t0"], 300)
+
+    def test_a_slow_target_gets_less(self):
+        names = [f"t{number}" for number in range(4)]
+        self.load.seconds = dict.fromkeys(names, 0.1) | {"t0": 0.5}
+
+        found = self.choose([_target(name) for name in names], 1_000)
+
+        self.assertLess(found["t0"], 100)
+
+    def test_a_small_difference_starves_nobody(self):
+        names = [f"t{number}" for number in range(3)]
+        self.load.seconds = dict.fromkeys(names, 0.1) | {"t0": 0.15}
+
+        found = self.choose([_target(name) for name in names], 300)
+
+        self.assertGreater(found["t0"], 60)
+
+    def test_resting_and_excluded_targets_get_nothing(self):
+        self.load.resting.add("a")
+
+        found = self.choose([_target("a"), _target("b")], excluded=["b"])
+
+        self.assertEqual({None: 1}, found)
+
+    def test_closed_paths_are_used_only_where_there_is_no_other(self):
+        self.load.cut.add("lost")
+        both = [_target("a", home="lost"), _target("b", "caribe-a")]
+
+        self.assertEqual({"b": 20}, self.choose(both, 20))
+        self.assertEqual({"a": 20}, self.choose(both[:1], 20))
+
+    def test_trials_get_a_little_idempotent_work(self):
+        well = [_target(f"t{number}") for number in range(4)]
+        candidates = [*well, _target("sick", status=ejection.Status.TRIAL)]
+
+        few = self.choose(candidates, 1_000)
+        none = self.choose(candidates, 1_000, repeatable=False)
+
+        self.assertTrue(20 <= few["sick"] <= 90, few)
+        self.assertEqual(0, none["sick"])
+
+    def test_subset_is_bounded_stable_and_spread(self):
+        """A service of 400 targets, of which each entry uses a few.
+
+        Each must be used by some entries, and one that leaves must not move
+        the work of the others.
+        """
+        candidates = [_target(f"t{number}") for number in range(400)]
+        used = collections.Counter()
+        for number in range(200):
+            place = placing.Place(f"node-{number}", "andina", "andina-a")
+            tier = placing.Pool.from_candidates(candidates, 0, place).tiers[0]
+            fewer = placing.Pool.from_candidates(
+                candidates[1:], 0, place
+            ).tiers[0]
+            used.update(item.id for item in tier)
+            self.assertEqual(placing.SUBSET, len(tier))
+            self.assertLessEqual(len(set(tier) - set(fewer)), 1)
+
+        self.assertEqual(400, len(used))
+        self.assertLess(max(used.values()), 4 * 200 * placing.SUBSET / 400)
+
+    def test_work_of_a_choice_is_bounded_by_the_subset(self):
+        """Even where every target of a large service is full."""
+        candidates = [_target(f"t{number}") for number in range(2_000)]
+        looks = 0
+
+        class Full(_Load):
+            def in_use(self, target):
+                nonlocal looks
+                looks += 1
+                return 3
+
+        self.load = Full()
+        found = self.choose(candidates)
+
+        self.assertEqual({None: 1}, found)
+        self.assertLessEqual(looks, 2 * placing.SUBSET + 1)
