--- a/endivewind/bench/virtual.py
+++ b/endivewind/bench/virtual.py
@@ -15,6 +15,9 @@
 
     def __init__(self) -> None:
         self.seconds = 0.0
+        # Asked for many times within one event.
+        self._span_of = 0.0
+        self._span = datetime.timedelta()
         self._numbers = itertools.count()
         self._events: list[tuple[float, int, Event]] = []
 
@@ -24,7 +27,10 @@
 
     def monotonic(self) -> datetime.timedelta:
         """Time since the start."""
-        return datetime.timedelta(seconds=self.seconds)
+        if self._span_of != self.seconds:
+            self._span_of = self.seconds
+            self._span = datetime.timedelta(seconds=self.seconds)
+        return self._span
 
     def after(self, seconds: float, event: Event) -> None:
         """Runs an event some seconds from now."""
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -118,7 +118,10 @@
                 del self._loads[name]
 
     def _of(self, target: str) -> _TargetLoad:
-        return self._loads.setdefault(target, _TargetLoad())
+        known = self._loads.get(target)
+        if known is None:
+            known = self._loads[target] = _TargetLoad()
+        return known
 
 
 class Placement:
--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,7 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ("decisions", "spreading")
+MEASUREMENTS: tuple[str, ...] = ("decisions", "overhead", "spreading")
 
 BINARY = running.Binary(
     name="endivewind-bench",
--- a/endivewind/decisions/baseline.py
+++ b/endivewind/decisions/baseline.py
@@ -143,7 +143,9 @@
         fresh = [peer for peer in peers if now - peer.at <= FRESH]
         self._set_limits(fresh)
         expected = list(self._usual)
-        if fresh:
+        self._typical_evidence = [0.0] * _TESTS
+        # One alone would be its own measure, and be excused for ever.
+        if len(fresh) > 1:
             for signal in range(_SIGNALS):
                 shares = [peer.shares[signal] for peer in fresh]
                 expected[signal] = max(expected[signal], _typical(shares))
--- a/endivewind/decisions/judging.py
+++ b/endivewind/decisions/judging.py
@@ -288,8 +288,9 @@
         ]
         if result is Result.UNFINISHED and not signals[sequential.Signal.SLOW]:
             return None
+        self._fade(item, now)
         item.seen = now
-        self._count(item, signals, pending.overdue, workspace, now)
+        self._count(item, signals, pending.overdue, workspace)
         if item.ejection.status is ejection.Status.NORMAL:
             if result is not Result.UNFINISHED:
                 measure.add(latency, signals)
@@ -345,9 +346,7 @@
         signals: list[bool],
         overdue: int,
         workspace: str,
-        now: datetime.timedelta,
     ) -> None:
-        self._fade(item, now)
         for index, seen in enumerate(signals):
             item.move_shares(index, seen)
         item.workspaces.add(workspace, signals[sequential.Signal.FAILED])
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -13,6 +13,7 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import logs
+from endivewind import metrics
 from endivewind import tls
 from endivewind.callers import gateway
 from endivewind.callers import listener
@@ -28,6 +29,7 @@
 from endivewind.nodes import links
 from endivewind.nodes import service
 from endivewind.nodes import view
+from endivewind.operators import configuration as operators
 from endivewind.operators import http
 from endivewind.platform import client
 from endivewind.platform import membership
@@ -140,7 +142,7 @@
             kept,
         )
         self._listener = listener.Listener(
-            self._gateway, self._ticketing, config.limits
+            self._gateway, self._ticketing, config.limits, self._not_ready
         )
         self._restorer = restoring.Restorer(
             self._configuration, self._platform, self._rng
@@ -153,6 +155,7 @@
             self._fleet,
             self._pool,
             self._restorer,
+            self._platform.budget,
             self._in_force,
             self._clock,
             self._rng,
@@ -183,6 +186,7 @@
             self._rng,
         )
         await self._gossip.start(addresses.nodes)
+        await self._link_server.serve()
         for work in (
             self._watcher.run(),
             self._restorer.run(),
@@ -261,18 +265,25 @@
             web.AppRunner(target_api.application(), access_log=None),
             config.targets,
         )
-        sources = http.Sources(self._not_ready, self._status)
-        operators = await self._serve(
-            web.AppRunner(
-                http.OperatorApi(sources).application(), access_log=None
-            ),
+        sources = http.Sources(
+            self._not_ready,
+            self._status,
+            metrics.NodeMetrics(self._metric_sources()).render,
+        )
+        operators_address = await self._serve(
+            web.AppRunner(self._operator_application(sources), access_log=None),
             config.operators,
         )
         host, port = _split(config.nodes)
-        nodes = await self._link_server.start(
+        nodes = await self._link_server.bind(
             host, port, tls.server_context(config.nodes_tls)
         )
-        return Addresses(callers, targets, nodes, operators)
+        return Addresses(callers, targets, nodes, operators_address)
+
+    def _operator_application(self, sources: http.Sources) -> web.Application:
+        application = http.OperatorApi(sources).application()
+        operators.add_route(application, self._configuration_peer.asking)
+        return application
 
     async def _serve(
         self,
@@ -304,9 +315,9 @@
         held = [item.id for item in self._targets.announced()]
         log.info("targets held", extra=logs.fields(targets=held))
 
-    def configuration(self, message: Any) -> None:
-        """Takes what a peer tells of its configuration."""
-        self._configuration_peer.received(message)
+    def configuration(self, frame: Any) -> None:
+        """Takes what a peer tells of its configuration, or asks."""
+        self._configuration_peer.frame(frame)
 
     def _in_force(self, key: store.Key) -> None:
         self._gateway.configure(key.kind, key.name)
@@ -335,6 +346,16 @@
             await asyncio.sleep(judge.PERIOD.total_seconds())
             self._judge.advance()
 
+    def _metric_sources(self) -> metrics.Sources:
+        return metrics.Sources(
+            requests=self._gateway.counts,
+            health_changes=self._judge.changes,
+            targets=self._targets.announced,
+            nodes=lambda: len(self._fleet.nodes),
+            idle_links=lambda: self._pool.idle,
+            version=lambda: self._configuration.version,
+        )
+
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
@@ -348,7 +369,11 @@
             "nodes": sorted(self._fleet.nodes),
             "members": self._gossip.status(),
             "targets": [
-                dataclasses.asdict(item) for item in self._fleet.all_targets()
+                {
+                    **dataclasses.asdict(item),
+                    "reason": self._judge.causes.get(item.id, ""),
+                }
+                for item in self._fleet.all_targets()
             ],
             "in_flight": self._listener.in_flight,
         }
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -64,6 +64,11 @@
         self._idle: dict[str, list[_Link]] = {}
         self._numbers = itertools.count(1)
 
+    @property
+    def idle(self) -> int:
+        """Open links that carry nothing now."""
+        return sum(len(links) for links in self._idle.values())
+
     async def forward(
         self,
         home: view.NodeRecord,
@@ -413,8 +418,8 @@
         """Takes a frame of another node's gossip."""
         raise NotImplementedError
 
-    def configuration(self, message: Any) -> None:
-        """Takes what a peer tells of its configuration."""
+    def configuration(self, frame: Any) -> None:
+        """Takes what a peer tells of its configuration, or asks."""
         raise NotImplementedError
 
 
@@ -461,17 +466,31 @@
         """Waits until no exchange is being served."""
         await self._idle.wait()
 
-    async def start(
+    async def bind(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> str:
-        """Listens and returns the address bound."""
+        """Binds and returns the address; nothing is accepted before serve().
+
+        The node needs the address to build what answers the links.
+        """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._protocol, host, port, ssl=tls, reuse_address=True
+            self._protocol,
+            host,
+            port,
+            ssl=tls,
+            reuse_address=True,
+            start_serving=False,
         )
         bound = self._server.sockets[0].getsockname()
         return f"{host}:{bound[1]}"
 
+    async def serve(self) -> None:
+        """Accepts links from now on."""
+        if self._server is None:
+            raise RuntimeError("bind() comes first")
+        await self._server.start_serving()
+
     async def stop(self) -> None:
         """Stops listening and closes every link."""
         if self._server:
@@ -503,8 +522,12 @@
                     frame = await codec.read_frame(reader)
                 if frame.fleet_state or frame.pull:
                     self._home.gossiped(frame)
-                elif frame.configuration:
-                    self._home.configuration(frame.configuration)
+                elif (
+                    frame.configuration
+                    or frame.configuration_ask
+                    or frame.configuration_state
+                ):
+                    self._home.configuration(frame)
                 elif frame.forward:
                     await self._counted(frame.forward, reader, writer)
                 else:
--- a/endivewind/tests/decisions/judging_tests.py
+++ b/endivewind/tests/decisions/judging_tests.py
@@ -113,6 +113,20 @@
 
         self.assertEqual(["riders-2"], bench.ejected())
 
+    def test_hangs_while_the_peers_have_no_work(self):
+        """All requests wait at one target; no peer has any news to compare.
+
+        The target must not become its own measure, or it would be excused.
+        """
+        bench = self.bench()
+        bench.wait(datetime.timedelta(seconds=10))
+
+        for _ in range(3):
+            bench.start("riders-2")
+        bench.wait(datetime.timedelta(seconds=3))
+
+        self.assertEqual(["riders-2"], bench.ejected())
+
     def test_capacity_profile_asks_for_more_evidence(self):
         bench = self.bench(bounds.CAPACITY)
 
