--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -279,11 +279,10 @@
             self._take(payload)
         known = self._members.members.get(message.sender)
         stranger = known is None or not known.usable
-        about = self._members.heard(message.sender)
-        extra = () if about is None else (changes.encode(about),)
         refuted = self._members.me is not before
+        extra: tuple[bytes, ...] = ()
         if stranger or refuted:
-            extra = (*extra, changes.encode(self._members.me))
+            extra = (changes.encode(self._members.me),)
         output: list[membership.Output] = []
         if message.ping and message.relay:
             output.extend(
--- a/endivewind/nodes/membership.py
+++ b/endivewind/nodes/membership.py
@@ -87,7 +87,8 @@
     Attributes:
       address: the node's address.
       number: comes back in the answer.
-      about: what this node believes of the other, where it is not alive.
+      about: what this node believes of the other, where it is not alive; a
+        node can refute only what it hears.
       contact: whether the other may not know this node.
     """
 
@@ -263,17 +264,6 @@
         self._put(record)
         return [Spread(record)]
 
-    def heard(self, name: str) -> MemberRecord | None:
-        """A message came from a node; what it should hear about itself.
-
-        A node that was declared dead and lives, paused or behind a partition
-        for an hour, can refute only what it hears.
-        """
-        known = self._members.get(name)
-        if known is None or known.state is State.ALIVE:
-            return None
-        return known
-
     def pinged(self, address: str, number: int) -> list[Output]:
         """A ping came."""
         return [Ack(address, number)]
@@ -399,7 +389,8 @@
                 break
         number = self._next_number()
         self._probe = _Probe(known.node.name, number, now)
-        return [Ping(known.node.address, number)]
+        about = known if known.state is State.SUSPECT else None
+        return [Ping(known.node.address, number, about)]
 
     def _contact(self) -> list[Output]:
         """Tries an address that may have come back."""
--- /dev/null
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -0,0 +1,135 @@
+"""Spreading and repair between the cores that nodes run."""
+
+import unittest
+
+from endivewind.nodes import codec
+from endivewind.nodes import datagrams
+from endivewind.nodes import gossip
+from endivewind.targets import records
+from endivewind.tests.nodes import network
+
+NAMES = [f"n{number}" for number in range(40)]
+EJECTED = records.Health.EJECTED
+
+
+class SpreadingTest(unittest.TestCase):
+    """A change of one home among forty nodes."""
+
+    def setUp(self):
+        self.net = network.Network(NAMES)
+        self.net.run(8)
+        self.assertTrue(self.net.agreed())
+        self.home = self.net.nodes["n0"]
+        self.home.announce("t1", lease_ms=60_000)
+        self.net.run(1)
+
+    def _ejected(self) -> int:
+        return sum(
+            network.health_of(node, "t1") is EJECTED
+            for node in self.net.nodes.values()
+        )
+
+    def _eject(self) -> None:
+        self.home.targets.set_health("t1", EJECTED)
+        self.home.spread()
+
+    def test_ejection_is_known_everywhere_within_a_second(self):
+        """No entry sends work to an ejected target a second later."""
+        self._eject()
+        self.net.run(1)
+        self.assertEqual(len(NAMES), self._ejected())
+
+    def test_what_a_node_missed_is_repaired(self):
+        """A node that heard nothing for a while catches up in seconds.
+
+        Everything sent to it is lost while the change spreads, and nobody
+        tells it again; its next exchange of summaries shows the difference.
+        """
+        deaf = {(name, "n7") for name in NAMES}
+        self.net.cut = deaf
+        self._eject()
+        self.net.run(2)
+        self.assertEqual(len(NAMES) - 1, self._ejected())
+        self.net.cut = set()
+        self.net.run(15)
+        self.assertEqual(len(NAMES), self._ejected())
+        self.assertTrue(self.net.agreed())
+
+    def test_quiet_fleet_sends_little(self):
+        """Without changes a node sends its probes and answers only."""
+        self.net.run(10)
+        before = self.net.sent_bytes
+        self.net.run(10)
+        rate = (self.net.sent_bytes - before) / 10 / len(NAMES)
+        self.assertLess(rate, 200)
+
+    def test_mass_restart_keeps_to_the_limits(self):
+        """A third of the fleet comes back at once, each with targets.
+
+        No datagram grows above its bound, no queue above its own, and all
+        agree soon after.
+        """
+        for name in NAMES[:13]:
+            self.net.crash(name)
+        self.net.run(8)
+        for name in NAMES[:13]:
+            node = self.net.start(name)
+            for number in range(16):
+                node.announce(f"{name}-{number}")
+        for _ in range(100):
+            self.net.run(0.1)
+            for node in self.net.nodes.values():
+                for number in range(16):
+                    if node.name in NAMES[:13]:
+                        node.announce(f"{node.name}-{number}")
+                self.assertLessEqual(node.core.queued, gossip.MAX_QUEUED)
+        self.assertLessEqual(self.net.largest, gossip.MAX_DATAGRAM)
+        self.assertTrue(self.net.agreed())
+        known = {len(n.view.all_targets()) for n in self.net.nodes.values()}
+        self.assertEqual({13 * 16}, known)
+
+
+class ChangeQueueTest(unittest.TestCase):
+    """What is passed on, and how often."""
+
+    def test_least_often_sent_goes_first(self):
+        queue = gossip.ChangeQueue()
+        queue.put(("a", 1, 1, 1), b"a" * 100)
+        queue.take(150)
+        queue.put(("b", 1, 1, 1), b"b" * 100)
+        self.assertEqual((b"b" * 100,), queue.take(150))
+
+    def test_each_change_is_sent_a_bounded_number_of_times(self):
+        queue = gossip.ChangeQueue()
+        queue.put(("a", 1, 1, 1), b"a")
+        sent = sum(len(queue.take(100)) for _ in range(50))
+        self.assertEqual(gossip.TRANSMITS, sent)
+        self.assertEqual(0, len(queue))
+
+    def test_full_queue_drops_what_was_sent_most(self):
+        queue = gossip.ChangeQueue()
+        queue.put(("old", 1, 1, 1), b"old")
+        queue.take(100)
+        for number in range(gossip.MAX_QUEUED):
+            queue.put(("new", 1, number, 1), b"new")
+        self.assertEqual(gossip.MAX_QUEUED, len(queue))
+        self.assertNotIn(b"old", queue.take(10**6))
+
+
+class DatagramTest(unittest.TestCase):
+    """Bytes that are not from a node with the key."""
+
+    def test_wrong_or_missing_signature_is_no_message(self):
+        """Nobody without the key can have a node taken for dead."""
+        datagram = gossip.Datagram("n1", 7, ping=3, changes=(b"x", b"\xff"))
+        data = datagrams.encode(datagram, b"k" * 16)
+        self.assertEqual(datagram, datagrams.decode(data, b"k" * 16))
+        forged = datagrams.encode(datagram, b"z" * 16)
+        spoiled = data[:-1] + bytes([data[-1] ^ 1])
+        for bad in (forged, spoiled, datagrams.encode(datagram), b""):
+            with self.assertRaises(codec.FrameError):
+                datagrams.decode(bad, b"k" * 16)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/endivewind/tests/nodes/membership_tests.py
+++ b/endivewind/tests/nodes/membership_tests.py
@@ -1,5 +1,7 @@
 """Membership under faults, on the cores that nodes run."""
 
+import dataclasses
+import datetime
 import unittest
 
 from endivewind.nodes import membership
@@ -35,12 +37,19 @@
         self.net.run(12)
         self.assertEqual({DEAD}, _states(self.net, "n0"))
 
-    def test_one_way_partition_evicts_nobody(self):
+    def test_one_way_partition_accuses_nobody(self):
         """Callers keep all healthy capacity.
 
-        n0 hears half of the fleet and is not heard by it. The others reach it
-        by relays, so that no suspicion outlives its refutation.
+        Three nodes don't hear n0 although it hears them. Their own probes of
+        it fail; each has a relay that n0 does answer.
         """
+        self.net.cut = {("n0", name) for name in NAMES[1:4]}
+        for _ in range(300):
+            self.net.run(0.1)
+            self.assertEqual({ALIVE}, _states(self.net, "n0"))
+
+    def test_half_deaf_fleet_evicts_nobody(self):
+        """Half of the fleet doesn't hear n0; it refutes by the other half."""
         self.net.cut = {("n0", name) for name in NAMES[1:7]}
         for _ in range(300):
             self.net.run(0.1)
@@ -72,6 +81,26 @@
                 self.assertEqual({ALIVE}, _states(self.net, name) - {None})
         self.assertEqual({ALIVE}, _states(self.net, "n0"))
 
+    def test_pause_blames_nobody(self):
+        """A resumed node doesn't act on what ran out while it was stopped.
+
+        It was stopped with a probe under way and with a suspicion that is
+        refuted by now; its timers run before it has read its sockets.
+        """
+        core = self.net.nodes["n0"].members
+        suspect = dataclasses.replace(
+            core.members["n1"], state=membership.State.SUSPECT
+        )
+        core.merge(suspect)
+        for _ in range(20):
+            self.net.clock.advance(network.TICK)
+            if any(isinstance(i, membership.Ping) for i in core.tick()):
+                break
+        self.net.clock.advance(datetime.timedelta(seconds=60))
+        output = core.tick()
+        spread = [i for i in output if isinstance(i, membership.Spread)]
+        self.assertEqual([], spread)
+
     def test_node_that_reaches_nobody_doubts_itself(self):
         """A cut-off node keeps its view in place of declaring all dead."""
         others = NAMES[1:]
@@ -90,6 +119,9 @@
         the far side is replaced in that time.
         """
         near, far = NAMES[:6], NAMES[6:]
+        for node in self.net.nodes.values():
+            # No seeds and no platform: only memory of the dead is left.
+            node.members.set_contacts(())
         self.net.cut = {(a, b) for a in near for b in far}
         self.net.cut |= {(b, a) for a in near for b in far}
         self.net.run(120)
--- a/endivewind/tests/nodes/network.py
+++ b/endivewind/tests/nodes/network.py
@@ -46,14 +46,20 @@
         )
         self.targets = registry.TargetRegistry(identity, clock, self.view.claim)
 
-    def announce(self, target: str, moves: int = 0, incarnation: int = 1):
+    def announce(
+        self,
+        target: str,
+        moves: int = 0,
+        incarnation: int = 1,
+        lease_ms: int = LEASE_MS,
+    ) -> bool:
         """A target announces itself here; whether it is taken."""
         announcement = registry.Announcement(
             service="riders",
             address="http://127.0.0.1:1",
             incarnation=incarnation,
             moves=moves,
-            lease_ms=LEASE_MS,
+            lease_ms=lease_ms,
         )
         result = self.targets.announce(target, announcement, 3)
         self.spread()
