--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,7 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ("spreading",)
+MEASUREMENTS: tuple[str, ...] = ("spreading", "control")
 
 BINARY = running.Binary(
     name="endivewind-bench",
--- /dev/null
+++ b/endivewind/commands/bench_control.py
@@ -0,0 +1,446 @@
+"""endivewind-bench control: what one node spends on control.
+
+One real node runs as a process with its configuration and its targets'
+renewals; the other nodes are played by the same pure cores in this process
+and speak the real messages over loopback.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import datetime
+import json
+import os
+import pathlib
+import statistics
+import tempfile
+from typing import Any
+
+from absl import flags
+import aiohttp
+from aiohttp import web
+import uvloop
+import yaml
+
+from endivewind import exceptions
+from endivewind.commands import bench_options
+from endivewind.commands import control_fleet
+from endivewind.commands import options
+from endivewind.config import store
+from endivewind.standins import platform
+
+USAGE = "control --nodes=N --targets=M [--sweep] [--format=json]"
+
+flags.declare_key_flag("format")
+flags.declare_key_flag("nodes")
+_TARGETS = flags.DEFINE_integer("targets", 12_000, "Targets in all.")
+_SECONDS = flags.DEFINE_integer("seconds", 30, "Length of each measurement.")
+_ROUTES = flags.DEFINE_integer("routes", 3_700, "Routes in force.")
+_WORKSPACES = flags.DEFINE_integer("workspaces", 29_000, "Workspaces in force.")
+_RESTART = flags.DEFINE_bool("restart", False, "Measure a mass restart too.")
+_SWEEP = flags.DEFINE_bool("sweep", False, "Several sizes; fits slopes.")
+_CHECK = flags.DEFINE_string("check", "", "Page to compare a sweep with.")
+
+FULL_NODES = 760
+REAL = "node-real"
+# 2,269 VMs fail or restart on an ordinary day at 12,000 targets: about five
+# changes each, and all targets of 135 nodes move: 15,400 changes, doubled.
+ORDINARY_CHANGES = 0.36 / 12_000
+RESTARTED_SHARE = 0.2
+RESTART_TIME = datetime.timedelta(seconds=10)
+LEASE = datetime.timedelta(seconds=6)
+SWEEP = ((50, 800), (200, 3_200), (400, 6_400), (760, 12_000))
+JOIN_LIMIT = datetime.timedelta(seconds=60)
+SETTLE = datetime.timedelta(seconds=12)
+SPREAD_RUNS = 5
+# How often the bench looks whether a state has been reached.
+LOOK = datetime.timedelta(milliseconds=20)
+SHARD_SIZE = 500
+GROUP_SIZE = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What the real node spent in one measurement.
+
+    Attributes:
+      cpu_percent: of one core, user and system.
+      rss_mb: resident memory at its end, in 10^6 bytes.
+      gossip_bytes_per_second: datagrams, payload, both ways together.
+      link_bytes_per_second: link frames of control, both ways together.
+      renewal_bytes_per_second: its targets' renewals by HTTP, both ways.
+    """
+
+    cpu_percent: float
+    rss_mb: float
+    gossip_bytes_per_second: float
+    link_bytes_per_second: float
+    renewal_bytes_per_second: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """One size.
+
+    Attributes:
+      nodes: the real one included.
+      targets: in all.
+      join_seconds: until the real node knew every target.
+      day: an ordinary day's rate of changes.
+      withdrawal_seconds: until all others knew of a target's end; worst.
+      restart: a fifth of the nodes restarted within ten seconds.
+      restart_seconds: from its start until the real node knew all again.
+    """
+
+    nodes: int
+    targets: int
+    join_seconds: float
+    day: Load
+    withdrawal_seconds: float
+    restart: Load | None = None
+    restart_seconds: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Count:
+    ticks: int
+    gossip: int
+    link: int
+    renewal: int
+    time: float
+
+
+def main(arguments: list[str]) -> int:
+    """Measures and prints."""
+    nodes = bench_options.NODES.value or FULL_NODES
+    if arguments or nodes < 2:
+        raise exceptions.UsageError(f"usage: endivewind-bench {USAGE}")
+    sizes = SWEEP if _SWEEP.value else ((nodes, _TARGETS.value),)
+    reports = [uvloop.run(_measure(*size)) for size in sizes]
+    found: dict[str, Any] = {
+        "reports": [dataclasses.asdict(item) for item in reports]
+    }
+    if _SWEEP.value:
+        found["slopes"] = slopes(reports)
+    options.show(found, json.dumps(found, indent=2))
+    if _CHECK.value:
+        text = pathlib.Path(_CHECK.value).read_text(encoding="utf-8")
+        differences = compare(text, reports)
+        for line in differences:
+            print(line)
+        return 1 if differences else 0
+    return 0
+
+
+def slopes(reports: list[Report]) -> dict[str, dict[str, float]]:
+    """Each figure as a line over the number of nodes."""
+    nodes = [item.nodes for item in reports]
+    found = {}
+    for field in dataclasses.fields(Load):
+        values = [getattr(item.day, field.name) for item in reports]
+        line = statistics.linear_regression(nodes, values)
+        found[field.name] = {
+            "at_0": round(line.intercept, 4),
+            "per_node": round(line.slope, 6),
+        }
+    return found
+
+
+# Of a shared machine, a share of a core varies more than memory does.
+_TOLERANCES = {"cpu": 0.6, "rss": 0.1, "bytes": 0.25}
+
+
+def compare(page: str, reports: list[Report]) -> list[str]:
+    """Where the page's table and the measurement differ.
+
+    The table's rows are `| nodes | targets | cpu % | RSS MB | bytes/s |`.
+    """
+    rows = {}
+    for line in page.splitlines():
+        cells = [cell.strip().replace(",", "") for cell in line.split("|")]
+        with contextlib.suppress(ValueError):
+            values = [float(cell) for cell in cells[1:6]]
+            if len(values) == 5:
+                rows[int(values[0]), int(values[1])] = values[2:]
+    found = []
+    for report in reports:
+        size = (report.nodes, report.targets)
+        if size not in rows:
+            found.append(f"the page has no row for {size}")
+            continue
+        measured = (report.day.cpu_percent, report.day.rss_mb, _bytes(report))
+        for name, old, new in zip(
+            _TOLERANCES, rows[size], measured, strict=True
+        ):
+            if abs(new - old) > _TOLERANCES[name] * old:
+                found.append(f"{size}: {name}: page {old}, measured {new:.2f}")
+    return found
+
+
+def _bytes(report: Report) -> float:
+    day = report.day
+    return (
+        day.gossip_bytes_per_second
+        + day.link_bytes_per_second
+        + day.renewal_bytes_per_second
+    )
+
+
+async def _measure(nodes: int, targets: int) -> Report:
+    async with contextlib.AsyncExitStack() as stack:
+        bench = await _Bench.start(stack, nodes, targets)
+        return await bench.run()
+
+
+class _Bench:
+    """One real node among played ones."""
+
+    def __init__(
+        self,
+        fleet: control_fleet.PlayedFleet,
+        session: aiohttp.ClientSession,
+        pid: int,
+        listening: dict[str, Any],
+    ) -> None:
+        self._fleet = fleet
+        self._session = session
+        self._pid = pid
+        self._listening = listening
+        self._renewal_bytes = 0
+        self._own = fleet.targets_of(len(fleet.played))
+
+    @classmethod
+    async def start(
+        cls, stack: contextlib.AsyncExitStack, nodes: int, targets: int
+    ) -> "_Bench":
+        """Starts the platform, the played nodes and the real one."""
+        fleet = control_fleet.PlayedFleet(nodes - 1, targets, REAL)
+        await fleet.start()
+        stack.push_async_callback(fleet.stop)
+        objects = platform.ObjectStore()
+        _configure(objects)
+        for node in fleet.played:
+            value = dataclasses.asdict(node.record)
+            del value["name"]
+            objects.put("node", node.name, value, 0)
+        url = await _serve(stack, objects)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        file = _write_settings(folder, url)
+        child = await stack.enter_async_context(
+            control_fleet.node_process(file)
+        )
+        assert child.stdout is not None
+        listening: dict[str, Any] = {}
+        while listening.get("message") != "listening":
+            listening = json.loads(await child.stdout.readline())
+        drain = asyncio.create_task(_drain(child.stdout))
+        stack.callback(drain.cancel)
+        fleet.real_address = listening["nodes"]
+        return cls(fleet, session, child.pid, listening)
+
+    async def run(self) -> Report:
+        """Joins, an ordinary day, withdrawals and a mass restart."""
+        renewals = asyncio.create_task(self._renew())
+        join = await self._until_known()
+        rate = max(ORDINARY_CHANGES * self._total, 0.01)
+        changes = asyncio.create_task(self._fleet.change(rate))
+        await asyncio.sleep(SETTLE.total_seconds())
+        day = await self._load(_SECONDS.value)
+        changes.cancel()
+        worst = max([await self._withdrawal() for _ in range(SPREAD_RUNS)])
+        restart, seconds = None, None
+        if _RESTART.value:
+            restart, seconds = await self._restart()
+        renewals.cancel()
+        nodes = len(self._fleet.played) + 1
+        return Report(
+            nodes, self._total, join, day, round(worst, 2), restart, seconds
+        )
+
+    @property
+    def _total(self) -> int:
+        played = range(len(self._fleet.played) + 1)
+        return sum(len(self._fleet.targets_of(number)) for number in played)
+
+    async def _until_known(self) -> float:
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        while not await self._knows_all():
+            if loop.time() - start > JOIN_LIMIT.total_seconds():
+                raise exceptions.UnavailableError("the node does not join")
+            await asyncio.sleep(0.2)
+        return round(loop.time() - start, 2)
+
+    async def _knows_all(self) -> bool:
+        """Whether the real node agrees with a played one, and is ready."""
+        members = await self._members()
+        agreed = members["digest"] == self._fleet.played[0].core.summary
+        all_known = members["targets"] == self._total
+        return agreed and all_known and await self._ready()
+
+    async def _withdrawal(self) -> float:
+        """Until every played node knows that a target has gone."""
+        loop = asyncio.get_running_loop()
+        target = self._own[0]
+        played = self._fleet.played
+        before = played[0].view.home_version(REAL).sequence
+        async with self._session.delete(self._url(target)) as response:
+            response.raise_for_status()
+        start = loop.time()
+        limit = start + JOIN_LIMIT.total_seconds()
+        while self._fleet.knowing(REAL, before + 1) < len(played):
+            if loop.time() > limit:
+                raise exceptions.UnavailableError("a change does not spread")
+            await asyncio.sleep(LOOK.total_seconds())
+        seconds = loop.time() - start
+        await self._put(target)
+        await asyncio.sleep(2)
+        return seconds
+
+    async def _restart(self) -> tuple[Load, float]:
+        loop = asyncio.get_running_loop()
+        count = max(1, round(len(self._fleet.played) * RESTARTED_SHARE))
+        start = loop.time()
+        before = await self._count()
+        await self._fleet.restart(count, RESTART_TIME)
+        await self._until_known()
+        seconds = loop.time() - start
+        load = self._load_between(before, await self._count())
+        return load, round(seconds, 2)
+
+    async def _load(self, seconds: float) -> Load:
+        before = await self._count()
+        await asyncio.sleep(seconds)
+        return self._load_between(before, await self._count())
+
+    def _load_between(self, before: _Count, after: _Count) -> Load:
+        seconds = after.time - before.time
+        ticks = os.sysconf("SC_CLK_TCK")
+        cpu = (after.ticks - before.ticks) / ticks / seconds * 100
+        return Load(
+            round(cpu, 2),
+            round(_rss(self._pid) / 1e6, 1),
+            round((after.gossip - before.gossip) / seconds, 1),
+            round((after.link - before.link) / seconds, 1),
+            round((after.renewal - before.renewal) / seconds, 1),
+        )
+
+    async def _count(self) -> _Count:
+        members = await self._members()
+        return _Count(
+            _cpu_ticks(self._pid),
+            members["datagram_bytes_sent"] + members["datagram_bytes_received"],
+            self._fleet.link_bytes,
+            self._renewal_bytes,
+            asyncio.get_running_loop().time(),
+        )
+
+    async def _members(self) -> dict[str, Any]:
+        url = f"http://{self._listening['operators']}/v1/members"
+        async with self._session.get(url) as response:
+            found: dict[str, Any] = await response.json()
+            return found
+
+    async def _ready(self) -> bool:
+        url = f"http://{self._listening['operators']}/readyz"
+        async with self._session.get(url) as response:
+            return response.status == 200
+
+    async def _renew(self) -> None:
+        period = LEASE.total_seconds() / 3
+        while True:
+            for target in self._own:
+                await self._put(target)
+                await asyncio.sleep(period / len(self._own))
+
+    def _url(self, target: str) -> str:
+        return f"http://{self._listening['targets']}/v1/targets/{target}"
+
+    async def _put(self, target: str) -> None:
+        body = json.dumps(
+            {
+                "service": control_fleet.service_of(target),
+                "address": "http://127.0.0.1:1",
+                "incarnation": 1,
+                "lease_ms": int(LEASE.total_seconds() * 1000),
+            }
+        )
+        async with self._session.put(self._url(target), data=body) as response:
+            answer = await response.read()
+            sent = response.request_info.headers
+            got = response.raw_headers
+        lines = sum(len(key) + len(value) + 4 for key, value in sent.items())
+        lines += sum(len(key) + len(value) + 4 for key, value in got)
+        first = len(f"PUT {target} HTTP/1.1") + len("/v1/targets/HTTP/1.1 200")
+        self._renewal_bytes += lines + first + len(body) + len(answer)
+
+
+def _write_settings(folder: str, url: str) -> str:
+    region, zone = control_fleet.REAL_ZONE
+    values = {"name": REAL, "region": region, "zone": zone, "platform": url}
+    file = pathlib.Path(folder, "node.yaml")
+    file.write_text(yaml.safe_dump(values), encoding="utf-8")
+    return str(file)
+
+
+async def _serve(
+    stack: contextlib.AsyncExitStack, objects: platform.ObjectStore
+) -> str:
+    application = platform.PlatformStandin(objects).application()
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return f"http://127.0.0.1:{runner.addresses[0][1]}"
+
+
+def _configure(objects: platform.ObjectStore) -> None:
+    for number in range(control_fleet.SERVICES):
+        spec = {"slots": 3, "floor_slots": 20}
+        _put_object(objects, store.SERVICE, f"service-{number:03}", spec)
+    routes = [
+        {
+            "host": f"firm-{number % 40}.example",
+            "prefix": f"/area-{number}",
+            "service": f"service-{number % control_fleet.SERVICES:03}",
+        }
+        for number in range(_ROUTES.value)
+    ]
+    for start in range(0, len(routes), GROUP_SIZE):
+        part = routes[start : start + GROUP_SIZE]
+        name = f"group-{start}"
+        _put_object(objects, store.ROUTE_GROUP, name, {"routes": part})
+    for start in range(0, _WORKSPACES.value, SHARD_SIZE):
+        names = range(start, min(start + SHARD_SIZE, _WORKSPACES.value))
+        workspaces = {
+            f"workspace-{number}": {"firm": f"firm-{number % 40}"}
+            for number in names
+        }
+        spec_shard = {"workspaces": workspaces}
+        _put_object(
+            objects, store.WORKSPACE_SHARD, f"shard-{start}", spec_shard
+        )
+
+
+def _put_object(
+    objects: platform.ObjectStore, kind: str, name: str, spec: dict[str, Any]
+) -> None:
+    envelope = store.Envelope(spec=spec, operation="bench", version=1)
+    objects.put(kind, name, envelope.model_dump(mode="json"), 0)
+
+
+async def _drain(stream: asyncio.StreamReader) -> None:
+    while await stream.readline():
+        pass
+
+
+def _cpu_ticks(pid: int) -> int:
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="utf-8")
+    fields = stat.rpartition(")")[2].split()
+    return int(fields[11]) + int(fields[12])
+
+
+def _rss(pid: int) -> int:
+    pages = pathlib.Path(f"/proc/{pid}/statm").read_text(encoding="utf-8")
+    return int(pages.split()[1]) * os.sysconf("SC_PAGE_SIZE")
--- a/endivewind/commands/bench_spreading.py
+++ b/endivewind/commands/bench_spreading.py
@@ -16,6 +16,7 @@
 from absl import flags
 
 from endivewind import exceptions
+from endivewind.commands import bench_options
 from endivewind.commands import options
 from endivewind.config import spreading
 from endivewind.config import store
@@ -39,7 +40,8 @@
 LOADED_OBJECTS = 50
 CHANGED = store.Key(store.SERVICE, "riders")
 
-_NODES = flags.DEFINE_integer("nodes", 50, "Nodes that the change reaches.")
+flags.declare_key_flag("nodes")
+DEFAULT_NODES = 50
 _LOSS = flags.DEFINE_float("loss", 0.1, "Share of messages lost.")
 _RUNS = flags.DEFINE_integer("runs", 5, "Runs, each with its own seed.")
 
@@ -249,9 +251,15 @@
 
 def main(arguments: list[str]) -> int:
     """Prints the figures for --nodes."""
-    if arguments or _NODES.value < 2 or _RUNS.value < 1:
+    if (
+        arguments
+        or (bench_options.NODES.value or DEFAULT_NODES) < 2
+        or _RUNS.value < 1
+    ):
         raise exceptions.UsageError(f"usage: endivewind-bench {USAGE}")
-    figures = measure(_NODES.value, _LOSS.value, _RUNS.value)
+    figures = measure(
+        (bench_options.NODES.value or DEFAULT_NODES), _LOSS.value, _RUNS.value
+    )
     lines = [
         f"{name}: {value}"
         for name, value in dataclasses.asdict(figures).items()
--- /dev/null
+++ b/endivewind/commands/control_fleet.py
@@ -0,0 +1,307 @@
+"""Plays all nodes but one for `endivewind-bench control`.
+
+Each played node runs the pure cores that real nodes run, on its own UDP and
+TCP address on loopback. It measures one real node's share, and simulates
+nothing else: no requests, no faults.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import datetime
+import random
+import sys
+from typing import Any
+
+from endivewind import clock as clocks
+from endivewind.nodes import codec
+from endivewind.nodes import datagrams
+from endivewind.nodes import gossip
+from endivewind.nodes import links
+from endivewind.nodes import membership
+from endivewind.nodes import states
+from endivewind.nodes import view
+from endivewind.targets import records
+
+ZONES = (
+    ("andina", "andina-a"),
+    ("andina", "andina-b"),
+    ("andina", "andina-c"),
+    ("caribe", "caribe-a"),
+)
+# The real node is alone in the fifth zone, so that it holds the platform's
+# watch: the dearer one of the two roles.
+REAL_ZONE = ("caribe", "caribe-b")
+SERVICES = 310
+TICK = datetime.timedelta(milliseconds=100)
+_PHASES = 10
+
+
+class Played(links.Home):
+    """One played node."""
+
+    def __init__(self, fleet: "PlayedFleet", name: str, zone: int) -> None:
+        self._fleet = fleet
+        self.name = name
+        self._region, self._zone = ZONES[zone % len(ZONES)]
+        self._socket = datagrams.DatagramSocket(self._received)
+        self._server = links.LinkServer(self)
+        self.record: view.NodeRecord
+        self.view: view.FleetView
+        self.core: gossip.Gossip
+        self._members: membership.Membership
+        self._sequence = 0
+
+    async def bind(self) -> None:
+        """Binds its addresses."""
+        address = await self._server.bind("127.0.0.1", 0)
+        await self._server.serve()
+        host, _, port = address.rpartition(":")
+        await self._socket.start(host, int(port))
+        self.record = view.NodeRecord(
+            self.name, 1, address, self._region, self._zone
+        )
+
+    def join(
+        self,
+        incarnation: int,
+        fleet_view: view.FleetView,
+        nodes: collections.abc.Iterable[view.NodeRecord],
+    ) -> None:
+        """Starts its cores with all that the fleet knows."""
+        clock, rng = self._fleet.clock, self._fleet.rng
+        self.record = view.NodeRecord(
+            self.name,
+            incarnation,
+            self.record.address,
+            self._region,
+            self._zone,
+        )
+        self._members = membership.Membership(self.record, clock, rng)
+        for node in nodes:
+            if node.name != self.name:
+                self._members.merge(
+                    membership.MemberRecord(node, 0, membership.State.ALIVE)
+                )
+        self.view = fleet_view
+        self.core = gossip.Gossip(self._members, self.view, clock, rng)
+        self._sequence = self.view.home_version(self.name).sequence
+
+    def tick(self) -> None:
+        """Runs the core's timers."""
+        self.send(self.core.tick())
+
+    def change(self, target: str, health: records.Health) -> None:
+        """Makes one change to one of its targets."""
+        self._sequence += 1
+        record = records.TargetRecord(
+            id=target,
+            service=service_of(target),
+            home=self.name,
+            home_incarnation=self.record.incarnation,
+            sequence=self._sequence,
+            region=self._region,
+            zone=self._zone,
+            slots=3,
+            weight=1,
+            state=records.State.READY,
+            health=health,
+            target_incarnation=1,
+        )
+        self.core.originate([records.TargetChange(record)])
+
+    def send(self, sends: list[gossip.Send]) -> None:
+        """Sends what a core wants sent."""
+        for item in sends:
+            if isinstance(item.message, gossip.Datagram):
+                self._socket.send(item.address, item.message)
+            else:
+                self._fleet.link(item.address, states.frame_out(item.message))
+
+    def gossiped(self, frame: Any) -> None:
+        """Takes a link frame of gossip."""
+        message = states.frame_in(frame)
+        if message.sender == self._fleet.real_name:
+            self._fleet.count_in(frame)
+        if isinstance(message, gossip.Pull):
+            for part in self.core.answer(message):
+                self._fleet.link(message.address, states.frame_out(part))
+            return
+        self.send(self.core.receive_state(message))
+
+    def configuration(self, message: Any) -> None:
+        """Answers the real node's digest, and sends it the same back.
+
+        Played nodes hold no configuration; as many digests come to a node of
+        a fleet as it sends, and in a quiet fleet all are the same.
+        """
+        self._fleet.count_in(codec.messages.Frame(configuration=message))
+        if not message.digest:
+            return
+        for answer in (
+            codec.messages.Configuration(
+                sender=self.name, ready=True, same=True
+            ),
+            codec.messages.Configuration(
+                sender=self.name, ready=True, digest=message.digest
+            ),
+        ):
+            frame = codec.messages.Frame(configuration=answer)
+            self._fleet.link(self._fleet.real_address, frame)
+
+    async def stop(self) -> None:
+        """Closes its addresses."""
+        self._socket.stop()
+        await self._server.stop()
+
+    def _received(self, address: str, datagram: gossip.Datagram) -> None:
+        self.send(self.core.receive(address, datagram))
+
+
+class PlayedFleet:
+    """All nodes but the real one, in this process."""
+
+    def __init__(self, count: int, targets: int, real_name: str) -> None:
+        self.clock = clocks.SystemClock()
+        self.rng = random.Random(1)
+        self.real_name = real_name
+        self.real_address = ""
+        self.link_bytes = 0
+        self.played = [
+            Played(self, f"node-{number:04}", number) for number in range(count)
+        ]
+        self._targets = targets
+        self._pool = links.LinkPool(self.clock)
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def start(self) -> None:
+        """Binds all, gives all the same knowledge and starts the ticks."""
+        for node in self.played:
+            await node.bind()
+        nodes = [node.record for node in self.played]
+        template = view.FleetView()
+        for record in nodes:
+            template.put_node(record)
+        for number, node in enumerate(self.played):
+            template.put_home(
+                node.name, 1, 1, self._records(node, self.targets_of(number))
+            )
+        for node in self.played:
+            node.join(1, template.copy(), nodes)
+        for phase in range(_PHASES):
+            self._start(self._tick(phase))
+
+    async def stop(self) -> None:
+        """Ends all."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for node in self.played:
+            await node.stop()
+        self._pool.close()
+
+    def targets_of(self, number: int) -> list[str]:
+        """Ids of the targets of one played node; the rest are the real's."""
+        homes = len(self.played) + 1
+        return [
+            f"target-{index:05}"
+            for index in range(number, self._targets, homes)
+        ]
+
+    def link(self, address: str, frame: Any) -> None:
+        """Sends a frame by a link."""
+        if address == self.real_address:
+            self.link_bytes += len(codec.encode(frame))
+        self._start(self._pool.send(address, frame))
+
+    def count_in(self, frame: Any) -> None:
+        """Counts a frame that came from the real node."""
+        self.link_bytes += len(codec.encode(frame))
+
+    async def change(self, per_second: float) -> None:
+        """Makes changes at random nodes, at a rate, for ever."""
+        healths = (records.Health.EJECTED, records.Health.NORMAL)
+        while True:
+            await asyncio.sleep(self.rng.expovariate(per_second))
+            number = self.rng.randrange(len(self.played))
+            targets = self.targets_of(number)
+            if targets:
+                target = self.rng.choice(targets)
+                self.played[number].change(target, self.rng.choice(healths))
+
+    async def restart(self, count: int, within: datetime.timedelta) -> None:
+        """Restarts some nodes within a time; their targets announce anew."""
+        nodes = [node.record for node in self.played]
+        for number in self.rng.sample(range(len(self.played)), count):
+            node = self.played[number]
+            fresh = node.view
+            fresh.remove_home(node.name)
+            node.join(node.record.incarnation + 1, fresh, nodes)
+            for target in self.targets_of(number):
+                node.change(target, records.Health.NORMAL)
+            await asyncio.sleep(within.total_seconds() / count)
+
+    def knowing(self, home: str, sequence: int) -> int:
+        """How many played nodes know a home's changes up to a sequence."""
+        return sum(
+            node.view.home_version(home).sequence >= sequence
+            for node in self.played
+        )
+
+    def _records(
+        self, node: Played, targets: list[str]
+    ) -> list[records.TargetRecord]:
+        return [
+            records.TargetRecord(
+                id=target,
+                service=service_of(target),
+                home=node.name,
+                home_incarnation=1,
+                sequence=1,
+                region=node.record.region,
+                zone=node.record.zone,
+                slots=3,
+                weight=1,
+                state=records.State.READY,
+                health=records.Health.NORMAL,
+                target_incarnation=1,
+            )
+            for target in targets
+        ]
+
+    async def _tick(self, phase: int) -> None:
+        await asyncio.sleep(phase * TICK.total_seconds() / _PHASES)
+        while True:
+            for node in self.played[phase::_PHASES]:
+                node.tick()
+            await asyncio.sleep(TICK.total_seconds())
+
+    def _start(self, work: collections.abc.Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def service_of(target: str) -> str:
+    """The service of a target."""
+    return f"service-{int(target.rpartition('-')[2]) % SERVICES:03}"
+
+
+@contextlib.asynccontextmanager
+async def node_process(
+    settings: str,
+) -> collections.abc.AsyncGenerator[asyncio.subprocess.Process, None]:
+    """A real endivewind-node as a child, ended at the end."""
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        "from endivewind.commands import node; node.run()",
+        f"--settings={settings}",
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        yield child
+    finally:
+        if child.returncode is None:
+            child.kill()
+        await child.wait()
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -251,7 +251,9 @@
             web.AppRunner(target_api.application(), access_log=None),
             config.targets,
         )
-        sources = http.Sources(self._not_ready, self._status)
+        sources = http.Sources(
+            self._not_ready, self._status, lambda: self._gossip.status()
+        )
         operators = await self._serve(
             web.AppRunner(
                 http.OperatorApi(sources).application(), access_log=None
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -228,7 +228,9 @@
         self._last_repair = clock.monotonic() - REPAIR_PERIOD
         self._last_pull = clock.monotonic() - PULL_PERIOD
         self._joined = False
-        self._spread(members.me)
+        for record in members.members.values():
+            self._apply(record)
+        self._enqueue(members.me)
 
     @property
     def joined(self) -> bool:
--- a/endivewind/nodes/service.py
+++ b/endivewind/nodes/service.py
@@ -136,8 +136,11 @@
         found: dict[str, object] = {
             state.name.lower(): count for state, count in counts.items()
         }
+        found["targets"] = self._state.fleet.target_count
         found["self_doubt"] = self._members.doubtful
         found["digest"] = self._core.summary
+        found["datagram_bytes_sent"] = self._socket.sent_bytes
+        found["datagram_bytes_received"] = self._socket.received_bytes
         return found
 
     async def _run(self) -> None:
--- a/endivewind/nodes/view.py
+++ b/endivewind/nodes/view.py
@@ -58,6 +58,13 @@
         self.records: dict[str, records.TargetRecord] = {}
         self.ahead: dict[int, str] = {}
 
+    def copy(self) -> "_Home":
+        other = _Home(self.incarnation)
+        other.sequence = self.sequence
+        other.records = dict(self.records)
+        other.ahead = dict(self.ahead)
+        return other
+
     def advance(self) -> None:
         while self.sequence + 1 in self.ahead:
             self.sequence += 1
@@ -93,10 +100,27 @@
         """Every known target."""
         return list(self._claims.values())
 
+    @property
+    def target_count(self) -> int:
+        """How many targets are known."""
+        return len(self._claims)
+
     def claim(self, target: str) -> records.TargetRecord | None:
         """The latest announcement of a target at any usable home."""
         return self._claims.get(target)
 
+    def copy(self) -> "FleetView":
+        """A view of its own that shares the records."""
+        other = FleetView()
+        other._nodes = dict(self._nodes)
+        other._claims = dict(self._claims)
+        other._by_service = {
+            name: dict(group) for name, group in self._by_service.items()
+        }
+        for name, home in self._homes.items():
+            other._homes[name] = home.copy()
+        return other
+
     def home_version(self, home: str) -> HomeVersion:
         """How far a home's changes are known."""
         known = self._homes.get(home)
--- a/endivewind/operators/http.py
+++ b/endivewind/operators/http.py
@@ -14,14 +14,16 @@
     Attributes:
       ready: None when ready, else what is missing.
       status: the node's status as JSON.
+      members: what the node knows of the fleet, in counts.
     """
 
     ready: collections.abc.Callable[[], str | None]
     status: collections.abc.Callable[[], dict[str, object]]
+    members: collections.abc.Callable[[], dict[str, object]] = dict
 
 
 class OperatorApi:
-    """`/healthz`, `/readyz`, `/metrics` and `/v1/status`."""
+    """`/healthz`, `/readyz`, `/metrics`, `/v1/status`, `/v1/members`."""
 
     def __init__(self, sources: Sources) -> None:
         self._sources = sources
@@ -33,6 +35,7 @@
         app.router.add_get("/readyz", self._ready)
         app.router.add_get("/metrics", self._metrics)
         app.router.add_get("/v1/status", self._status)
+        app.router.add_get("/v1/members", self._members)
         return app
 
     async def _health(self, request: web.Request) -> web.Response:
@@ -50,5 +53,8 @@
             headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
         )
 
+    async def _members(self, request: web.Request) -> web.Response:
+        return web.json_response(self._sources.members())
+
     async def _status(self, request: web.Request) -> web.Response:
         return web.json_response(self._sources.status())
--- a/endivewind/tests/nodes/membership_tests.py
+++ b/endivewind/tests/nodes/membership_tests.py
@@ -127,7 +127,7 @@
         self.net.run(120)
         self.assertEqual(DEAD, self.net.nodes["n0"].state("n11"))
         self.assertEqual(DEAD, self.net.nodes["n11"].state("n0"))
-        self.net.start("n11")
+        self.net.start("n11", contacts=("n10:1",))
         self.net.run(120)
         self.net.cut = set()
         self.net.run(60)
--- a/endivewind/tests/nodes/network.py
+++ b/endivewind/tests/nodes/network.py
@@ -31,18 +31,17 @@
         clock: clocks.Clock,
         rng: random.Random,
         contacts: tuple[str, ...],
-        region: str = "andina",
     ) -> None:
         self.name = name
         self.paused = False
         self.record = view.NodeRecord(
-            name, incarnation, f"{name}:1", region, f"{region}-a"
+            name, incarnation, f"{name}:1", "andina", "andina-a"
         )
         self.view = view.FleetView()
         self.members = membership.Membership(self.record, clock, rng, contacts)
         self.core = gossip.Gossip(self.members, self.view, clock, rng)
         identity = registry.HomeIdentity(
-            name, incarnation, region, f"{region}-a"
+            name, incarnation, "andina", "andina-a"
         )
         self.targets = registry.TargetRegistry(identity, clock, self.view.claim)
 
@@ -106,7 +105,9 @@
         for name in names:
             self.start(name)
 
-    def start(self, name: str, region: str = "andina") -> Member:
+    def start(
+        self, name: str, contacts: tuple[str, ...] | None = None
+    ) -> Member:
         """Starts a node, or a new start of one."""
         self._incarnations += 1
         node = Member(
@@ -114,8 +115,7 @@
             self._incarnations,
             self.clock,
             self.rng,
-            self._contacts,
-            region,
+            self._contacts if contacts is None else contacts,
         )
         self.nodes[name] = node
         return node
