--- a/endivewind/commands/bench_control.py
+++ b/endivewind/commands/bench_control.py
@@ -34,7 +34,9 @@
 flags.declare_key_flag("format")
 flags.declare_key_flag("nodes")
 _TARGETS = flags.DEFINE_integer("targets", 12_000, "Targets in all.")
-_SECONDS = flags.DEFINE_integer("seconds", 30, "Length of each measurement.")
+_DAY_SECONDS = flags.DEFINE_integer(
+    "day_seconds", 30, "Length of the ordinary day."
+)
 _ROUTES = flags.DEFINE_integer("routes", 3_700, "Routes in force.")
 _WORKSPACES = flags.DEFINE_integer("workspaces", 29_000, "Workspaces in force.")
 _RESTART = flags.DEFINE_bool("restart", False, "Measure a mass restart too.")
@@ -246,7 +248,7 @@
         rate = max(ORDINARY_CHANGES * self._total, 0.01)
         changes = asyncio.create_task(self._fleet.change(rate))
         await asyncio.sleep(SETTLE.total_seconds())
-        day = await self._load(_SECONDS.value)
+        day = await self._load(_DAY_SECONDS.value)
         changes.cancel()
         worst = max([await self._withdrawal() for _ in range(SPREAD_RUNS)])
         restart, seconds = None, None
--- a/endivewind/commands/control_fleet.py
+++ b/endivewind/commands/control_fleet.py
@@ -237,7 +237,7 @@
             fresh = node.view
             fresh.remove_home(node.name)
             node.join(node.record.incarnation + 1, fresh, nodes)
-            node.core.join()
+            node.core.introduce()
             for target in self.targets_of(number):
                 node.change(target, records.Health.NORMAL)
             await asyncio.sleep(within.total_seconds() / count)
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -37,9 +37,12 @@
 MAX_VERSION_DATAGRAMS = 4
 # A joining node differs in most buckets; all at once is cheaper for it.
 WHOLE_BUCKETS = 100
-PULL_PERIOD = datetime.timedelta(seconds=1)
-# When a whole fleet restarts, nobody has a state to hand on.
-JOIN_LIMIT = datetime.timedelta(seconds=5)
+# A whole state is about 0.8 MB at full size and takes a second or two; asking
+# again while it comes would double the work of a fleet that restarts.
+PULL_PERIOD = datetime.timedelta(seconds=3)
+# When a whole fleet restarts, nobody has a state to hand on. Pulls must end
+# then as well, or every node would ask every other for ever.
+JOIN_LIMIT = datetime.timedelta(seconds=6)
 HOMES_PER_FRAME = 16
 
 # Node, its incarnation, then sequence and 1 or refutation and state.
@@ -228,7 +231,7 @@
         self._started = clock.monotonic()
         self._last_repair = clock.monotonic() - REPAIR_PERIOD
         self._last_pull = clock.monotonic() - PULL_PERIOD
-        self._joined = False
+        self._joined = True
         for record in members.members.values():
             self._apply(record)
 
@@ -269,6 +272,12 @@
         self._refresh(self._members.me.node.name)
 
     def join(self) -> None:
+        """Lets others know of this start, and asks one for its whole state."""
+        self._started = self._clock.monotonic()
+        self._joined = False
+        self.introduce()
+
+    def introduce(self) -> None:
         """Lets others know of this start."""
         self._enqueue(self._members.me)
 
@@ -512,7 +521,7 @@
         if message.summary == self.summary:
             return []
         now = self._clock.monotonic()
-        if not self._joined and now - self._last_pull >= PULL_PERIOD:
+        if not self.joined and now - self._last_pull >= PULL_PERIOD:
             self._last_pull = now
             return [Send(address, self._pull(()))]
         period = BUSY_REPAIR_PERIOD if len(self._queue) else REPAIR_PERIOD
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -63,6 +63,20 @@
         rate = (self.net.sent_bytes - before) / 10 / len(NAMES)
         self.assertLess(rate, 200)
 
+    def test_fleet_that_has_nothing_to_hand_on_stops_asking(self):
+        """A whole fleet restarts; nobody asks for whole states for ever.
+
+        Each node asks one that has just started itself and has no state to
+        hand on. Were each to ask on, all would send all to all every second.
+        """
+        net = network.Network(NAMES)
+        net.run(10)
+        before = net.link_frames
+        for number in range(20):
+            net.nodes["n0"].announce(f"t{number}", lease_ms=60_000)
+            net.run(0.5)
+        self.assertLess(net.link_frames - before, len(NAMES))
+
     def test_mass_restart_keeps_to_the_limits(self):
         """A third of the fleet comes back at once, each with targets.
 
--- a/endivewind/tests/nodes/network.py
+++ b/endivewind/tests/nodes/network.py
@@ -99,6 +99,7 @@
         self.doubled = 0.0
         self.largest = 0
         self.sent_bytes = 0
+        self.link_frames = 0
         self._incarnations = 0
         self._contacts = tuple(f"{name}:1" for name in names)
         self._waiting: list[_Message] = []
@@ -158,6 +159,7 @@
             else:
                 payload = codec.encode(states.frame_out(item.message))
                 link = True
+                self.link_frames += 1
             self.sent_bytes += len(payload)
             message = _Message(sender, receiver, payload, link)
             copies = 2 if self.rng.random() < self.doubled else 1
