--- a/endivewind/commands/options.py
+++ b/endivewind/commands/options.py
@@ -17,8 +17,13 @@
 PLATFORM = flags.DEFINE_string(
     "platform", "", "URL of the platform's object API."
 )
+OPERATORS = flags.DEFINE_list(
+    "operators", [], "Operators' addresses of the nodes to ask."
+)
 FORMAT = flags.DEFINE_enum("format", "text", ["text", "json"], "Output format.")
 
+STDIN = "<stdin>"
+
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
 
 PlatformWork = collections.abc.Callable[
@@ -41,7 +46,7 @@
 def load(file: str, model: type[ModelT]) -> base.Loaded[ModelT]:
     """Reads a YAML file into a model, "-" for standard input."""
     if file == "-":
-        loaded = base.load_bytes(sys.stdin.buffer.read(), "<stdin>", model)
+        loaded = base.load_bytes(sys.stdin.buffer.read(), STDIN, model)
     else:
         loaded = base.load_file(file, model)
     if loaded.is_error():
