--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,12 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ("decisions", "overhead", "spreading")
+MEASUREMENTS: tuple[str, ...] = (
+    "control",
+    "decisions",
+    "overhead",
+    "spreading",
+)
 
 BINARY = running.Binary(
     name="endivewind-bench",
