Follow a target that moves while the news of it is on its way

Cause: a planned stop lets targets move at once, and the old home refuses what still comes with stale-home; an entry that had not heard of the move counted the target as tried and, where it was the only one, refused the caller. Seen once as 503 not-run in HomeLossTest.test_planned_stop_of_a_home_costs_no_answer on a busy machine (load 22 on 12 cores). Ruled out: letting the old home hand over on, which breaks one home a target. Change: the refusal names the later home, and the gateway sends the request there next. Before: the new gateway test ends in stale-home. Conclusion: a move costs a hop and no answer.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,6 +1,7 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
 import asyncio
+import dataclasses
 import datetime
 
 import expression
@@ -83,9 +84,12 @@
             f"no target of {route.service} can take work",
             NO_TARGET_RETRY,
         )
+        record: records.TargetRecord | None = None
         for number in range(1, MAX_PLACINGS + 1):
             demand = placing.Demand(may_repeat(route, head.method), tried)
-            record = self._placement.choose(route.service, demand)
+            record = self._moved(record, last) or self._placement.choose(
+                route.service, demand
+            )
             if record is None:
                 break
             tried.add(record.id)
@@ -100,6 +104,17 @@
                 break
         return expression.Error(last)
 
+    def _moved(
+        self, record: records.TargetRecord | None, last: exchange.Refusal
+    ) -> records.TargetRecord | None:
+        """The target just tried, at the later home that the last one named."""
+        home = self._fleet.nodes.get(last.moved_to)
+        if record is None or home is None:
+            return None
+        return dataclasses.replace(
+            record, home=home.name, home_incarnation=home.incarnation
+        )
+
     async def _attempt(
         self,
         record: records.TargetRecord,
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -113,12 +113,15 @@
       reason: why there is no answer of a target.
       detail: for people.
       retry_after: when to come back; None where coming back is no use.
+      moved_to: the node to which the target has moved, where its former home
+        knows it; empty otherwise.
     """
 
     outcome: Outcome
     reason: Reason
     detail: str = ""
     retry_after: datetime.timedelta | None = None
+    moved_to: str = ""
 
 
 class ByteStream(Protocol):
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -388,6 +388,7 @@
         exchange.Reason(refusal.reason),
         refusal.detail,
         None if wait < 0 else datetime.timedelta(milliseconds=wait),
+        refusal.moved_to or "",
     )
 
 
@@ -645,5 +646,6 @@
         reason=refusal.reason.value,
         detail=refusal.detail,
         retry_after_ms=-1 if wait is None else int(wait.total_seconds() * 1000),
+        moved_to=refusal.moved_to or None,
     )
     writer.write(codec.encode(codec.messages.Frame(refusal=message)))
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -49,6 +49,7 @@
   3: string reason
   4: string detail
   5: i32 retry_after_ms
+  6: optional string moved_to
 }
 
 // A node as another tells of it. The higher (incarnation, refutation, state)
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -159,7 +159,7 @@
     ) -> AnswerResult:
         item = self._targets.get(target)
         if item is None:
-            return _refuse(exchange.Reason.STALE_HOME, f"{target} is not here")
+            return expression.Error(self._not_here(target))
         if self._closed:
             return _refuse(exchange.Reason.STOPPING, "the home is leaving")
         if item.record.state is records.State.DRAINING:
@@ -178,6 +178,20 @@
             hand_over.end()
         return result
 
+    def _not_here(self, target: str) -> exchange.Refusal:
+        """Names the target's later home, which the entry may not know yet.
+
+        During a planned stop targets move at once and the news takes a gossip
+        round; without the name callers of a service's only target would be
+        refused in between.
+        """
+        return exchange.Refusal(
+            exchange.Outcome.NOT_RUN,
+            exchange.Reason.STALE_HOME,
+            f"{target} is not here",
+            moved_to=self._targets.moved_to(target),
+        )
+
     async def _send(
         self,
         hand_over: "_HandOver",
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -12,6 +12,8 @@
 from endivewind.config import base
 from endivewind.targets import records
 
+# A home has a few targets at a time; this holds all that it has had of late.
+MAX_MOVED = 256
 MIN_LEASE = datetime.timedelta(milliseconds=500)
 # expire() runs several times a second. A longer gap means that the process
 # was paused, or its VM was.
@@ -117,6 +119,7 @@
         self._checked = clock.monotonic()
         self._resumed: datetime.timedelta | None = None
         self._stopping = False
+        self._moved: dict[str, str] = {}
 
     @property
     def sequence(self) -> int:
@@ -166,6 +169,7 @@
         lease = datetime.timedelta(milliseconds=announcement.lease_ms)
         expires = self._clock.monotonic() + max(lease, MIN_LEASE)
         if known is None:
+            self._moved.pop(target, None)
             self._targets[target] = HomeTarget(
                 fresh, announcement.address, expires
             )
@@ -199,8 +203,15 @@
             return False
         if records.claim_order(rival) < records.claim_order(item.record):
             return False
+        self._moved[rival.id] = rival.home
+        if len(self._moved) > MAX_MOVED:
+            del self._moved[next(iter(self._moved))]
         return self.withdraw(rival.id)
 
+    def moved_to(self, target: str) -> str:
+        """The later home of a target that was given up; empty if unknown."""
+        return self._moved.get(target, "")
+
     def expire(self) -> list[str]:
         """Removes targets whose lease has ended; returns their ids."""
         self._notice_pause()
--- /dev/null
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -0,0 +1,109 @@
+"""Tests of what the gateway does with a home's refusals."""
+
+import datetime
+import random
+import unittest
+
+import expression
+
+from endivewind import clock as clocks
+from endivewind import exchange
+from endivewind.callers import gateway
+from endivewind.callers import placement
+from endivewind.config import objects
+from endivewind.config import store
+from endivewind.decisions import placing
+from endivewind.nodes import view
+from endivewind.targets import records
+
+_ANSWER = expression.Ok(exchange.Answer(200, (), b"whole"))
+
+
+class _Pool:
+    """Plays the links: answers as told, and keeps what was sent where."""
+
+    def __init__(self, results) -> None:
+        self.sent: list[tuple[str, str, int]] = []
+        self._results = results
+
+    async def forward(self, home, target, head, body):
+        self.sent.append((home.name, target, head.attempt))
+        return self._results[home.name]
+
+
+class MovedTargetTest(unittest.IsolatedAsyncioTestCase):
+    """A service's only target moves while the news is still on its way.
+
+    The caller gets its answer. The old home, leaving as planned, refuses the
+    request with the new home's name before gossip has reached the entry; the
+    entry sends it there instead of refusing it for lack of another target.
+    """
+
+    async def test_follows_the_target_to_its_new_home(self):
+        moved = exchange.Refusal(
+            exchange.Outcome.NOT_RUN,
+            exchange.Reason.STALE_HOME,
+            moved_to="new",
+        )
+        pool = _Pool({"old": expression.Error(moved), "new": _ANSWER})
+
+        result = await _serve(pool)
+
+        self.assertTrue(result.is_ok(), result)
+        self.assertEqual([("old", "t1", 1), ("new", "t1", 2)], pool.sent)
+
+    async def test_two_homes_that_name_each_other_end_it(self):
+        to_new = exchange.Refusal(
+            exchange.Outcome.NOT_RUN, exchange.Reason.STALE_HOME, moved_to="new"
+        )
+        to_old = exchange.Refusal(
+            exchange.Outcome.NOT_RUN, exchange.Reason.STALE_HOME, moved_to="old"
+        )
+        pool = _Pool(
+            {"old": expression.Error(to_new), "new": expression.Error(to_old)}
+        )
+
+        result = await _serve(pool)
+
+        self.assertEqual(exchange.Outcome.NOT_RUN, result.error.outcome)
+        self.assertEqual(gateway.MAX_PLACINGS, len(pool.sent))
+
+
+async def _serve(pool: _Pool) -> gateway.AnswerResult:
+    clock = clocks.ManualClock()
+    fleet = view.FleetView()
+    for name in ("old", "new"):
+        fleet.put_node(view.NodeRecord(name, 7, f"{name}:1", "andina", "a"))
+    fleet.put_home("old", 7, 1, [_record()])
+    place = placing.Place("entry", "andina", "a")
+    served = gateway.Gateway(
+        "entry",
+        placement.Placement(place, fleet, lambda _: 0, clock, random.Random(1)),
+        store.ConfigurationStore(),
+        fleet,
+        None,
+        pool,
+        clock,
+    )
+    head = exchange.RequestHead(
+        "r1", "GET", "/", (), "riders", "", datetime.timedelta(seconds=5)
+    )
+    return await served.serve(
+        objects.Route(service="riders"), head, exchange.RequestBody()
+    )
+
+
+def _record() -> records.TargetRecord:
+    return records.TargetRecord(
+        id="t1",
+        service="riders",
+        home="old",
+        home_incarnation=7,
+        sequence=1,
+        region="andina",
+        zone="a",
+        slots=3,
+        weight=1,
+        state=records.State.READY,
+        health=records.Health.NORMAL,
+    )
--- a/endivewind/tests/targets/registry_tests.py
+++ b/endivewind/tests/targets/registry_tests.py
@@ -53,6 +53,14 @@
             moves=moves,
         )
 
+    def test_given_up_target_is_named_with_its_new_home(self):
+        self._announce()
+        self.targets.give_up(self._rival(moves=1))
+        self.assertEqual("n1", self.targets.moved_to("t1"))
+
+        self._announce(moves=2)
+        self.assertEqual("", self.targets.moved_to("t1"))
+
     def test_resumed_home_hands_over_nothing_on_a_lapsed_lease(self):
         """The target has moved; the home must not use its old lease.
 
