--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -29,6 +29,9 @@
 _DROPPED = headers.HOP_BY_HOP | {"host", "expect"}
 # What only the system may say to a caller.
 _OWN_FIELDS = (headers.OUTCOME, headers.REASON)
+# A caller that is answered before its body ends gets this long to read the
+# answer before its connection is closed.
+LINGER = datetime.timedelta(seconds=1)
 LEAVING_RETRY = datetime.timedelta(seconds=1)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -67,6 +70,7 @@
             max_line_size=self._limits.header_bytes,
             max_field_size=self._limits.header_bytes,
             auto_decompress=False,
+            lingering_time=LINGER.total_seconds(),
         )
 
     def refuse_new(self) -> None:
@@ -103,7 +107,7 @@
             headers=_headers_in(call.request.raw_headers, call.request_id),
             service=route.service,
             workspace=call.workspace,
-            remaining=call.remaining,
+            remaining=call.remaining(),
             ticket=call.ticket if call.once else "",
         )
         if call.once:
@@ -131,7 +135,7 @@
         if remaining is None:
             detail = f"{headers.TIMEOUT_MS} must be a whole number from 1"
             return call.refuse(exchange.Reason.BAD_REQUEST, detail)
-        call.remaining = remaining
+        call.deadline = _now() + remaining
         return expression.Ok(route)
 
     def _remaining(
@@ -176,8 +180,18 @@
             return expression.Ok(
                 exchange.RequestBody(b"", self._chunks(request))
             )
+        return await self._held(call, limit, too_large)
+
+    async def _held(
+        self, call: "_Call", limit: int, too_large: str
+    ) -> expression.Result[exchange.RequestBody, exchange.Refusal]:
+        """The whole body; nothing of it has gone on to a target."""
         try:
-            body = await _held_body(request, limit)
+            async with asyncio.timeout(call.remaining().total_seconds()):
+                body = await _held_body(call.request, limit)
+        except TimeoutError:
+            detail = "the body did not end before the deadline"
+            return call.refuse(exchange.Reason.DEADLINE, detail)
         except (OSError, web.RequestPayloadError) as error:
             detail = f"the body broke off: {error}"
             return call.refuse(exchange.Reason.BAD_REQUEST, detail)
@@ -189,11 +203,15 @@
         self, request: web.BaseRequest
     ) -> collections.abc.AsyncGenerator[bytes, None]:
         total = 0
-        async for data in request.content.iter_chunked(_READ_BYTES):
-            total += len(data)
-            if total > self._limits.body_bytes:
-                raise exchange.TruncatedAnswerError("the body is too large")
-            yield data
+        try:
+            async for data in request.content.iter_chunked(_READ_BYTES):
+                total += len(data)
+                if total > self._limits.body_bytes:
+                    limit = f"over {self._limits.body_bytes} bytes"
+                    raise exchange.TruncatedBodyError(limit)
+                yield data
+        except (OSError, web.RequestPayloadError) as error:
+            raise exchange.TruncatedBodyError(str(error)) from error
 
     def _refusal(
         self, call: "_Call", refusal: exchange.Refusal
@@ -256,7 +274,7 @@
         self.workspace = request.headers.get(headers.WORKSPACE, "")
         self.ticket = request.headers.get(headers.IDEMPOTENCY_KEY, "")
         self.once = False
-        self.remaining = datetime.timedelta()
+        self.deadline = datetime.timedelta()
 
     @property
     def path(self) -> str:
@@ -266,6 +284,10 @@
             path if path.startswith("/") else self.request.rel_url.raw_path_qs
         )
 
+    def remaining(self) -> datetime.timedelta:
+        """Time left until the deadline; never zero."""
+        return max(self.deadline - _now(), datetime.timedelta(milliseconds=1))
+
     def refuse(
         self,
         reason: exchange.Reason,
@@ -343,6 +365,10 @@
     return exchange.RequestBody(bytes(held))
 
 
+def _now() -> datetime.timedelta:
+    return datetime.timedelta(seconds=asyncio.get_running_loop().time())
+
+
 def _host(field: str) -> str:
     """The Host field without its port."""
     if field.endswith("]"):
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -140,6 +140,10 @@
     """An answer ended before its announced end."""
 
 
+class TruncatedBodyError(Exception):
+    """A request's body ended before its announced end, or is too large."""
+
+
 def not_run(
     reason: Reason,
     detail: str = "",
@@ -149,6 +153,11 @@
     return Refusal(Outcome.NOT_RUN, reason, detail, retry_after)
 
 
+def broken_body(error: TruncatedBodyError) -> Refusal:
+    """The refusal where a target may have seen a part of the body."""
+    return unknown(Reason.BAD_REQUEST, f"the body broke off: {error}")
+
+
 def unknown(
     reason: Reason,
     detail: str = "",
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -129,6 +129,9 @@
             self._distrust(peer.address)
             detail = f"link to {peer.name}: {error or 'silent'}"
             return expression.Error(failures.lost(detail))
+        except exchange.TruncatedBodyError as error:
+            link.close()
+            return expression.Error(exchange.broken_body(error))
         except BaseException:
             link.close()
             raise
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -47,12 +47,12 @@
       connected: a connection was obtained, so that from now on bytes may
         have been sent.
       reused: the connection had served a request before.
-      caller_failed: the caller's body broke off.
+      broken_body: how the caller's body broke off, if it did.
     """
 
     connected: bool = False
     reused: bool = False
-    caller_failed: bool = False
+    broken_body: exchange.TruncatedBodyError | None = None
 
 
 class Unobserved:
@@ -409,10 +409,12 @@
     detail = str(error) or type(error).__name__
     if not hand_over.may_have_run:
         return _unreachable(hand_over, detail)
-    hand_over.kind = evidence.Kind.LOST
-    if hand_over.progress.caller_failed:
-        # The caller's body broke off; the target is not to blame.
+    broken_body = hand_over.progress.broken_body
+    if broken_body is not None:
+        # The caller did it; the target is not to blame.
         hand_over.kind = evidence.Kind.CANCELLED
+        return expression.Error(exchange.broken_body(broken_body))
+    hand_over.kind = evidence.Kind.LOST
     return expression.Error(
         exchange.unknown(exchange.Reason.TARGET_LOST, detail)
     )
@@ -455,8 +457,8 @@
     try:
         async for data in rest:
             yield data
-    except Exception:
-        progress.caller_failed = True
+    except exchange.TruncatedBodyError as error:
+        progress.broken_body = error
         raise
 
 
--- /dev/null
+++ b/endivewind/tests/mutants.py
@@ -0,0 +1,129 @@
+"""Seeds faults into a copy of the code; the suite must catch each of them."""
+
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_TIMEOUT_SECONDS = 120
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutant:
+    """One safeguard taken out.
+
+    Attributes:
+      name: what is wrong with the mutant.
+      file: the module, below the package.
+      old: the safeguard, found exactly once.
+      new: what stands there in the mutant.
+      tests: module of the tests that must fail.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    tests: str
+
+
+_ONCE = "proofs.at_most_once_tests"
+_WHOLE = "proofs.whole_answer_tests"
+_LEDGER = "targets.handover_tests"
+
+MUTANTS = (
+    Mutant(
+        "the HTTP client sends PUT and DELETE again by itself",
+        "targets/dispatch.py",
+        "        middlewares=(_never_resend,),\n",
+        "",
+        _ONCE,
+    ),
+    Mutant(
+        "the work is cancelled with its caller",
+        "callers/ticketing.py",
+        "                result = await asyncio.shield(execution.finished)\n",
+        "                result = await execution.finished\n",
+        _ONCE,
+    ),
+    Mutant(
+        "an end in the middle passes for the end of an answer",
+        "targets/dispatch.py",
+        "            raise exchange.TruncatedAnswerError(detail) from error\n",
+        "            raise StopAsyncIteration from error\n",
+        _WHOLE,
+    ),
+    Mutant(
+        "a cut answer is ended as if it were whole",
+        "callers/listener.py",
+        "                    call.request.transport.abort()\n",
+        "                    await stream.write_eof()\n",
+        _WHOLE,
+    ),
+    Mutant(
+        "a body that breaks off is passed on as whole",
+        "targets/dispatch.py",
+        "        progress.broken_body = error\n        raise\n",
+        "        progress.broken_body = error\n",
+        _WHOLE,
+    ),
+    Mutant(
+        "a home does not hear that the caller left",
+        "nodes/links.py",
+        "            self.task.cancel()\n",
+        "            pass\n",
+        _WHOLE,
+    ),
+)
+
+
+def main() -> int:
+    """Runs every mutant, or those whose name holds an argument."""
+    wanted = sys.argv[1:]
+    chosen = [
+        mutant
+        for mutant in MUTANTS
+        if not wanted or any(word in mutant.name for word in wanted)
+    ]
+    survived = [mutant for mutant in chosen if not _caught(mutant)]
+    print(f"{len(chosen) - len(survived)} caught, {len(survived)} survived")
+    return 1 if survived or not chosen else 0
+
+
+def _caught(mutant: Mutant) -> bool:
+    with tempfile.TemporaryDirectory() as folder:
+        root = pathlib.Path(folder)
+        shutil.copytree(_ROOT / "endivewind", root / "endivewind")
+        file = root / "endivewind" / mutant.file
+        text = file.read_text()
+        if text.count(mutant.old) != 1:
+            print(f"STALE    {mutant.name}: its safeguard is not found once")
+            return False
+        file.write_text(text.replace(mutant.old, mutant.new))
+        caught = _fails(root, f"endivewind.tests.{mutant.tests}")
+    print(f"{'caught  ' if caught else 'SURVIVED'} {mutant.name}", flush=True)
+    return caught
+
+
+def _fails(root: pathlib.Path, tests: str) -> bool:
+    """Whether the tests ran and failed; a mutant that can't start is none."""
+    environment = {**os.environ, "PYTHONPATH": str(root)}
+    ran = subprocess.run(
+        [sys.executable, "-m", "endivewind.tests", tests],
+        cwd=root,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=_TIMEOUT_SECONDS,
+        check=False,
+    )
+    broken = "ImportError" in ran.stderr or "SyntaxError" in ran.stderr
+    return ran.returncode == 1 and not broken
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/endivewind/tests/proofs/calls.py
+++ b/endivewind/tests/proofs/calls.py
@@ -58,6 +58,7 @@
         work: str = "",
         fault: str = "",
         body: Any = b"{}",
+        path: str = "/work",
         **fields: str,
     ) -> Reply:
         """Sends one request; a broken connection is a reply as well."""
@@ -68,7 +69,7 @@
             sent["Work-Id"] = work
         if fault:
             sent[standin.FAULT_HEADER] = fault
-        url = f"http://{node.listening['callers']}/work"
+        url = f"http://{node.listening['callers']}{path}"
         try:
             async with (
                 asyncio.timeout(WAIT_SECONDS),
@@ -81,9 +82,14 @@
         except aiohttp.ClientError:
             return Reply(0)
 
-    async def key(self, node: processes.Process, method: str = "POST") -> str:
+    async def key(
+        self,
+        node: processes.Process,
+        method: str = "POST",
+        path: str = "/work",
+    ) -> str:
         """A fresh key of a node."""
-        asked = await self.send(node, method, body=None)
+        asked = await self.send(node, method, body=None, path=path)
         return asked.key
 
     async def runs(self, fleet: processes.Fleet) -> collections.Counter[str]:
