--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,7 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ()
+MEASUREMENTS: tuple[str, ...] = ("spreading",)
 
 BINARY = running.Binary(
     name="endivewind-bench",
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -54,7 +54,7 @@
 
 
 class LinkPool:
-    """Connections to peers, for forwarding and for announcements."""
+    """Connections to peers, for forwarding and for gossip's repairs."""
 
     def __init__(
         self, clock: clocks.Clock, tls: ssl.SSLContext | None = None
@@ -412,8 +412,12 @@
         """Runs a send of a ticket that this node issued."""
         raise NotImplementedError
 
-    def announced(self, announce: Any) -> None:
-        """Takes another home's announcement."""
+    def gossiped(self, frame: Any) -> None:
+        """Takes a frame of another node's gossip."""
+        raise NotImplementedError
+
+    def configuration(self, message: Any) -> None:
+        """Takes what a peer tells of its configuration."""
         raise NotImplementedError
 
 
@@ -460,17 +464,31 @@
         """Waits until no exchange is being served."""
         await self._idle.wait()
 
-    async def start(
+    async def bind(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> str:
-        """Listens and returns the address bound."""
+        """Binds and returns the address; nothing is accepted before serve().
+
+        The node needs the address to build what answers the links.
+        """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._protocol, host, port, ssl=tls, reuse_address=True
+            self._protocol,
+            host,
+            port,
+            ssl=tls,
+            reuse_address=True,
+            start_serving=False,
         )
         bound = self._server.sockets[0].getsockname()
         return f"{host}:{bound[1]}"
 
+    async def serve(self) -> None:
+        """Accepts links from now on."""
+        if self._server is None:
+            raise RuntimeError("bind() comes first")
+        await self._server.start_serving()
+
     async def stop(self) -> None:
         """Stops listening and closes every link."""
         if self._server:
@@ -500,8 +518,10 @@
             while True:
                 async with asyncio.timeout(SERVER_IDLE_LIMIT.total_seconds()):
                     frame = await codec.read_frame(reader)
-                if frame.announce:
-                    self._home.announced(frame.announce)
+                if frame.fleet_state or frame.pull:
+                    self._home.gossiped(frame)
+                elif frame.configuration:
+                    self._home.configuration(frame.configuration)
                 elif frame.forward:
                     await self._counted(frame.forward, reader, writer)
                 else:
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -121,7 +121,8 @@
         timeout=_TIMEOUT_SECONDS,
         check=False,
     )
-    broken = "ImportError" in ran.stderr or "SyntaxError" in ran.stderr
+    output = ran.stdout + ran.stderr
+    broken = "ImportError" in output or "SyntaxError" in output
     return ran.returncode == 1 and not broken
 
 
--- /dev/null
+++ b/endivewind/tests/proofs/stop_tests.py
@@ -0,0 +1,193 @@
+"""Proofs on real processes that a planned stop cuts nothing."""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import unittest
+
+import aiohttp
+
+from endivewind.standins import target as standin
+from endivewind.tests import processes
+from endivewind.tests.proofs import calls
+
+CONFIGURATION = {
+    "services": {"ledger": {"slots": 50}},
+    "route_groups": {
+        "saltline": {
+            "routes": [
+                {"service": "ledger", "repeat": "always"},
+                {"service": "ledger", "prefix": "/once", "repeat": "never"},
+            ]
+        }
+    },
+}
+NODES = ("node-1", "node-2", "node-3")
+STOP_SECONDS = 3.0
+RATE = 200
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Nodes and targets leave one after the other while callers call."""
+
+    async def test_node_finishes_what_it_has_and_refuses_the_rest(self):
+        """A skipper waits for a slow payout while its node is replaced.
+
+        The node gives notice, finishes the payout, keeps its answer for a
+        resend until the stop's limit and refuses new work with the time to
+        come back. It then ends by itself.
+        """
+        async with _fleet() as (fleet, caller):
+            node, other = fleet.nodes["node-1"], fleet.nodes["node-2"]
+            key = await caller.key(node, path="/once")
+            kept = {"key": key, "work": "slow", "path": "/once"}
+            slow = asyncio.create_task(
+                caller.send(node, fault=standin.Fault.DELAY, **kept)
+            )
+            streamed = asyncio.create_task(
+                caller.send(node, "GET", fault=standin.Fault.SLOW_STREAM)
+            )
+            await fleet.target_runs("slow")
+            stopping = asyncio.create_task(node.stop())
+            await node.message("drained")
+            refused = await caller.send(node, "GET")
+            again = await caller.send(
+                other, fault=standin.Fault.DELAY, **kept
+            )
+
+            self.assertEqual(200, (await slow).status)
+            whole = await streamed
+            self.assertEqual(200, whole.status)
+            self.assertEqual(standin.WHOLE_BYTES // 20, len(whole.body))
+            self.assertEqual((503, "not-run"), (refused.status, refused.outcome))
+            self.assertEqual("stopping", refused.reason)
+            self.assertIn("Retry-After", refused.headers)
+            self.assertEqual(
+                (200, (await slow).body), (again.status, again.body)
+            )
+            self.assertEqual(0, await stopping)
+            self.assertEqual(1, (await caller.runs(fleet))["slow"])
+
+    async def test_rolling_replacement_under_load(self):
+        """All nodes and all targets are replaced while callers call.
+
+        Each caller sends to one node and goes to the next one when it is
+        refused, as a balancer would have it. Every request ends in one whole
+        answer, and no work ran twice.
+        """
+        async with _fleet() as (fleet, caller):
+            load = _Load(fleet, caller)
+            calling = asyncio.create_task(load.run())
+            for name in NODES:
+                load.avoid = name
+                code = await fleet.nodes[name].stop()
+                self.assertEqual(0, code)
+                fresh = await fleet.node(
+                    name, "north-a", limits={"stop_seconds": STOP_SECONDS}
+                )
+                await fresh.message("in force", object="saltline")
+                load.avoid = ""
+            load.stopped = True
+            await calling
+
+            runs = await caller.runs(fleet)
+            doubled = {work for work, count in runs.items() if count > 1}
+            lost = load.answered - set(runs)
+            self.assertGreater(len(load.answered), RATE)
+            self.assertEqual(collections.Counter(), load.failures)
+            self.assertEqual((set(), set()), (doubled, lost))
+
+    async def test_target_that_leaves_gets_no_new_work(self):
+        """A venue's target is withdrawn; its last request ends as usual."""
+        async with _fleet() as (fleet, caller):
+            entry = fleet.nodes["node-3"]
+            leaving = fleet.targets["ledger-1"]
+            slow = [
+                asyncio.create_task(
+                    caller.send(entry, "GET", work="slow", fault="delay")
+                )
+                for _ in range(12)
+            ]
+            await leaving.message("work runs")
+            await caller.withdraw(fleet.nodes["node-1"], "ledger-1")
+            for node in fleet.nodes.values():
+                await node.message("target gone", target="ledger-1")
+            before = await caller.runs_of(leaving)
+            replies = await asyncio.gather(
+                *(caller.send(entry, "GET", work="new") for _ in range(50))
+            )
+            after = await caller.runs_of(leaving)
+
+            self.assertEqual({200}, {reply.status for reply in replies})
+            self.assertEqual(before["new"], after["new"])
+            self.assertEqual(
+                {200}, {reply.status for reply in await asyncio.gather(*slow)}
+            )
+
+
+class _Load:
+    """Requests at a steady rate, half of them under a key."""
+
+    def __init__(self, fleet, caller) -> None:
+        self._fleet = fleet
+        self._caller = caller
+        self.avoid = ""
+        self.stopped = False
+        self.answered: set[str] = set()
+        self.failures: collections.Counter[str] = collections.Counter()
+
+    async def run(self) -> None:
+        """Sends until stopped, then waits for every answer."""
+        async with asyncio.TaskGroup() as group:
+            loop = asyncio.get_running_loop()
+            start = loop.time()
+            for number in itertools.count():
+                if self.stopped:
+                    return
+                group.create_task(self._one(number))
+                due = start + (number + 1) / RATE
+                await asyncio.sleep(max(0.0, due - loop.time()))
+
+    async def _one(self, number: int) -> None:
+        once = number % 2 == 0
+        work = f"w{number}"
+        names = itertools.cycle(NODES[number % 3 :] + NODES[: number % 3])
+        key = ""
+        for name in itertools.islice(names, 30):
+            if name == self.avoid and number % 10:
+                # Most callers are behind a balancer that sees the notice.
+                continue
+            reply = await self._caller.send(
+                self._fleet.nodes[name],
+                "POST" if once else "GET",
+                key,
+                work,
+                path="/once" if once else "/work",
+            )
+            if reply.status == 200:
+                self.answered.add(work)
+                return
+            if reply.status == 428 or reply.outcome == "not-run":
+                key = reply.key
+            elif reply.status:
+                self.failures[f"{reply.status} {reply.reason}"] += 1
+                return
+        self.failures["given up"] += 1
+
+
+@contextlib.asynccontextmanager
+async def _fleet():
+    """Three nodes, three targets at different homes, and a caller."""
+    async with processes.Fleet() as fleet, aiohttp.ClientSession() as session:
+        limits = {"stop_seconds": STOP_SECONDS}
+        nodes = await asyncio.gather(
+            *(fleet.node(name, "north-a", limits=limits) for name in NODES)
+        )
+        for index in range(3):
+            homes = nodes[index:] + nodes[:index]
+            await fleet.target(f"ledger-{index + 1}", "ledger", homes)
+        await fleet.submit(CONFIGURATION)
+        for node in nodes:
+            await node.message("in force", object="saltline")
+        yield fleet, calls.Caller(session)
