--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -143,13 +143,14 @@
         if route is None:
             return call.refuse(exchange.Reason.NO_ROUTE, f"no route for {host}")
         call.once = not gateway.may_repeat(route, call.request.method)
-        if call.once and not call.ticket:
-            detail = "send again with the Idempotency-Key of this answer"
-            return call.refuse(exchange.Reason.TICKET_REQUIRED, detail)
-        if self._leaving and not call.once:
+        keyed = call.once and bool(call.ticket)
+        if self._leaving and not keyed:
             return call.refuse(
                 exchange.Reason.STOPPING, "the node is leaving", LEAVING_RETRY
             )
+        if call.once and not call.ticket:
+            detail = "send again with the Idempotency-Key of this answer"
+            return call.refuse(exchange.Reason.TICKET_REQUIRED, detail)
         remaining = self._remaining(call.request, route)
         if remaining is None:
             detail = f"{headers.TIMEOUT_MS} must be a whole number from 1"
