--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,7 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ("spreading",)
+MEASUREMENTS: tuple[str, ...] = ("matrix", "overhead", "spreading")
 
 BINARY = running.Binary(
     name="endivewind-bench",
--- a/endivewind/commands/main.py
+++ b/endivewind/commands/main.py
@@ -6,7 +6,11 @@
     "validate",
     "submit",
     "get",
+    "diff",
+    "watch",
+    "audit",
     "status",
+    "demo",
 )
 
 BINARY = running.Binary(
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -13,6 +13,7 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import logs
+from endivewind import metrics
 from endivewind import tls
 from endivewind.callers import gateway
 from endivewind.callers import listener
@@ -28,6 +29,7 @@
 from endivewind.nodes import links
 from endivewind.nodes import service
 from endivewind.nodes import view
+from endivewind.operators import configuration as operators
 from endivewind.operators import http
 from endivewind.platform import client
 from endivewind.platform import membership
@@ -35,6 +37,7 @@
 from endivewind.platform import watcher
 from endivewind.targets import api
 from endivewind.targets import dispatch
+from endivewind.targets import judge
 from endivewind.targets import registry
 
 log = logging.getLogger(__name__)
@@ -79,6 +82,7 @@
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
         # Set by start(), which needs the running loop.
+        self._judge: judge.Judge
         self._dispatcher: dispatch.Dispatcher
         self._gateway: gateway.Gateway
         self._listener: listener.Listener
@@ -104,15 +108,23 @@
     async def start(self) -> Addresses:
         """Binds every address, joins the fleet and starts the tasks."""
         config = self._settings
+        self._judge = judge.Judge(
+            self._targets,
+            self._profile,
+            self._clock,
+            self._targets_changed,
+        )
         self._dispatcher = dispatch.Dispatcher.from_registry(
-            self._targets, self._clock
+            self._targets, self._clock, self._judge
         )
         self._session = aiohttp.ClientSession()
         self._platform = client.PlatformClient(config.platform, self._session)
         place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
             config.name,
-            placement.Placement(place, self._fleet, self._clock, self._rng),
+            placement.Placement(
+                place, self._fleet, self._floor, self._clock, self._rng
+            ),
             self._configuration,
             self._fleet,
             self._dispatcher,
@@ -143,6 +155,7 @@
             self._fleet,
             self._pool,
             self._restorer,
+            self._platform.budget,
             self._in_force,
             self._clock,
             self._rng,
@@ -180,6 +193,7 @@
             self._configuration_peer.run(),
             self._register(),
             self._expire(),
+            self._judge_often(),
         ):
             self._tasks.append(asyncio.create_task(work))
         return addresses
@@ -213,13 +227,9 @@
         body: exchange.RequestBody,
     ) -> links.AnswerResult:
         """Runs a forwarded request, if it is meant for this start."""
-        if home_incarnation != self._incarnation:
-            return links.expression.Error(
-                exchange.not_run(
-                    exchange.Reason.STALE_HOME, "an earlier start was meant"
-                )
-            )
-        return await self._dispatcher.run(target, head, body)
+        return await self._dispatcher.run_forwarded(
+            target, home_incarnation, head, body
+        )
 
     async def run_as_issuer(
         self,
@@ -251,18 +261,25 @@
             web.AppRunner(target_api.application(), access_log=None),
             config.targets,
         )
-        sources = http.Sources(self._not_ready, self._status)
-        operators = await self._serve(
-            web.AppRunner(
-                http.OperatorApi(sources).application(), access_log=None
-            ),
+        sources = http.Sources(
+            self._not_ready,
+            self._status,
+            metrics.NodeMetrics(self._metric_sources()).render,
+        )
+        operators_address = await self._serve(
+            web.AppRunner(self._operator_application(sources), access_log=None),
             config.operators,
         )
         host, port = _split(config.nodes)
         nodes = await self._link_server.bind(
             host, port, tls.server_context(config.nodes_tls)
         )
-        return Addresses(callers, targets, nodes, operators)
+        return Addresses(callers, targets, nodes, operators_address)
+
+    def _operator_application(self, sources: http.Sources) -> web.Application:
+        application = http.OperatorApi(sources).application()
+        operators.add_route(application, self._configuration_peer.asking)
+        return application
 
     async def _serve(
         self,
@@ -281,14 +298,22 @@
         found = self._configuration.service(service) or objects.Service()
         return found.slots
 
+    def _floor(self, service: str) -> int:
+        found = self._configuration.service(service)
+        return found.floor_slots if found else 0
+
+    def _profile(self, service: str) -> objects.Profile:
+        found = self._configuration.service(service) or objects.Service()
+        return found.profile
+
     def _targets_changed(self) -> None:
         self._gossip.targets_changed()
         held = [item.id for item in self._targets.announced()]
         log.info("targets held", extra=logs.fields(targets=held))
 
-    def configuration(self, message: Any) -> None:
-        """Takes what a peer tells of its configuration."""
-        self._configuration_peer.received(message)
+    def configuration(self, frame: Any) -> None:
+        """Takes what a peer tells of its configuration, or asks."""
+        self._configuration_peer.frame(frame)
 
     def _in_force(self, key: store.Key) -> None:
         self._gateway.configure(key.kind, key.name)
@@ -312,6 +337,21 @@
                 log.warning("leases ended", extra=logs.fields(targets=gone))
                 self._targets_changed()
 
+    async def _judge_often(self) -> None:
+        while True:
+            await asyncio.sleep(judge.PERIOD.total_seconds())
+            self._judge.advance()
+
+    def _metric_sources(self) -> metrics.Sources:
+        return metrics.Sources(
+            requests=self._gateway.counts,
+            health_changes=self._judge.changes,
+            targets=self._targets.announced,
+            nodes=lambda: len(self._fleet.nodes),
+            idle_links=lambda: self._pool.idle,
+            version=lambda: self._configuration.version,
+        )
+
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
@@ -325,7 +365,11 @@
             "nodes": sorted(self._fleet.nodes),
             "members": self._gossip.status(),
             "targets": [
-                dataclasses.asdict(item) for item in self._fleet.all_targets()
+                {
+                    **dataclasses.asdict(item),
+                    "reason": self._judge.causes.get(item.id, ""),
+                }
+                for item in self._fleet.all_targets()
             ],
             "in_flight": self._listener.in_flight,
         }
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -64,6 +64,11 @@
         self._idle: dict[str, list[_Link]] = {}
         self._numbers = itertools.count(1)
 
+    @property
+    def idle(self) -> int:
+        """Open links that carry nothing now."""
+        return sum(len(links) for links in self._idle.values())
+
     async def forward(
         self,
         home: view.NodeRecord,
@@ -80,7 +85,7 @@
         forward = _forward_out(head, body)
         forward.target = target
         forward.home_incarnation = home.incarnation
-        return await self._call(home, forward, head, body, _HOME_FAILURES)
+        return await self._call(home, forward, head, body, HOME_FAILURES)
 
     async def forward_to_issuer(
         self,
@@ -100,7 +105,7 @@
         forward.to_issuer = True
         forward.home_incarnation = incarnation
         forward.priority = priority
-        return await self._call(issuer, forward, head, body, _ISSUER_FAILURES)
+        return await self._call(issuer, forward, head, body, ISSUER_FAILURES)
 
     async def _call(
         self,
@@ -108,7 +113,7 @@
         forward: Any,
         head: exchange.RequestHead,
         body: exchange.RequestBody,
-        failures: "_Failures",
+        failures: "Failures",
     ) -> AnswerResult:
         link = self._take_idle(peer.address)
         if link is None:
@@ -267,7 +272,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Failures:
+class Failures:
     """What a failed link means to whoever used it."""
 
     unreachable: collections.abc.Callable[[str], exchange.Refusal]
@@ -280,11 +285,11 @@
     )
 
 
-_HOME_FAILURES = _Failures(
+HOME_FAILURES = Failures(
     lambda detail: exchange.not_run(exchange.Reason.HOME_UNREACHABLE, detail),
     lambda detail: exchange.unknown(exchange.Reason.HOME_LOST, detail),
 )
-_ISSUER_FAILURES = _Failures(_issuer_lost, _issuer_lost)
+ISSUER_FAILURES = Failures(_issuer_lost, _issuer_lost)
 
 
 async def _next_frame(link: _Link) -> Any:
@@ -416,8 +421,8 @@
         """Takes a frame of another node's gossip."""
         raise NotImplementedError
 
-    def configuration(self, message: Any) -> None:
-        """Takes what a peer tells of its configuration."""
+    def configuration(self, frame: Any) -> None:
+        """Takes what a peer tells of its configuration, or asks."""
         raise NotImplementedError
 
 
@@ -520,8 +525,12 @@
                     frame = await codec.read_frame(reader)
                 if frame.fleet_state or frame.pull:
                     self._home.gossiped(frame)
-                elif frame.configuration:
-                    self._home.configuration(frame.configuration)
+                elif (
+                    frame.configuration
+                    or frame.configuration_ask
+                    or frame.configuration_state
+                ):
+                    self._home.configuration(frame)
                 elif frame.forward:
                     await self._counted(frame.forward, reader, writer)
                 else:
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -30,6 +30,7 @@
 # An answer that has begun and then moves no byte for this long is cut.
 PROGRESS_LIMIT = datetime.timedelta(seconds=30)
 WHOLE_ANSWER_BYTES = 65_536
+_HOP_BY_HOP = frozenset(name.encode() for name in headers.HOP_BY_HOP)
 _READ_BYTES = 65_536
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
@@ -58,6 +59,10 @@
 class Unobserved:
     """An observer that keeps nothing."""
 
+    def started(self, target: str, service: str) -> int:
+        """Takes the start of a hand-over."""
+        return 0
+
     def finished(self, sample: evidence.Sample) -> None:
         """Takes one sample."""
 
@@ -122,6 +127,24 @@
         """Hands nothing over any more; what runs goes on."""
         self._closed = True
 
+    async def run_forwarded(
+        self,
+        target: str,
+        home_incarnation: int,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        """Runs a request of another node, if it is meant for this start.
+
+        An earlier start's record of attempts is gone with it, so that this
+        one could not tell a copy from a first hand-over.
+        """
+        if home_incarnation != self._targets.incarnation:
+            return _refuse(
+                exchange.Reason.STALE_HOME, "an earlier start was meant"
+            )
+        return await self.run(target, head, body)
+
     async def run(
         self,
         target: str,
@@ -251,6 +274,7 @@
         self._latency: datetime.timedelta | None = None
         self._ended = False
         item.in_use += 1
+        self._number = observer.started(item.record.id, item.record.service)
 
     @property
     def may_have_run(self) -> bool:
@@ -285,6 +309,7 @@
                 workspace=self._head.workspace,
                 kind=kind or self.kind,
                 latency=latency,
+                number=self._number,
             )
         )
 
@@ -464,8 +489,10 @@
 
 def _headers_out(head: exchange.RequestHead) -> multidict.CIMultiDict[str]:
     fields = multidict.CIMultiDict(
-        (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
-        for name, value in head.headers
+        [
+            (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
+            for name, value in head.headers
+        ]
     )
     remaining = head.remaining // datetime.timedelta(milliseconds=1)
     fields[headers.TIMEOUT_MS] = str(max(1, remaining))
@@ -473,8 +500,4 @@
 
 
 def _headers_in(pairs: exchange.HeaderList) -> exchange.HeaderList:
-    return tuple(
-        (name, value)
-        for name, value in pairs
-        if name.decode("latin-1").lower() not in headers.HOP_BY_HOP
-    )
+    return tuple([item for item in pairs if item[0].lower() not in _HOP_BY_HOP])
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -118,6 +118,11 @@
         self._resumed: datetime.timedelta | None = None
         self._stopping = False
 
+    @property
+    def incarnation(self) -> int:
+        """The home's start, which forwarded requests must mean."""
+        return self._home.incarnation
+
     @property
     def sequence(self) -> int:
         """Grows with every change that the fleet must hear."""
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -34,8 +34,76 @@
 _ONCE = "proofs.at_most_once_tests"
 _WHOLE = "proofs.whole_answer_tests"
 _LEDGER = "targets.handover_tests"
+_FUZZ = "proofs.at_most_once_fuzz_tests"
+_LINKS = "nodes.links_tests"
+_TICKETS = "callers.tickets_tests"
 
 MUTANTS = (
+    Mutant(
+        "an attempt is recorded after its hand-over",
+        "targets/dispatch.py",
+        "        if refused is not None:\n"
+        "            return expression.Error(refused)\n"
+        "        result = await self._run(target, head, body)\n",
+        "        del self._ledger._attempts[head.ticket]\n"
+        "        result = await self._run(target, head, body)\n"
+        "        self._ledger.begin(\n"
+        "            head.ticket, head.attempt, self._clock.monotonic()\n"
+        "        )\n",
+        _FUZZ,
+    ),
+    Mutant(
+        "work is placed again without a sealed not-run",
+        "callers/gateway.py",
+        "    if refusal.outcome is exchange.Outcome.NOT_RUN:\n",
+        "    if refusal.outcome is not exchange.Outcome.RAN:\n",
+        _FUZZ,
+    ),
+    Mutant(
+        "a late copy of a sealed attempt is taken",
+        "targets/handover.py",
+        "    if number > known.number and known.sealed:\n",
+        "    if number >= known.number and known.sealed:\n",
+        _LEDGER,
+    ),
+    Mutant(
+        "the issuer's incarnation is not checked",
+        "callers/tickets.py",
+        "        if (ticket.node, ticket.incarnation) != "
+        "(self._node, self._incarnation):\n            return False\n",
+        "",
+        _TICKETS,
+    ),
+    Mutant(
+        "a link is used again after a part of an answer",
+        "nodes/links.py",
+        "            self._link.close()\n",
+        "            self._pool._give_back(self._address, self._link)\n",
+        _LINKS,
+    ),
+    Mutant(
+        "a deadline that passed is told as not run",
+        "targets/dispatch.py",
+        "    return expression.Error("
+        "exchange.unknown(exchange.Reason.DEADLINE, detail))\n",
+        "    return expression.Error("
+        "exchange.not_run(exchange.Reason.DEADLINE, detail))\n",
+        _FUZZ,
+    ),
+    Mutant(
+        "a ticket that was told not-run starts later",
+        "callers/ticket_book.py",
+        "            self._barrier = now\n",
+        "",
+        _TICKETS,
+    ),
+    Mutant(
+        "the end of a planned stop waits for nothing",
+        "node.py",
+        "        await departure.run(datetime.timedelta(seconds=limit))\n",
+        "",
+        "proofs.stop_tests",
+    ),
     Mutant(
         "the HTTP client sends PUT and DELETE again by itself",
         "targets/dispatch.py",
