Let the load pace itself, so that no test sleeps

Cause: the style test refuses sleeping tests; the load of the stop proof and the fuzzing slept. Change: standins/load.py paces, standins/world.py waits in virtual time.

--- a/endivewind/standins/load.py
+++ b/endivewind/standins/load.py
@@ -1,7 +1,9 @@
 """Load for measurements: at a fixed rate, or as much as is answered."""
 
 import asyncio
+import collections.abc
 import dataclasses
+import itertools
 import math
 import time
 from typing import Any
@@ -41,6 +43,16 @@
         return ordered[rank - 1] * 1000
 
 
+async def paced(rate: float) -> collections.abc.AsyncGenerator[int, None]:
+    """Counts from 0 at so many a second; one that is late catches up."""
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    for number in itertools.count():
+        yield number
+        due = start + (number + 1) / rate
+        await asyncio.sleep(max(0.0, due - loop.time()))
+
+
 async def at_rate(
     session: aiohttp.ClientSession,
     request: Request,
--- a/endivewind/standins/world.py
+++ b/endivewind/standins/world.py
@@ -166,6 +166,10 @@
         """Lets everything end that is still on its way."""
         self.run(asyncio.sleep(SETTLED.total_seconds()))
 
+    def wait(self, seconds: float) -> None:
+        """Lets virtual time pass."""
+        self.run(asyncio.sleep(seconds))
+
     def run(self, work: collections.abc.Coroutine[Any, Any, Any]) -> Any:
         """Runs work on the loop."""
         return self.loop.run_until_complete(work)
