--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -5,6 +5,7 @@
 MEASUREMENTS: tuple[str, ...] = (
     "control",
     "decisions",
+    "matrix",
     "overhead",
     "spreading",
 )
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -227,13 +227,9 @@
         body: exchange.RequestBody,
     ) -> links.AnswerResult:
         """Runs a forwarded request, if it is meant for this start."""
-        if home_incarnation != self._incarnation:
-            return links.expression.Error(
-                exchange.not_run(
-                    exchange.Reason.STALE_HOME, "an earlier start was meant"
-                )
-            )
-        return await self._dispatcher.run(target, head, body)
+        return await self._dispatcher.run_forwarded(
+            target, home_incarnation, head, body
+        )
 
     async def run_as_issuer(
         self,
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -121,6 +121,11 @@
         self._stopping = False
         self._moved: dict[str, str] = {}
 
+    @property
+    def incarnation(self) -> int:
+        """The home's start, which forwarded requests must mean."""
+        return self._home.incarnation
+
     @property
     def sequence(self) -> int:
         """Grows with every change that the fleet must hear."""
--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -40,11 +40,17 @@
         """Log lines read so far."""
         return self._seen
 
+    def mark(self) -> int:
+        """A place in the log: the lines read so far."""
+        return len(self._seen)
+
     async def line(
-        self, wanted: collections.abc.Callable[[dict[str, Any]], bool]
+        self,
+        wanted: collections.abc.Callable[[dict[str, Any]], bool],
+        since: int = 0,
     ) -> dict[str, Any]:
-        """Waits for a log line, one read before included."""
-        checked = 0
+        """Waits for a log line, one read since a mark included."""
+        checked = since
         async with asyncio.timeout(WAIT_SECONDS):
             while True:
                 news = self._news
--- a/endivewind/tests/proofs/calls.py
+++ b/endivewind/tests/proofs/calls.py
@@ -17,11 +17,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
-    """What a caller got; status 0 where the connection broke."""
+    """What a caller got; status 0 where there was no whole answer.
+
+    A connection that was never made cut nothing; one that broke later did.
+    """
 
     status: int
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
+    cut: bool = False
 
     @property
     def outcome(self) -> str:
@@ -58,6 +62,7 @@
         work: str = "",
         fault: str = "",
         body: Any = b"{}",
+        path: str = "/work",
         **fields: str,
     ) -> Reply:
         """Sends one request; a broken connection is a reply as well."""
@@ -68,7 +73,7 @@
             sent["Work-Id"] = work
         if fault:
             sent[standin.FAULT_HEADER] = fault
-        url = f"http://{node.listening['callers']}/work"
+        url = f"http://{node.listening['callers']}{path}"
         try:
             async with (
                 asyncio.timeout(WAIT_SECONDS),
@@ -78,25 +83,52 @@
             ):
                 read = await response.read()
                 return Reply(response.status, dict(response.headers), read)
-        except aiohttp.ClientError:
+        except aiohttp.ClientConnectorError:
             return Reply(0)
+        except aiohttp.ClientError:
+            return Reply(0, cut=True)
 
-    async def key(self, node: processes.Process, method: str = "POST") -> str:
+    async def key(
+        self,
+        node: processes.Process,
+        method: str = "POST",
+        path: str = "/work",
+    ) -> str:
         """A fresh key of a node."""
-        asked = await self.send(node, method, body=None)
+        asked = await self.send(node, method, body=None, path=path)
         return asked.key
 
     async def runs(self, fleet: processes.Fleet) -> collections.Counter[str]:
         """How often each work ran, over all targets."""
         total: collections.Counter[str] = collections.Counter()
         for target in fleet.targets.values():
-            total.update(await self._read(target, standin.COUNTS_PATH))
+            total.update(await self.runs_at(target))
         return total
 
+    async def runs_at(
+        self, target: processes.Process
+    ) -> collections.Counter[str]:
+        """How often each work ran at one target."""
+        counts = await self._read(target, standin.COUNTS_PATH)
+        return collections.Counter(counts)
+
     async def events(self, target: processes.Process) -> dict[str, Any]:
         """What broke off at a target."""
         return await self._read(target, standin.EVENTS_PATH)
 
+    async def states(self, node: processes.Process) -> dict[str, str]:
+        """The state of each target as a node knows it."""
+        url = f"http://{node.listening['operators']}/v1/status"
+        async with self._session.get(url) as response:
+            known = (await response.json())["targets"]
+            return {item["id"]: item["state"] for item in known}
+
+    async def drain(self, target: processes.Process) -> None:
+        """Has a target announce that it is draining."""
+        url = f"http://{target.listening['address']}{standin.FAULT_PATH}"
+        async with self._session.put(url, json={"draining": True}) as response:
+            response.raise_for_status()
+
     async def _read(self, target: processes.Process, path: str) -> Any:
         url = f"http://{target.listening['address']}{path}"
         async with self._session.get(url) as response:
