--- a/endivewind/commands/options.py
+++ b/endivewind/commands/options.py
@@ -22,6 +22,8 @@
 )
 FORMAT = flags.DEFINE_enum("format", "text", ["text", "json"], "Output format.")
 
+STDIN = "<stdin>"
+
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
 
 PlatformWork = collections.abc.Callable[
@@ -44,7 +46,7 @@
 def load(file: str, model: type[ModelT]) -> base.Loaded[ModelT]:
     """Reads a YAML file into a model, "-" for standard input."""
     if file == "-":
-        loaded = base.load_bytes(sys.stdin.buffer.read(), "<stdin>", model)
+        loaded = base.load_bytes(sys.stdin.buffer.read(), STDIN, model)
     else:
         loaded = base.load_file(file, model)
     if loaded.is_error():
--- a/endivewind/targets/judge.py
+++ b/endivewind/targets/judge.py
@@ -1,5 +1,6 @@
 """Judges this home's targets by their real work, and tells the registry."""
 
+import collections
 import collections.abc
 import datetime
 import itertools
@@ -53,15 +54,26 @@
         self._changed = changed
         self._numbers = itertools.count(1)
         self._services: dict[str, judging.ServiceJudge] = {}
+        self._causes: dict[str, str] = {}
+        self._changes: dict[tuple[str, str], int] = collections.defaultdict(int)
+
+    @property
+    def causes(self) -> collections.abc.Mapping[str, str]:
+        """Why a target is not in full service, by target; for operators."""
+        return self._causes
+
+    @property
+    def changes(self) -> collections.abc.Mapping[tuple[str, str], int]:
+        """Verdicts so far, by service and health."""
+        return self._changes
 
     def service(self, name: str) -> judging.ServiceJudge:
         """The judge of a service; made when it is first needed."""
-        limits = _BOUNDS[self._profile_of(name)]
         known = self._services.get(name)
         if known is None:
-            known = self._services[name] = judging.ServiceJudge(limits)
-        elif known.limits is not limits:
-            known.configure(limits)
+            known = self._services[name] = judging.ServiceJudge(
+                self._limits(name)
+            )
         return known
 
     def started(self, target: str, service: str) -> int:
@@ -87,19 +99,34 @@
     def advance(self) -> None:
         """Looks for overdue requests and ended holds; call it often."""
         now = self._clock.monotonic()
-        for judge in self._services.values():
+        for name, judge in self._services.items():
+            # Here and not at each request: a profile changes seldom.
+            limits = self._limits(name)
+            if judge.limits is not limits:
+                judge.configure(limits)
             self._forget_gone(judge)
             for change in judge.advance(now):
                 self._apply(change)
 
+    def _limits(self, name: str) -> bounds.ErrorBounds:
+        return _BOUNDS[self._profile_of(name)]
+
     def _forget_gone(self, judge: judging.ServiceJudge) -> None:
         for target in judge.targets():
             if self._targets.get(target) is None:
                 judge.forget(target)
+                self._causes.pop(target, None)
 
     def _apply(self, change: judging.Change) -> None:
         health = records.Health(change.status.value)
         self._targets.set_health(change.target, health)
+        item = self._targets.get(change.target)
+        if item is not None:
+            self._changes[item.record.service, health.value] += 1
+        if health is records.Health.NORMAL:
+            self._causes.pop(change.target, None)
+        elif change.cause:
+            self._causes[change.target] = change.cause
         fields = logs.fields(
             target=change.target,
             health=health.value,
