Say which TLS files can't be used, and why a node can't start

Cause: a missing certificate or a busy address ended in a traceback, and ssl's error does not name the file. The test of the secured fleet also reads /metrics of the entry.

--- a/endivewind/commands/node.py
+++ b/endivewind/commands/node.py
@@ -47,13 +47,9 @@
 
 async def _run(config: settings.NodeSettings) -> int:
     logs.configure(config.log_level)
-    try:
-        member = node.Node.from_settings(
-            config, clocks.SystemClock(), random.Random()
-        )
-    except OSError as error:
-        # ssl.SSLError is an OSError, too.
-        raise exceptions.UsageError(f"can't use TLS files: {error}") from error
+    member = node.Node.from_settings(
+        config, clocks.SystemClock(), random.Random()
+    )
     try:
         addresses = await member.start()
     except OSError as error:
--- a/endivewind/tests/tls_tests.py
+++ b/endivewind/tests/tls_tests.py
@@ -56,6 +56,11 @@
                     answer = await response.json()
 
             self.assertEqual("riders-1", answer["target"])
+            self.assertIn(
+                'endivewind_requests_total{outcome="answered",reason="",'
+                'service="riders"} 1.0',
+                await _metrics(entry),
+            )
 
 
 class LinkTlsTest(unittest.IsolatedAsyncioTestCase):
@@ -128,6 +133,12 @@
         self.assertNotEqual(b"frame", await self._exchange(None))
 
 
+async def _metrics(node: processes.Process) -> list[str]:
+    url = f"http://{node.listening['operators']}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as found:
+        return (await found.text()).splitlines()
+
+
 async def _echo(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
--- a/endivewind/tls.py
+++ b/endivewind/tls.py
@@ -2,6 +2,7 @@
 
 import ssl
 
+from endivewind import exceptions
 from endivewind.config import settings
 
 
@@ -11,9 +12,8 @@
         return None
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.load_cert_chain(tls.certificate, tls.key)
+    _load(context, tls)
     if tls.authority:
-        context.load_verify_locations(tls.authority)
         context.verify_mode = ssl.CERT_REQUIRED
     return context
 
@@ -26,8 +26,20 @@
     """
     if tls is None:
         return None
-    context = ssl.create_default_context(cafile=tls.authority or None)
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname = False
     context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.load_cert_chain(tls.certificate, tls.key)
+    _load(context, tls)
     return context
+
+
+def _load(context: ssl.SSLContext, tls: settings.Tls) -> None:
+    """Reads the files; the errors of ssl do not say which file is meant."""
+    try:
+        context.load_cert_chain(tls.certificate, tls.key)
+        if tls.authority:
+            context.load_verify_locations(tls.authority)
+    except OSError as error:
+        files = (tls.certificate, tls.key, tls.authority)
+        names = ", ".join(name for name in files if name)
+        raise exceptions.UsageError(f"TLS files {names}: {error}") from error
