--- a/endivewind/config/watchers.py
+++ b/endivewind/config/watchers.py
@@ -40,5 +40,20 @@
     return before < WATCHERS_PER_ZONE
 
 
+def sharers(
+    name: str, zone: str, members: collections.abc.Collection[Member]
+) -> int:
+    """How many nodes share the platform's call budget with this one.
+
+    Watchers share one and all others another: at 760 nodes an equal share
+    would let a watcher call once in four seconds, too late for a change that
+    has to be in force within eight.
+    """
+    if not is_watcher(name, zone, members):
+        return len(members)
+    zones = {member.zone for member in members} | {zone}
+    return len(zones) * WATCHERS_PER_ZONE
+
+
 def _weight(zone: str, name: str) -> bytes:
     return hashlib.blake2b(f"{zone}/{name}".encode(), digest_size=8).digest()
--- a/endivewind/nodes/configuration.py
+++ b/endivewind/nodes/configuration.py
@@ -126,13 +126,18 @@
         """Ticks for ever."""
         while True:
             await asyncio.sleep(spreading.TICK.total_seconds())
-            self._budget.set_nodes(len(self._fleet.nodes))
+            self._budget.set_nodes(self._sharers())
             was_ready = self._spreader.ready
             if self.missing() is None and not was_ready:
                 agreed = sorted(self._spreader.agreed)
                 log.info("ready", extra=logs.fields(agreed=agreed))
             self._send(self._spreader.tick(self._clock.monotonic()))
 
+    def _sharers(self) -> int:
+        return watchers.sharers(
+            self._place.name, self._place.zone, self._fleet.nodes.values()
+        )
+
     def _peers(self) -> list[view.NodeRecord]:
         own = self._place.name
         return [peer for peer in self._fleet.nodes.values() if peer.name != own]
--- a/endivewind/tests/config/spreading_tests.py
+++ b/endivewind/tests/config/spreading_tests.py
@@ -271,5 +271,16 @@
         self.assertEqual(before - {gone}, before & after)
         self.assertEqual(3, len(after))
 
+    def test_watchers_share_their_calls_among_themselves(self):
+        members = [
+            _record(f"node-{number}", f"andina-{number % 5}")
+            for number in range(760)
+        ]
+        shares = {
+            watchers.sharers(item.name, item.zone, members) for item in members
+        }
+
+        self.assertEqual({15, 760}, shares)
+
     def test_a_node_that_knows_nobody_watches(self):
         self.assertTrue(watchers.is_watcher("a", "andina-a", []))
