--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -227,13 +227,9 @@
         body: exchange.RequestBody,
     ) -> links.AnswerResult:
         """Runs a forwarded request, if it is meant for this start."""
-        if home_incarnation != self._incarnation:
-            return links.expression.Error(
-                exchange.not_run(
-                    exchange.Reason.STALE_HOME, "an earlier start was meant"
-                )
-            )
-        return await self._dispatcher.run(target, head, body)
+        return await self._dispatcher.run_forwarded(
+            target, home_incarnation, head, body
+        )
 
     async def run_as_issuer(
         self,
@@ -269,6 +265,7 @@
             self._not_ready,
             self._status,
             metrics.NodeMetrics(self._metric_sources()).render,
+            lambda: self._gossip.status(),
         )
         operators_address = await self._serve(
             web.AppRunner(self._operator_application(sources), access_log=None),
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -48,12 +48,12 @@
       connected: a connection was obtained, so that from now on bytes may
         have been sent.
       reused: the connection had served a request before.
-      caller_failed: the caller's body broke off.
+      broken_body: how the caller's body broke off, if it did.
     """
 
     connected: bool = False
     reused: bool = False
-    caller_failed: bool = False
+    broken_body: exchange.TruncatedBodyError | None = None
 
 
 class Unobserved:
@@ -127,6 +127,24 @@
         """Hands nothing over any more; what runs goes on."""
         self._closed = True
 
+    async def run_forwarded(
+        self,
+        target: str,
+        home_incarnation: int,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+    ) -> AnswerResult:
+        """Runs a request of another node, if it is meant for this start.
+
+        An earlier start's record of attempts is gone with it, so that this
+        one could not tell a copy from a first hand-over.
+        """
+        if home_incarnation != self._targets.incarnation:
+            return _refuse(
+                exchange.Reason.STALE_HOME, "an earlier start was meant"
+            )
+        return await self.run(target, head, body)
+
     async def run(
         self,
         target: str,
@@ -159,7 +177,7 @@
     ) -> AnswerResult:
         item = self._targets.get(target)
         if item is None:
-            return _refuse(exchange.Reason.STALE_HOME, f"{target} is not here")
+            return expression.Error(self._not_here(target))
         if self._closed:
             return _refuse(exchange.Reason.STOPPING, "the home is leaving")
         if item.record.state is records.State.DRAINING:
@@ -178,6 +196,20 @@
             hand_over.end()
         return result
 
+    def _not_here(self, target: str) -> exchange.Refusal:
+        """Names the target's later home, which the entry may not know yet.
+
+        During a planned stop targets move at once and the news takes a gossip
+        round; without the name callers of a service's only target would be
+        refused in between.
+        """
+        return exchange.Refusal(
+            exchange.Outcome.NOT_RUN,
+            exchange.Reason.STALE_HOME,
+            f"{target} is not here",
+            moved_to=self._targets.moved_to(target),
+        )
+
     async def _send(
         self,
         hand_over: "_HandOver",
@@ -416,10 +448,12 @@
     detail = str(error) or type(error).__name__
     if not hand_over.may_have_run:
         return _unreachable(hand_over, detail)
-    hand_over.kind = evidence.Kind.LOST
-    if hand_over.progress.caller_failed:
-        # The caller's body broke off; the target is not to blame.
+    broken_body = hand_over.progress.broken_body
+    if broken_body is not None:
+        # The caller did it; the target is not to blame.
         hand_over.kind = evidence.Kind.CANCELLED
+        return expression.Error(exchange.broken_body(broken_body))
+    hand_over.kind = evidence.Kind.LOST
     return expression.Error(
         exchange.unknown(exchange.Reason.TARGET_LOST, detail)
     )
@@ -462,8 +496,8 @@
     try:
         async for data in rest:
             yield data
-    except Exception:
-        progress.caller_failed = True
+    except exchange.TruncatedBodyError as error:
+        progress.broken_body = error
         raise
 
 
