--- a/endivewind/tests/proofs/at_most_once_tests.py
+++ b/endivewind/tests/proofs/at_most_once_tests.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from endivewind.callers import client
 from endivewind.tests import processes
 from endivewind.tests.proofs import calls
 
@@ -27,6 +28,7 @@
             await self._strange_keys(fleet, caller)
             await self._target_closes(fleet, caller)
             await self._large_answer(fleet, caller)
+            await self._python_caller(fleet, caller)
 
     async def _first_send_is_asked_for_a_key(self, fleet, caller):
         reply = await caller.send(fleet.nodes["entry"], work="unkeyed")
@@ -142,6 +144,21 @@
         self.assertEqual("ran", again.outcome)
         self.assertEqual(1, (await caller.runs(fleet))["large"])
 
+    async def _python_caller(self, fleet, caller):
+        """The helper pays twice, with a dead node first in its list."""
+        urls = [
+            f"http://{n.listening['callers']}" for n in fleet.nodes.values()
+        ]
+        async with aiohttp.ClientSession(headers={"Work-Id": "py"}) as session:
+            helper = client.Caller(session, ["http://127.0.0.1:9", *urls])
+            replies = [
+                await helper.run_once("POST", "/payouts", str(trip).encode())
+                for trip in range(3)
+            ]
+
+        self.assertEqual([200] * 3, [reply.status for reply in replies])
+        self.assertEqual(3, (await caller.runs(fleet))["py"])
+
     async def test_issuer_that_crashed_leaves_its_keys_unknown(self):
         """The key's node dies while the payout runs, and comes back.
 
