--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,7 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ("matrix", "overhead", "spreading")
+MEASUREMENTS: tuple[str, ...] = ("decisions", "matrix", "overhead", "spreading")
 
 BINARY = running.Binary(
     name="endivewind-bench",
