--- a/endivewind/standins/hop.py
+++ b/endivewind/standins/hop.py
@@ -4,6 +4,8 @@
 bounds and decides nothing. Measurements compare endivewind with it.
 """
 
+import collections.abc
+
 import aiohttp
 from aiohttp import web
 import multidict
@@ -27,7 +29,9 @@
         app.router.add_route("*", "/{path:.*}", self._forward)
         return app
 
-    async def _connected(self, app: web.Application):  # type: ignore[no-untyped-def] # noqa: ANN202
+    async def _connected(
+        self, app: web.Application
+    ) -> collections.abc.AsyncIterator[None]:
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(
             connector=connector, auto_decompress=False
