Give processes of tests an address that no connection leaves from

Cause: a platform stand-in restarted at its old port found it in use once in a full run (membership_tests, whole fleet restarts); connections leave from 127.0.0.1 with ports of the same range. Change: stand-ins and nodes of tests listen at 127.0.0.2. Conclusion: the port may now be lost only to another listener's random port.

--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -17,6 +17,11 @@
 
 WAIT_SECONDS = 20
 MAX_LINE_BYTES = 1_048_576
+# Connections leave from 127.0.0.1. A process that comes back at its old port
+# would find it taken by one of them now and then; at an address of their own
+# the processes that listen meet no such port.
+ADDRESS = "127.0.0.2"
+_ANY_PORT = f"{ADDRESS}:0"
 
 
 class Process:
@@ -127,7 +132,9 @@
         self.targets: dict[str, Process] = {}
 
     async def __aenter__(self) -> "Fleet":
-        self.platform = await self._start("platform", "standin", "platform")
+        self.platform = await self._start(
+            "platform", "standin", "platform", f"--address={ADDRESS}"
+        )
         return self
 
     async def __aexit__(self, *error: object) -> None:
@@ -147,6 +154,9 @@
             "region": zone.rpartition("-")[0],
             "zone": zone,
             "platform": self.platform_url,
+            "callers": _ANY_PORT,
+            "targets": _ANY_PORT,
+            "nodes": _ANY_PORT,
             "log_level": "debug",
             **settings,
         }
@@ -176,7 +186,11 @@
     async def restart_platform(self, port: int) -> Process:
         """Starts the platform anew with an empty store, at its old port."""
         return await self._start(
-            "platform", "standin", "platform", f"--port={port}"
+            "platform",
+            "standin",
+            "platform",
+            f"--address={ADDRESS}",
+            f"--port={port}",
         )
 
     async def submit(self, configuration: dict[str, Any]) -> dict[str, Any]:
