Retry within a budget, and bound the bytes to other regions

Cause: each request could be placed three times whatever failed, a 5xx of a sick target went to callers whose work may repeat, and full near targets sent all work to other regions. Change: a retry budget per service (retry_percent of the requests, three in reserve) pays for every try that reached a target; safe work is tried at another target after a 5xx; a bucket of bytes for each other region; callers that find no target come back spread over one to three seconds.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -13,6 +13,7 @@
 from endivewind.config import objects
 from endivewind.config import store
 from endivewind.decisions import placing
+from endivewind.decisions import retries
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.targets import dispatch
@@ -22,6 +23,14 @@
 
 NO_TARGET_RETRY = datetime.timedelta(seconds=1)
 MAX_PLACINGS = 3
+_FAILED_STATUS = frozenset({500, 502, 503, 504})
+_CHEAP = frozenset(
+    {
+        exchange.Reason.BUSY,
+        exchange.Reason.STOPPING,
+        exchange.Reason.STALE_HOME,
+    }
+)
 
 
 class Gateway:
@@ -45,6 +54,7 @@
         self._pool = pool
         self._clock = clock
         self._table = routing.RoutingTable()
+        self._budgets: dict[str, retries.RetryBudget] = {}
         self._counts = counts.RequestCounts(clock)
 
     @property
@@ -78,10 +88,14 @@
         """Places a request until a target has run it or may have run it."""
         deadline = self._clock.monotonic() + head.remaining
         tried: set[str] = set()
-        last = exchange.not_run(
-            exchange.Reason.NO_TARGET,
-            f"no target of {route.service} can take work",
-            NO_TARGET_RETRY,
+        budget = self._budget(route.service)
+        budget.request()
+        last: AnswerResult = expression.Error(
+            exchange.not_run(
+                exchange.Reason.NO_TARGET,
+                f"no target of {route.service} can take work",
+                self._placement.come_back_after(NO_TARGET_RETRY),
+            )
         )
         for number in range(1, MAX_PLACINGS + 1):
             demand = placing.Demand(may_repeat(route, head.method), tried)
@@ -92,13 +106,22 @@
             self._counts.placed(route.service, number)
             remaining = deadline - self._clock.monotonic()
             attempt = head.for_attempt(number, remaining)
-            result = await self._attempt(record, attempt, body)
-            if result.is_ok():
-                return result
-            last = result.error
+            last = await self._attempt(record, attempt, body)
             if not _may_place_again(route, head, body, last):
                 break
-        return expression.Error(last)
+            if not (_was_cheap(last) or budget.take()):
+                break
+        return last
+
+    def _budget(self, service: str) -> retries.RetryBudget:
+        """The retry budget of a service, with its share in force."""
+        found = self._configuration.service(service) or objects.Service()
+        known = self._budgets.get(service)
+        if known is None:
+            known = retries.RetryBudget(found.retry_percent)
+            self._budgets[service] = known
+        known.configure(found.retry_percent)
+        return known
 
     async def _attempt(
         self,
@@ -107,7 +130,7 @@
         body: exchange.RequestBody,
     ) -> AnswerResult:
         started = self._clock.monotonic()
-        self._placement.started(record)
+        self._placement.started(record, len(body.held))
         result: AnswerResult | None = None
         try:
             result = await self._pass_on(record, head, body)
@@ -147,13 +170,28 @@
     route: objects.Route,
     head: exchange.RequestHead,
     body: exchange.RequestBody,
-    refusal: exchange.Refusal,
+    result: AnswerResult,
 ) -> bool:
-    if not body.replayable or refusal.reason is exchange.Reason.DEADLINE:
+    """Whether another target may get the request.
+
+    Only what truly did not run, or what may run twice. An answer of 5xx to
+    the latter is one target's trouble as long as the budget pays for asking
+    another.
+    """
+    if not body.replayable:
+        return False
+    repeatable = not head.ticket and may_repeat(route, head.method)
+    if result.is_ok():
+        failed = result.ok.status in _FAILED_STATUS
+        return failed and repeatable and result.ok.rest is None
+    if result.error.reason is exchange.Reason.DEADLINE:
         return False
-    if refusal.outcome is exchange.Outcome.NOT_RUN:
-        return True
-    return may_repeat(route, head.method)
+    return repeatable or result.error.outcome is exchange.Outcome.NOT_RUN
+
+
+def _was_cheap(result: AnswerResult) -> bool:
+    """Whether a home refused before its target had any work of it."""
+    return result.is_error() and result.error.reason in _CHEAP
 
 
 def may_repeat(route: objects.Route, method: str) -> bool:
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -8,6 +8,7 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind.decisions import crossing
 from endivewind.decisions import ejection
 from endivewind.decisions import floor
 from endivewind.decisions import paths
@@ -26,6 +27,12 @@
 SHED_REST = datetime.timedelta(milliseconds=250)
 _SHED_STATUS = frozenset({429, 503})
 _PATH_FAILURES = (exchange.Reason.HOME_LOST, exchange.Reason.HOME_UNREACHABLE)
+# A region pair shares 4 Gbit/s each way; an entry's part of it where each
+# region has some 250 nodes.
+CROSS_REGION_BYTES = 2_000_000.0
+# What headers and frames add to each direction of a request, about.
+HEAD_BYTES = 500
+RETRY_SPREAD = 3
 _LATENCY_WEIGHT = 1 / 8
 # An older latency says nothing of the present.
 _LATENCY_LIFE = datetime.timedelta(seconds=2)
@@ -62,9 +69,15 @@
 class Loads(placing.Load):
     """This entry's work by target; only targets that it has used."""
 
-    def __init__(self, clock: clocks.Clock, known: paths.Paths) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        known: paths.Paths,
+        budget: crossing.CrossRegionBudget,
+    ) -> None:
         self._clock = clock
         self._paths = known
+        self._budget = budget
         self._loads: dict[str, _TargetLoad] = {}
 
     def in_use(self, target: str) -> int:
@@ -80,6 +93,10 @@
         idle = self._clock.monotonic() - known.heard
         return known.latency if idle < _LATENCY_LIFE else 0.0
 
+    def affords(self, region: str) -> bool:
+        """Whether the traffic budget allows work in another region."""
+        return self._budget.allows(region, self._clock.monotonic())
+
     def is_resting(self, target: str) -> bool:
         """Whether it refused work a moment ago."""
         known = self._loads.get(target)
@@ -134,7 +151,18 @@
         floor_of: FloorOf,
         clock: clocks.Clock,
         rng: random.Random,
+        cross_region_bytes: float = CROSS_REGION_BYTES,
     ) -> None:
+        """Starts with no load.
+
+        Args:
+          place: where this entry is.
+          fleet: what is known of the targets.
+          floor_of: slots for each region that stay in use, by service.
+          clock: for paths, rests and budgets.
+          rng: for the choices.
+          cross_region_bytes: a second, to each other region.
+        """
         self._place = place
         self._fleet = fleet
         self._floor_of = floor_of
@@ -142,7 +170,8 @@
         self._clock = clock
         self._pools: dict[str, tuple[tuple[int, int], placing.Pool]] = {}
         self._paths = paths.Paths()
-        self._loads = Loads(clock, self._paths)
+        self._crossing = crossing.CrossRegionBudget(cross_region_bytes)
+        self._loads = Loads(clock, self._paths, self._crossing)
 
     def choose(
         self, service: str, demand: placing.Demand
@@ -152,8 +181,9 @@
         chosen = placing.choose(pool, demand, self._loads, self._rng)
         return self._fleet.targets(service)[chosen.id] if chosen else None
 
-    def started(self, record: records.TargetRecord) -> None:
-        """Takes note of a request sent to a target."""
+    def started(self, record: records.TargetRecord, size: int = 0) -> None:
+        """Takes note of a request, with its bytes, sent to a target."""
+        self._spend(record, size)
         self._loads.started(record.id)
         self._paths.started(record.home, self._clock.monotonic())
 
@@ -168,6 +198,8 @@
         if result is None:
             return
         self._loads.learn(record.id, result, latency)
+        if result.is_ok():
+            self._spend(record, _size(result.ok))
         if result.is_error() and result.error.reason in _PATH_FAILURES:
             self._paths.failed(record.home, self._clock.monotonic())
         else:
@@ -177,6 +209,19 @@
         """Slots of the targets that this entry may give normal work."""
         return self._pool(service).slots
 
+    def _spend(self, record: records.TargetRecord, size: int) -> None:
+        if record.region != self._place.region:
+            now = self._clock.monotonic()
+            self._crossing.spend(record.region, size + HEAD_BYTES, now)
+
+    def come_back_after(self, least: datetime.timedelta) -> datetime.timedelta:
+        """When a refused caller should come back.
+
+        Spread over three times the least: callers that were refused together
+        would else come back together, and be refused together again.
+        """
+        return least * self._rng.uniform(1, RETRY_SPREAD)
+
     def _pool(self, service: str) -> placing.Pool:
         """The service's pool; made again only when something has changed.
 
@@ -201,6 +246,16 @@
         return pool
 
 
+def _size(answer: exchange.Answer) -> int:
+    """Bytes of an answer's body, as far as its head tells them."""
+    if answer.rest is None:
+        return len(answer.body)
+    for name, value in answer.headers:
+        if name.lower() == b"content-length" and value.isdigit():
+            return int(value)
+    return len(answer.body)
+
+
 def _candidate(record: records.TargetRecord) -> floor.Candidate:
     return floor.Candidate(
         record.id,
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -15,6 +15,7 @@
 SUBSET = 24
 # One request in so many goes to a target in trial, while there is one.
 TRIAL_EVERY = 20
+_FAR = 2
 # A latency that is so many times another's says that a target is slower.
 CLEARLY = 2
 
@@ -92,6 +93,9 @@
     def reaches(self, home: str) -> bool:
         """Whether the path from this entry to a home is open."""
 
+    def affords(self, region: str) -> bool:
+        """Whether the traffic budget allows work in another region."""
+
     def is_resting(self, target: str) -> bool:
         """Whether it refused work a moment ago."""
 
@@ -113,8 +117,9 @@
             return tried
     # Where every path has failed, a doubtful one is better than none.
     for any_path in (False, True):
-        for tier in pool.tiers:
-            found = _of_tier(tier, demand, load, rng, any_path)
+        for number, tier in enumerate(pool.tiers):
+            far = number == _FAR
+            found = _of_tier(tier, demand, load, rng, any_path, far)
             if found:
                 return found
     return None
@@ -138,6 +143,7 @@
     load: Load,
     rng: random.Random,
     any_path: bool,
+    far: bool,
 ) -> floor.Candidate | None:
     """The better of the first two free ones in a random order."""
     size = len(tier)
@@ -153,6 +159,8 @@
             continue
         if not (any_path or load.reaches(item.home)):
             continue
+        if far and not load.affords(item.region):
+            continue
         if first is None:
             first = item
             continue
--- /dev/null
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -0,0 +1,155 @@
+"""Retries of the gateway: what is sent again, and how often."""
+
+import datetime
+import random
+import unittest
+from unittest import mock
+
+import expression
+
+from endivewind import clock as clocks
+from endivewind import exchange
+from endivewind.callers import gateway
+from endivewind.callers import placement
+from endivewind.config import objects
+from endivewind.config import store
+from endivewind.decisions import placing
+from endivewind.decisions import retries
+from endivewind.nodes import view
+from endivewind.targets import records
+
+SERVICE = "riders"
+TARGETS = 6
+OK = expression.Ok(exchange.Answer(200, ()))
+FAILED = expression.Ok(exchange.Answer(500, ()))
+SHED = expression.Ok(exchange.Answer(503, ()))
+LOST = expression.Error(exchange.unknown(exchange.Reason.TARGET_LOST))
+BUSY = expression.Error(exchange.not_run(exchange.Reason.BUSY))
+
+
+def _record(number):
+    return records.TargetRecord(
+        id=f"riders-{number}",
+        service=SERVICE,
+        home="node-a",
+        home_incarnation=1,
+        sequence=number,
+        region="andina",
+        zone="andina-a",
+        slots=3,
+        weight=1,
+        state=records.State.READY,
+        health=records.Health.NORMAL,
+    )
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    """The dispatcher is a fake: it answers what the test tells it to."""
+
+    def setUp(self):
+        clock = clocks.ManualClock()
+        fleet = view.FleetView()
+        fleet.put_node(
+            view.NodeRecord("node-a", 1, "192.0.2.1:1", "andina", "andina-a")
+        )
+        fleet.put_home(
+            "node-a", 1, TARGETS, [_record(n) for n in range(TARGETS)]
+        )
+        self.dispatcher = mock.AsyncMock()
+        place = placing.Place("node-a", "andina", "andina-a")
+        self.gateway = gateway.Gateway(
+            "node-a",
+            placement.Placement(
+                place, fleet, lambda service: 0, clock, random.Random(1)
+            ),
+            store.ConfigurationStore(),
+            fleet,
+            self.dispatcher,
+            mock.Mock(),
+            clock,
+        )
+
+    async def ask(self, results, method="GET", ticket="", rest=None):
+        """Sends one request; returns its result and the targets it met."""
+        self.dispatcher.run.reset_mock()
+        self.dispatcher.run.side_effect = results
+        head = exchange.RequestHead(
+            request_id="r",
+            method=method,
+            path="/",
+            headers=(),
+            service=SERVICE,
+            workspace="w",
+            remaining=datetime.timedelta(seconds=5),
+            ticket=ticket,
+        )
+        result = await self.gateway.serve(
+            objects.Route(service=SERVICE),
+            head,
+            exchange.RequestBody(b"", rest),
+        )
+        calls = self.dispatcher.run.await_args_list
+        return result, [call.args[0] for call in calls]
+
+    async def test_safe_work_goes_to_another_target(self):
+        for first in (FAILED, SHED, LOST, BUSY):
+            result, met = await self.ask([first, OK])
+
+            self.assertEqual(OK, result)
+            self.assertEqual(2, len(set(met)))
+
+    async def test_what_may_have_run_is_never_sent_again(self):
+        """A confirmation whose target failed or vanished.
+
+        The supplier may have got it. A second send could deliver twice, so
+        the caller hears what happened and nothing is sent again.
+        """
+        for first in (FAILED, SHED, LOST):
+            for ticket in ("", "ticket"):
+                result, met = await self.ask([first, OK], "POST", ticket)
+
+                self.assertEqual((first, 1), (result, len(met)))
+
+    async def test_what_did_not_run_is_sent_again(self):
+        result, met = await self.ask([BUSY, OK], "POST", "ticket")
+
+        self.assertEqual((OK, 2), (result, len(met)))
+
+    async def test_a_body_that_is_gone_is_not_sent_again(self):
+        result, met = await self.ask([BUSY, OK], rest=mock.Mock())
+
+        self.assertEqual((BUSY, 1), (result, len(met)))
+
+    async def test_no_storm_when_every_target_fails(self):
+        """Every answer is an error, and every caller's request may repeat.
+
+        With three tries each, targets would get three times the load while
+        they fail. Tries stay within the service's tenth.
+        """
+        requests = 500
+        tries = 0
+        for _ in range(requests):
+            _, met = await self.ask([FAILED] * 3)
+            tries += len(met)
+
+        self.assertLessEqual(tries, 1.1 * requests + retries.RESERVE)
+
+    async def test_refused_callers_come_back_spread(self):
+        waits = set()
+        # All targets rest after a refusal, so then there is none to choose.
+        for _ in range(TARGETS):
+            await self.ask([BUSY] * 3)
+        for _ in range(50):
+            result, _ = await self.ask([BUSY] * 3)
+            self.assertIs(exchange.Reason.NO_TARGET, result.error.reason)
+            waits.add(result.error.retry_after)
+
+        self.assertGreater(len(waits), 40)
+        self.assertTrue(
+            all(
+                gateway.NO_TARGET_RETRY
+                <= wait
+                <= placement.RETRY_SPREAD * gateway.NO_TARGET_RETRY
+                for wait in waits
+            )
+        )
--- /dev/null
+++ b/endivewind/tests/decisions/crossing_tests.py
@@ -0,0 +1,56 @@
+"""The budget of bytes that an entry may send to other regions."""
+
+import datetime
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from endivewind.decisions import crossing
+
+RATE = 1_000
+
+
+class CrossRegionBudgetTest(unittest.TestCase):
+    """All near targets are gone, and every request asks to go far.
+
+    Without a bound one service in trouble would fill the links that all
+    share and that are paid for by volume.
+    """
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 5_000), strategies.integers(1, 20_000)
+            ),
+            max_size=60,
+        )
+    )
+    def test_bytes_stay_within_rate_and_burst(self, requests):
+        budget = crossing.CrossRegionBudget(RATE)
+        now = datetime.timedelta()
+        sent = 0
+        for wait_ms, size in requests:
+            now += datetime.timedelta(milliseconds=wait_ms)
+            if budget.allows("caribe", now):
+                budget.spend("caribe", size, now)
+                sent += size
+
+        bound = RATE * (now + crossing.BURST).total_seconds()
+        self.assertLessEqual(sent, bound + 20_000)
+
+    def test_regions_have_budgets_of_their_own(self):
+        budget = crossing.CrossRegionBudget(RATE)
+        now = datetime.timedelta()
+        budget.spend("caribe", 1_000_000, now)
+
+        self.assertFalse(budget.allows("caribe", now))
+        self.assertTrue(budget.allows("pacifico", now))
+
+    def test_an_empty_budget_fills_again(self):
+        budget = crossing.CrossRegionBudget(RATE)
+        budget.spend("caribe", 31_000, datetime.timedelta())
+
+        self.assertFalse(budget.allows("caribe", datetime.timedelta(seconds=1)))
+        self.assertTrue(budget.allows("caribe", datetime.timedelta(seconds=2)))
--- a/endivewind/tests/decisions/placing_tests.py
+++ b/endivewind/tests/decisions/placing_tests.py
@@ -19,6 +19,7 @@
         self.seconds = {}
         self.resting = set()
         self.cut = set()
+        self.poor = set()
 
     def in_use(self, target):
         return self.busy[target]
@@ -32,6 +33,9 @@
     def reaches(self, home):
         return home not in self.cut
 
+    def affords(self, region):
+        return region not in self.poor
+
 
 def _target(name, zone="andina-a", status=ejection.Status.NORMAL, home="h"):
     region = zone.rpartition("-")[0]
@@ -71,6 +75,13 @@
 
         self.assertEqual({"region": 1}, found)
 
+    def test_no_other_region_without_budget(self):
+        self.load.poor.add("caribe")
+
+        found = self.choose([_target("far", "caribe-a")])
+
+        self.assertEqual({None: 1}, found)
+
     def test_a_target_that_has_just_come_draws_no_herd(self):
         """One empty target among loaded ones, as after a return.
 
