Admit by fair share: rates, a deadline-aware queue, priorities

Cause: a request that found no free slot was refused at once, whoever sent most got the slots, and nothing kept a workspace to its rate. Conclusion: saturation costs the workspaces that cause it.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,6 +1,7 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
 import asyncio
+import dataclasses
 import datetime
 
 import expression
@@ -10,8 +11,10 @@
 from endivewind.callers import counts
 from endivewind.callers import placement
 from endivewind.callers import routing
+from endivewind.callers import waiting
 from endivewind.config import objects
 from endivewind.config import store
+from endivewind.decisions import admission
 from endivewind.decisions import placing
 from endivewind.decisions import retries
 from endivewind.nodes import links
@@ -21,7 +24,6 @@
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
-NO_TARGET_RETRY = datetime.timedelta(seconds=1)
 MAX_PLACINGS = 3
 _FAILED_STATUS = frozenset({500, 502, 503, 504})
 _CHEAP = frozenset(
@@ -55,6 +57,10 @@
         self._clock = clock
         self._table = routing.RoutingTable()
         self._budgets: dict[str, retries.RetryBudget] = {}
+        self._rates = admission.RateLimits()
+        self._workspaces: dict[str, objects.Workspace] = {}
+        self._shards: dict[str, frozenset[str]] = {}
+        self._waiting = waiting.WaitingRoom(placement, self._queue_limit, clock)
         self._counts = counts.RequestCounts(clock)
 
     @property
@@ -67,6 +73,20 @@
         if kind == store.ROUTE_GROUP:
             group = self._configuration.route_group(name)
             self._table.replace(name, group.routes if group else ())
+        elif kind == store.WORKSPACE_SHARD:
+            self._take_workspaces(name)
+
+    def _take_workspaces(self, name: str) -> None:
+        shard = self._configuration.workspace_shard(name)
+        found = shard.workspaces if shard else {}
+        for gone in self._shards.pop(name, frozenset()) - set(found):
+            self._workspaces.pop(gone, None)
+        self._workspaces.update(found)
+        self._shards[name] = frozenset(found)
+
+    def _queue_limit(self, service: str) -> int:
+        found = self._configuration.service(service) or objects.Service()
+        return found.queue_limit
 
     def route(
         self, host: str, path: str, workspace: str
@@ -86,33 +106,72 @@
         body: exchange.RequestBody,
     ) -> AnswerResult:
         """Places a request until a target has run it or may have run it."""
-        deadline = self._clock.monotonic() + head.remaining
-        tried: set[str] = set()
+        limited = self._over_rate(head.workspace)
+        if limited is not None:
+            return expression.Error(limited)
+        call = _Call(
+            route, head, body, self._clock.monotonic() + head.remaining
+        )
         budget = self._budget(route.service)
         budget.request()
-        last: AnswerResult = expression.Error(
-            exchange.not_run(
-                exchange.Reason.NO_TARGET,
-                f"no target of {route.service} can take work",
-                self._placement.come_back_after(NO_TARGET_RETRY),
-            )
-        )
-        for number in range(1, MAX_PLACINGS + 1):
-            demand = placing.Demand(may_repeat(route, head.method), tried)
-            record = self._placement.choose(route.service, demand)
-            if record is None:
+        last = await self._first(call)
+        while call.tries < MAX_PLACINGS and _may_place_again(call, last):
+            if _was_cheap(last):
+                last = await self._again(call, last)
+                continue
+            if not budget.take():
                 break
-            tried.add(record.id)
-            self._counts.placed(route.service, number)
-            remaining = deadline - self._clock.monotonic()
-            attempt = head.for_attempt(number, remaining)
-            last = await self._attempt(record, attempt, body)
-            if not _may_place_again(route, head, body, last):
-                break
-            if not (_was_cheap(last) or budget.take()):
+            record = self._placement.choose(route.service, call.demand())
+            if record is None:
                 break
+            self._placement.started(record, len(body.held))
+            last = await self._attempt(call, record)
         return last
 
+    async def _again(self, call: "_Call", last: AnswerResult) -> AnswerResult:
+        """Puts a request back into the queue that its home had no slot for."""
+        if last.error.reason is exchange.Reason.BUSY and call.last_target:
+            # It rests for a moment, and may be the only one there is.
+            call.tried.discard(call.last_target)
+        return await self._first(call)
+
+    async def _first(self, call: "_Call") -> AnswerResult:
+        """Waits for a slot within the fair order, and sends the request."""
+        owner = self._workspaces.get(call.head.workspace)
+        weight = owner.weight if owner else 1
+        placed = await self._waiting.place(
+            waiting.Claim(
+                call.route.service,
+                call.demand(),
+                waiting.waiter(
+                    call.head.workspace,
+                    weight,
+                    call.route.priority,
+                    call.deadline,
+                ),
+                len(call.body.held),
+            )
+        )
+        if placed.is_error():
+            call.given_up = True
+            return expression.Error(placed.error)
+        return await self._attempt(call, placed.ok)
+
+    def _over_rate(self, workspace: str) -> exchange.Refusal | None:
+        """A refusal where the workspace has used up its rate at this entry."""
+        owner = self._workspaces.get(workspace)
+        if owner is None:
+            return None
+        now = self._clock.monotonic()
+        refused = self._rates.take(workspace, owner.rate, owner.burst, now)
+        if refused is None:
+            return None
+        return exchange.not_run(
+            exchange.Reason.RATE_LIMITED,
+            refused.reason.value,
+            self._placement.come_back_after(refused.retry_after),
+        )
+
     def _budget(self, service: str) -> retries.RetryBudget:
         """The retry budget of a service, with its share in force."""
         found = self._configuration.service(service) or objects.Service()
@@ -124,16 +183,18 @@
         return known
 
     async def _attempt(
-        self,
-        record: records.TargetRecord,
-        head: exchange.RequestHead,
-        body: exchange.RequestBody,
+        self, call: "_Call", record: records.TargetRecord
     ) -> AnswerResult:
+        """Sends the request to a target whose slot is counted already."""
+        call.tries += 1
+        call.tried.add(record.id)
+        call.last_target = record.id
+        self._counts.placed(call.route.service, call.tries)
         started = self._clock.monotonic()
-        self._placement.started(record, len(body.held))
+        head = call.head.for_attempt(call.tries, call.deadline - started)
         result: AnswerResult | None = None
         try:
-            result = await self._pass_on(record, head, body)
+            result = await self._pass_on(record, head, call.body)
         except TimeoutError:
             result = expression.Error(
                 exchange.unknown(
@@ -143,6 +204,7 @@
         finally:
             latency = self._clock.monotonic() - started
             self._placement.ended(record, result, latency)
+            self._waiting.ended(call.route.service)
         return result
 
     async def _pass_on(
@@ -166,27 +228,47 @@
             return await self._pool.forward(home, record.id, head, body)
 
 
-def _may_place_again(
-    route: objects.Route,
-    head: exchange.RequestHead,
-    body: exchange.RequestBody,
-    result: AnswerResult,
-) -> bool:
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """One request on its way through the gateway."""
+
+    route: objects.Route
+    head: exchange.RequestHead
+    body: exchange.RequestBody
+    deadline: datetime.timedelta
+    tries: int = 0
+    given_up: bool = False
+    last_target: str = ""
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        if self.head.ticket:
+            return False
+        return may_repeat(self.route, self.head.method)
+
+    def demand(self) -> placing.Demand:
+        """Where it may be placed now."""
+        return placing.Demand(self.repeatable, self.tried)
+
+
+def _may_place_again(call: _Call, result: AnswerResult) -> bool:
     """Whether another target may get the request.
 
     Only what truly did not run, or what may run twice. An answer of 5xx to
     the latter is one target's trouble as long as the budget pays for asking
-    another.
+    another. What was refused before any target was chosen is final.
     """
-    if not body.replayable:
+    if not call.body.replayable or call.given_up:
         return False
-    repeatable = not head.ticket and may_repeat(route, head.method)
     if result.is_ok():
         failed = result.ok.status in _FAILED_STATUS
-        return failed and repeatable and result.ok.rest is None
+        return failed and call.repeatable and result.ok.rest is None
     if result.error.reason is exchange.Reason.DEADLINE:
         return False
-    return repeatable or result.error.outcome is exchange.Outcome.NOT_RUN
+    not_run = result.error.outcome is exchange.Outcome.NOT_RUN
+    return call.repeatable or not_run
 
 
 def _was_cheap(result: AnswerResult) -> bool:
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -32,6 +32,8 @@
 CROSS_REGION_BYTES = 2_000_000.0
 # What headers and frames add to each direction of a request, about.
 HEAD_BYTES = 500
+# When a refused caller may come back at the earliest.
+LEAST_RETRY = datetime.timedelta(seconds=1)
 RETRY_SPREAD = 3
 _LATENCY_WEIGHT = 1 / 8
 # An older latency says nothing of the present.
@@ -205,6 +207,14 @@
         else:
             self._paths.succeeded(record.home)
 
+    def has_candidate(self, service: str, demand: placing.Demand) -> bool:
+        """Whether any target could take the request once it has a slot."""
+        return any(
+            item.id not in demand.excluded
+            for tier in self._pool(service).tiers
+            for item in tier
+        )
+
     def admitted_slots(self, service: str) -> int:
         """Slots of the targets that this entry may give normal work."""
         return self._pool(service).slots
--- /dev/null
+++ b/endivewind/callers/waiting.py
@@ -0,0 +1,198 @@
+"""Waits for a target with a free slot, in the order that admission decides."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import datetime
+
+import expression
+
+from endivewind import clock as clocks
+from endivewind import exchange
+from endivewind.callers import placement
+from endivewind.config import objects
+from endivewind.decisions import admission
+from endivewind.decisions import placing
+from endivewind.targets import records
+
+# Slots also get free through the work of other entries, of which this one
+# hears nothing; so the queue is looked at this often while it has waiters.
+LOOK = datetime.timedelta(milliseconds=50)
+
+PlacedResult = expression.Result[records.TargetRecord, exchange.Refusal]
+QueueLimitOf = collections.abc.Callable[[str], int]
+
+_PRIORITIES = {
+    objects.Priority.LOW: 0,
+    objects.Priority.NORMAL: 1,
+    objects.Priority.HIGH: 2,
+}
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Claim:
+    """What a request asks of the waiting room.
+
+    Attributes:
+      service: the service.
+      demand: where it may be placed.
+      waiter: its place in the queue.
+      size: bytes of its body.
+      placed: its target, reserved, or why there is none.
+    """
+
+    service: str
+    demand: placing.Demand
+    waiter: admission.Waiter
+    size: int
+    placed: asyncio.Future[PlacedResult] | None = None
+
+
+def waiter(
+    workspace: str,
+    weight: int,
+    priority: objects.Priority,
+    deadline: datetime.timedelta,
+) -> admission.Waiter:
+    """A place in a queue for a route's priority."""
+    return admission.Waiter(workspace, weight, _PRIORITIES[priority], deadline)
+
+
+class WaitingRoom:
+    """The queues of all services at this entry."""
+
+    def __init__(
+        self,
+        placed: placement.Placement,
+        limit_of: QueueLimitOf,
+        clock: clocks.Clock,
+    ) -> None:
+        self._placement = placed
+        self._limit_of = limit_of
+        self._clock = clock
+        self._queues: dict[str, admission.ServiceQueue] = {}
+        self._claims: dict[admission.Waiter, Claim] = {}
+        self._looks: dict[str, asyncio.TimerHandle] = {}
+
+    async def place(self, claim: Claim) -> PlacedResult:
+        """A target for the request, with its slot counted, or a refusal."""
+        queue = self._queue(claim.service)
+        if not len(queue):
+            record = self._try(claim)
+            if record is not None:
+                return expression.Ok(record)
+        if not self._placement.has_candidate(claim.service, claim.demand):
+            # Nothing to wait for: the caller hears it now, not later.
+            return self._refusal(
+                exchange.Reason.NO_TARGET,
+                f"{claim.service} has no target",
+                datetime.timedelta(),
+            )
+        now = self._clock.monotonic()
+        offered = queue.offer(claim.waiter, now)
+        if isinstance(offered, admission.Refused):
+            return self._refusal(
+                exchange.Reason.BUSY, offered.reason.value, offered.retry_after
+            )
+        if offered is not None:
+            self._refuse(offered, admission.Reason.QUEUE_FULL)
+        return await self._wait(claim)
+
+    def ended(self, service: str) -> None:
+        """Takes note of a request's end: a slot may be free."""
+        queue = self._queue(service)
+        queue.completed(self._clock.monotonic())
+        if len(queue):
+            self._serve(service)
+
+    async def _wait(self, claim: Claim) -> PlacedResult:
+        claim.placed = asyncio.get_running_loop().create_future()
+        self._claims[claim.waiter] = claim
+        self._look_later(claim.service)
+        left = claim.waiter.deadline - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                return await claim.placed
+        except TimeoutError:
+            return self._refusal(
+                exchange.Reason.BUSY,
+                admission.Reason.TOO_LATE.value,
+                datetime.timedelta(),
+            )
+        except asyncio.CancelledError:
+            # A slot that was reserved for a caller who has left is free.
+            if claim.placed.done() and not claim.placed.cancelled():
+                result = claim.placed.result()
+                if result.is_ok():
+                    self._placement.ended(result.ok, None, datetime.timedelta())
+            raise
+        finally:
+            self._queue(claim.service).remove(claim.waiter)
+            self._claims.pop(claim.waiter, None)
+
+    def _serve(self, service: str) -> None:
+        """Gives free slots to those whose turn it is."""
+        queue = self._queue(service)
+        while (first := queue.first()) is not None:
+            claim = self._claims[first]
+            record = self._try(claim)
+            if record is None:
+                return
+            self._answer(claim, expression.Ok(record))
+
+    def _look(self, service: str) -> None:
+        del self._looks[service]
+        self._serve(service)
+        if len(self._queue(service)):
+            self._look_later(service)
+
+    def _look_later(self, service: str) -> None:
+        if service not in self._looks:
+            loop = asyncio.get_running_loop()
+            self._looks[service] = loop.call_later(
+                LOOK.total_seconds(), self._look, service
+            )
+
+    def _try(self, claim: Claim) -> records.TargetRecord | None:
+        record = self._placement.choose(claim.service, claim.demand)
+        if record is not None:
+            self._placement.started(record, claim.size)
+        return record
+
+    def _refuse(
+        self, refused: admission.Waiter, reason: admission.Reason
+    ) -> None:
+        claim = self._claims[refused]
+        wait = self._queue(claim.service).expected_wait(refused.priority)
+        self._answer(
+            claim, self._refusal(exchange.Reason.BUSY, reason.value, wait)
+        )
+
+    def _answer(self, claim: Claim, result: PlacedResult) -> None:
+        self._queue(claim.service).remove(claim.waiter)
+        del self._claims[claim.waiter]
+        assert claim.placed is not None
+        if claim.placed.done():
+            # Its caller has left in this very moment.
+            if result.is_ok():
+                self._placement.ended(result.ok, None, datetime.timedelta())
+            return
+        claim.placed.set_result(result)
+
+    def _refusal(
+        self, reason: exchange.Reason, detail: str, wait: datetime.timedelta
+    ) -> PlacedResult:
+        least = max(wait, placement.LEAST_RETRY)
+        return expression.Error(
+            exchange.not_run(
+                reason, detail, self._placement.come_back_after(least)
+            )
+        )
+
+    def _queue(self, service: str) -> admission.ServiceQueue:
+        known = self._queues.get(service)
+        if known is None:
+            known = admission.ServiceQueue(self._limit_of(service))
+            self._queues[service] = known
+        known.configure(self._limit_of(service))
+        return known
--- a/endivewind/config/store.py
+++ b/endivewind/config/store.py
@@ -237,6 +237,11 @@
         """All route groups in force."""
         return self._models(ROUTE_GROUP)
 
+    def workspace_shard(self, name: str) -> objects.WorkspaceShard | None:
+        """A workspace shard in force."""
+        item = self._objects.get(Key(WORKSPACE_SHARD, name))
+        return item.model if item else None
+
     def workspace_shards(self) -> list[objects.WorkspaceShard]:
         """All workspace shards in force."""
         return self._models(WORKSPACE_SHARD)
