Take what the entry sees elsewhere into the baseline

Cause: a home with one target of a service had no peers to compare with, so with a whole service in trouble every home would have ejected its own. Change: the gateway tells the judge how requests went at targets of other homes, for services that this home judges; a slot reserved for a caller whose time has just run out is freed. Before and after (judging_tests.LonelyTargetTest): without witnessed() the service in trouble has no peers; with it none is ejected over 60 rounds of errors or of four times the latency, and a single sick one still is. Conclusion: spreading sketches by gossip remains for homes that send no work of a service elsewhere.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,6 +1,7 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import datetime
 
@@ -24,6 +25,11 @@
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
+# Hears how requests went at targets of other homes.
+Witness = collections.abc.Callable[
+    [records.TargetRecord, str, AnswerResult, datetime.timedelta], None
+]
+
 MAX_PLACINGS = 3
 _FAILED_STATUS = frozenset({500, 502, 503, 504})
 _CHEAP = frozenset(
@@ -47,7 +53,9 @@
         dispatcher: dispatch.Dispatcher,
         pool: links.LinkPool,
         clock: clocks.Clock,
+        witness: Witness,
     ) -> None:
+        self._witness = witness
         self._node = node
         self._placement = placement
         self._configuration = configuration
@@ -205,6 +213,8 @@
             latency = self._clock.monotonic() - started
             self._placement.ended(record, result, latency)
             self._waiting.ended(call.route.service)
+        if record.home != self._node:
+            self._witness(record, call.head.workspace, result, latency)
         return result
 
     async def _pass_on(
--- a/endivewind/callers/waiting.py
+++ b/endivewind/callers/waiting.py
@@ -114,22 +114,32 @@
             async with asyncio.timeout(left.total_seconds()):
                 return await claim.placed
         except TimeoutError:
+            self._release(claim)
             return self._refusal(
                 exchange.Reason.BUSY,
                 admission.Reason.TOO_LATE.value,
                 datetime.timedelta(),
             )
         except asyncio.CancelledError:
-            # A slot that was reserved for a caller who has left is free.
-            if claim.placed.done() and not claim.placed.cancelled():
-                result = claim.placed.result()
-                if result.is_ok():
-                    self._placement.ended(result.ok, None, datetime.timedelta())
+            self._release(claim)
             raise
         finally:
             self._queue(claim.service).remove(claim.waiter)
             self._claims.pop(claim.waiter, None)
 
+    def _release(self, claim: Claim) -> None:
+        """Frees a slot that was reserved for a caller who has just left.
+
+        Else this entry would count it as in use for ever.
+        """
+        if claim.placed is None or not claim.placed.done():
+            return
+        if claim.placed.cancelled():
+            return
+        result = claim.placed.result()
+        if result.is_ok():
+            self._placement.ended(result.ok, None, datetime.timedelta())
+
     def _serve(self, service: str) -> None:
         """Gives free slots to those whose turn it is."""
         queue = self._queue(service)
--- a/endivewind/decisions/judging.py
+++ b/endivewind/decisions/judging.py
@@ -207,6 +207,7 @@
         self._baseline = baseline.Baseline()
         self._targets: dict[str, _Target] = {}
         self._peers: dict[str, baseline.Sketch] = {}
+        self._elsewhere: dict[str, _Target] = {}
 
     @property
     def limits(self) -> bounds.ErrorBounds:
@@ -254,6 +255,7 @@
         """Drops a target that has left."""
         self._targets.pop(target, None)
         self._peers.pop(target, None)
+        self._elsewhere.pop(target, None)
 
     def started(
         self, target: str, number: int, now: datetime.timedelta
@@ -297,6 +299,36 @@
             return self._verdict(target, item, now)
         return self._trial(target, item, signals, now)
 
+    def witnessed(
+        self,
+        target: str,
+        result: Result,
+        latency: datetime.timedelta,
+        workspace: str,
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes what this node, as an entry, saw of another home's target.
+
+        It judges nothing here; it says what is usual for the service. A home
+        with a single target of a service has no other peers to compare with.
+        """
+        if target in self._targets:
+            return
+        item = self._elsewhere.get(target)
+        if item is None:
+            item = self._elsewhere[target] = _Target(self._limits)
+        measure = self._baseline
+        signals = [
+            result is Result.FAILED,
+            latency > measure.slow,
+            latency > measure.stalled,
+        ]
+        self._fade(item, now)
+        item.seen = now
+        self._count(item, signals, 0, workspace)
+        # More says no more, and would take longer to wear off.
+        item.evidence = [min(value, self._threshold) for value in item.evidence]
+
     def advance(self, now: datetime.timedelta) -> list[Change]:
         """Looks for overdue requests and for holds that have ended.
 
@@ -326,6 +358,7 @@
         if known is None:
             known = self._targets[name] = _Target(self._limits)
             self._peers.pop(name, None)
+            self._elsewhere.pop(name, None)
         return known
 
     def _refresh(self, now: datetime.timedelta) -> None:
@@ -338,7 +371,12 @@
             for name, item in self._targets.items()
             if item.ejection.status is ejection.Status.NORMAL
         ]
-        self._baseline.refresh([*own, *self._peers.values()], now)
+        elsewhere = [
+            item.sketch(name, self._threshold, now)
+            for name, item in self._elsewhere.items()
+        ]
+        peers = [*own, *elsewhere, *self._peers.values()]
+        self._baseline.refresh(peers, now)
 
     def _count(
         self,
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -130,6 +130,7 @@
             self._dispatcher,
             self._pool,
             self._clock,
+            self._judge.witnessed,
         )
         kept = config.limits.kept_answer_bytes
         self._ticketing = ticketing.Ticketing(
--- a/endivewind/targets/judge.py
+++ b/endivewind/targets/judge.py
@@ -6,7 +6,10 @@
 import itertools
 import logging
 
+import expression
+
 from endivewind import clock as clocks
+from endivewind import exchange
 from endivewind import logs
 from endivewind.config import objects
 from endivewind.decisions import bounds
@@ -38,6 +41,22 @@
 }
 
 
+_WITNESSED = {
+    exchange.Reason.DEADLINE: evidence.Kind.TIMEOUT,
+    exchange.Reason.TARGET_LOST: evidence.Kind.LOST,
+    exchange.Reason.UNREACHABLE: evidence.Kind.REFUSED_CONNECTION,
+}
+
+
+def _witnessed_kind(
+    result: expression.Result[exchange.Answer, exchange.Refusal],
+) -> evidence.Kind | None:
+    """How a hand-over at another home ended; None if that says nothing."""
+    if result.is_ok():
+        return evidence.kind_of_status(result.ok.status)
+    return _WITNESSED.get(result.error.reason)
+
+
 class Judge(evidence.Observer):
     """Feeds the decisions of each service and carries out their changes."""
 
@@ -96,6 +115,27 @@
         if change is not None:
             self._apply(change)
 
+    def witnessed(
+        self,
+        record: records.TargetRecord,
+        workspace: str,
+        result: expression.Result[exchange.Answer, exchange.Refusal],
+        latency: datetime.timedelta,
+    ) -> None:
+        """Takes what this node saw as an entry of another home's target.
+
+        Only services that this home judges need it, which bounds the memory.
+        """
+        judge = self._services.get(record.service)
+        normal = record.health is records.Health.NORMAL
+        kind = _witnessed_kind(result)
+        if judge is None or not normal or kind is None:
+            return
+        verdict = _RESULTS[kind]
+        if verdict is not None:
+            now = self._clock.monotonic()
+            judge.witnessed(record.id, verdict, latency, workspace, now)
+
     def advance(self) -> None:
         """Looks for overdue requests and ended holds; call it often."""
         now = self._clock.monotonic()
--- a/endivewind/tests/callers/gateway_tests.py
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -67,6 +67,7 @@
             self.dispatcher,
             mock.Mock(),
             clock,
+            mock.Mock(),
         )
 
     async def ask(self, results, method="GET", ticket="", rest=None):
--- a/endivewind/tests/decisions/judging_tests.py
+++ b/endivewind/tests/decisions/judging_tests.py
@@ -174,6 +174,48 @@
         self.assertEqual([], bench.ejected())
 
 
+class LonelyTargetTest(_JudgeTest):
+    """A home has one target of the service; the others are elsewhere.
+
+    The node sees the others' answers as an entry. Without them the home
+    could not tell a sick target from a sick service, and every home would
+    eject its own when the service is in trouble.
+    """
+
+    def bench(self, limits=bounds.DETECTION, targets=("riders-2",)):
+        bench = _Bench(limits, targets)
+        for _ in range(250):
+            self.witness(bench)
+            bench.request("riders-2")
+        return bench
+
+    def witness(self, bench, result=GOOD, factor=1.0):
+        for target in ("riders-4", "riders-5", "riders-6"):
+            bench.judge.witnessed(
+                target, result, USUAL * factor, "other", bench.now
+            )
+
+    def test_service_in_trouble(self):
+        for odd in ({"result": FAILED}, {"factor": 4}):
+            bench = self.bench()
+
+            for _ in range(60):
+                self.witness(bench, **odd)
+                bench.request("riders-2", **odd)
+
+            self.assertEqual([], bench.ejected())
+
+    def test_target_in_trouble(self):
+        for odd in ({"result": FAILED}, {"factor": 4}):
+            bench = self.bench()
+
+            for _ in range(10):
+                self.witness(bench)
+                bench.request("riders-2", **odd)
+
+            self.assertEqual(["riders-2"], bench.ejected())
+
+
 class InnocentTargetTest(_JudgeTest):
     """A target that is well, or honest about being full, keeps its work."""
 
