Ramp a target that is new to an entry's pool

Cause: a target that returned, or had just come, got its full share at once. Change: an entry gives it one slot, growing to all over 10 s; not where over a quarter of the pool is new, nor to what the floor has brought back, so that capacity is never held down when it is short. Loads of targets that have left are forgotten. Conclusion: two random choices bound the herd between entries, the ramp bounds it within each.

--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -13,6 +13,7 @@
 from endivewind.decisions import floor
 from endivewind.decisions import paths
 from endivewind.decisions import placing
+from endivewind.decisions import ramp
 from endivewind.nodes import view
 from endivewind.targets import records
 
@@ -32,6 +33,8 @@
 CROSS_REGION_BYTES = 2_000_000.0
 # What headers and frames add to each direction of a request, about.
 HEAD_BYTES = 500
+# At most this share of a pool is on a ramp through one change.
+RAMP_SHARE = 0.25
 # When a refused caller may come back at the earliest.
 LEAST_RETRY = datetime.timedelta(seconds=1)
 RETRY_SPREAD = 3
@@ -76,8 +79,10 @@
         clock: clocks.Clock,
         known: paths.Paths,
         budget: crossing.CrossRegionBudget,
+        ramps: ramp.Ramps,
     ) -> None:
         self._clock = clock
+        self._ramps = ramps
         self._paths = known
         self._budget = budget
         self._loads: dict[str, _TargetLoad] = {}
@@ -95,6 +100,10 @@
         idle = self._clock.monotonic() - known.heard
         return known.latency if idle < _LATENCY_LIFE else 0.0
 
+    def slots(self, item: floor.Candidate) -> int:
+        """Slots of it that this entry may use now."""
+        return self._ramps.slots(item.id, item.slots, self._clock.monotonic())
+
     def affords(self, region: str) -> bool:
         """Whether the traffic budget allows work in another region."""
         return self._budget.allows(region, self._clock.monotonic())
@@ -130,10 +139,11 @@
         elif result.is_ok():
             known.take(latency.total_seconds(), self._clock.monotonic())
 
-    def keep(self, known: collections.abc.Container[str]) -> None:
-        """Forgets idle targets that the fleet no longer has."""
-        for name, load in list(self._loads.items()):
-            if not load.in_use and name not in known:
+    def forget(self, targets: collections.abc.Iterable[str]) -> None:
+        """Drops targets that the fleet no longer has, once they are idle."""
+        for name in targets:
+            load = self._loads.get(name)
+            if load is not None and not load.in_use:
                 del self._loads[name]
 
     def _of(self, target: str) -> _TargetLoad:
@@ -173,7 +183,8 @@
         self._pools: dict[str, tuple[tuple[int, int], placing.Pool]] = {}
         self._paths = paths.Paths()
         self._crossing = crossing.CrossRegionBudget(cross_region_bytes)
-        self._loads = Loads(clock, self._paths, self._crossing)
+        self._ramps = ramp.Ramps()
+        self._loads = Loads(clock, self._paths, self._crossing, self._ramps)
 
     def choose(
         self, service: str, demand: placing.Demand
@@ -252,9 +263,28 @@
         pool = placing.Pool.from_candidates(
             candidates, floor_slots, self._place
         )
+        if known is not None:
+            gone = known[1].targets() - {item.id for item in candidates}
+            self._loads.forget(gone)
+            self._ramps.forget(gone)
+            self._start_ramps(known[1], pool)
         self._pools[service] = (version, pool)
         return pool
 
+    def _start_ramps(self, before: placing.Pool, pool: placing.Pool) -> None:
+        """Ramps targets that are new to the pool.
+
+        Not where they are many, as after a node's start or a restart of most
+        of the service, and not where the floor has brought them back: then
+        their slots are needed at once, and the floor must not be undercut.
+        """
+        now = self._clock.monotonic()
+        fresh = pool.normal_targets() - before.targets()
+        if len(fresh) > RAMP_SHARE * len(pool.targets()):
+            return
+        for target in fresh:
+            self._ramps.begin(target, now)
+
 
 def _size(answer: exchange.Answer) -> int:
     """Bytes of an answer's body, as far as its head tells them."""
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -67,6 +67,19 @@
             sum(item.slots for item in kept),
         )
 
+    def targets(self) -> set[str]:
+        """Those that may get normal work of this entry."""
+        return {item.id for tier in self.tiers for item in tier}
+
+    def normal_targets(self) -> set[str]:
+        """The same without those that only the floor has brought back."""
+        return {
+            item.id
+            for tier in self.tiers
+            for item in tier
+            if item.status is ejection.Status.NORMAL
+        }
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -93,6 +106,9 @@
     def reaches(self, home: str) -> bool:
         """Whether the path from this entry to a home is open."""
 
+    def slots(self, item: floor.Candidate) -> int:
+        """Slots of it that this entry may use now."""
+
     def affords(self, region: str) -> bool:
         """Whether the traffic budget allows work in another region."""
 
@@ -180,7 +196,7 @@
 def _is_free(item: floor.Candidate, demand: Demand, load: Load) -> bool:
     if item.id in demand.excluded or load.is_resting(item.id):
         return False
-    return load.in_use(item.id) < item.slots
+    return load.in_use(item.id) < load.slots(item)
 
 
 def _better(
--- /dev/null
+++ b/endivewind/tests/callers/placement_tests.py
@@ -0,0 +1,116 @@
+"""Placement: the pool follows the view, and ramps what is new to it."""
+
+import collections
+import dataclasses
+import datetime
+import random
+import unittest
+
+from endivewind import clock as clocks
+from endivewind.callers import placement
+from endivewind.decisions import placing
+from endivewind.decisions import ramp
+from endivewind.nodes import view
+from endivewind.targets import records
+
+SERVICE = "riders"
+FLOOR = 12
+
+
+def _record(number, health=records.Health.NORMAL):
+    return records.TargetRecord(
+        id=f"riders-{number}",
+        service=SERVICE,
+        home="node-a",
+        home_incarnation=1,
+        sequence=number,
+        region="andina",
+        zone="andina-a",
+        slots=3,
+        weight=1,
+        state=records.State.READY,
+        health=health,
+    )
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.fleet = view.FleetView()
+        self.fleet.put_node(
+            view.NodeRecord("node-a", 1, "192.0.2.1:1", "andina", "andina-a")
+        )
+        self._sequence = 0
+        self.placement = placement.Placement(
+            placing.Place("node-a", "andina", "andina-a"),
+            self.fleet,
+            lambda service: FLOOR,
+            self.clock,
+            random.Random(1),
+        )
+
+    def put(self, items):
+        self._sequence += 1
+        self.fleet.put_home("node-a", 1, self._sequence, items)
+
+    def fill(self):
+        """Places work until no slot is free; counts it by target."""
+        placed = collections.Counter()
+        while True:
+            found = self.placement.choose(SERVICE, placing.Demand(False))
+            if found is None:
+                return placed
+            self.placement.started(found)
+            placed[found.id] += 1
+
+    def test_a_target_that_returns_begins_with_one_slot(self):
+        """It was ejected and is normal again, while all want slots."""
+        items = [_record(number) for number in range(8)]
+        out = dataclasses.replace(items[0], health=records.Health.EJECTED)
+        self.put([out, *items[1:]])
+        self.placement.choose(SERVICE, placing.Demand(False))
+
+        self.put(items)
+        first = self.fill()
+        self.clock.advance(ramp.SPAN)
+        later = self.fill()
+
+        self.assertEqual((1, 3), (first["riders-0"], first["riders-1"]))
+        self.assertEqual({"riders-0": 2}, later)
+
+    def test_what_the_floor_brings_back_has_all_its_slots(self):
+        """Half of the targets are ejected at once; the floor needs some.
+
+        A ramp would undercut the floor just when capacity is short.
+        """
+        items = [_record(number) for number in range(6)]
+        self.put(items)
+        self.placement.choose(SERVICE, placing.Demand(False))
+
+        out = [_record(n, records.Health.EJECTED) for n in range(4)]
+        self.put([*out, *items[4:]])
+
+        self.assertEqual(FLOOR, self.fill().total())
+
+    def test_a_restart_of_most_of_the_service_is_not_ramped(self):
+        self.put([_record(number) for number in range(2)])
+        self.placement.choose(SERVICE, placing.Demand(False))
+
+        self.put([_record(number) for number in range(8)])
+
+        self.assertEqual(24, self.fill().total())
+
+    def test_draining_targets_get_no_new_work(self):
+        draining = dataclasses.replace(_record(0), state=records.State.DRAINING)
+        self.put([draining, _record(1)])
+
+        self.assertEqual({"riders-1": 3}, self.fill())
+
+    def test_load_is_remembered_over_a_change_of_the_view(self):
+        self.put([_record(0)])
+        self.fill()
+        self.placement.ended(_record(0), None, datetime.timedelta())
+
+        self.put([_record(0), _record(1)])
+
+        self.assertEqual({"riders-0": 1, "riders-1": 3}, self.fill())
--- a/endivewind/tests/decisions/placing_tests.py
+++ b/endivewind/tests/decisions/placing_tests.py
@@ -33,6 +33,9 @@
     def reaches(self, home):
         return home not in self.cut
 
+    def slots(self, item):
+        return item.slots
+
     def affords(self, region):
         return region not in self.poor
 
