--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format
+.PHONY: demo test lint format fuzz mutants
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -14,7 +14,7 @@
 	$(BIN)/endivewind demo
 
 test: $(STAMP)
-	$(BIN)/python -m endivewind.tests
+	PYTHONHASHSEED=0 $(BIN)/python -m endivewind.tests
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check endivewind examples
@@ -24,3 +24,13 @@
 format: $(STAMP)
 	$(BIN)/ruff format endivewind examples
 	$(BIN)/ruff check --fix endivewind examples
+
+SEED ?= 0
+MINUTES ?= 1
+
+# A longer run of the state machines than CI makes; the seed fixes its order.
+fuzz: $(STAMP)
+	$(BIN)/python -m endivewind.tests.fuzz $(SEED) $(MINUTES)
+
+mutants: $(STAMP)
+	$(BIN)/python -m endivewind.tests.mutants
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -53,7 +53,7 @@
         dispatcher: dispatch.Dispatcher,
         pool: links.LinkPool,
         clock: clocks.Clock,
-        witness: Witness,
+        witness: Witness | None = None,
     ) -> None:
         self._witness = witness
         self._node = node
@@ -124,23 +124,36 @@
         budget.request()
         last = await self._first(call)
         while call.tries < MAX_PLACINGS and _may_place_again(call, last):
-            if _was_cheap(last):
+            record = self._moved(call, last)
+            if record is None and _was_cheap(last):
                 last = await self._again(call, last)
                 continue
-            if not budget.take():
-                break
-            record = self._placement.choose(route.service, call.demand())
+            if record is None and budget.take():
+                record = self._placement.choose(route.service, call.demand())
             if record is None:
                 break
             self._placement.started(record, len(body.held))
             last = await self._attempt(call, record)
-        return last
+        return _told(call, last)
+
+    def _moved(
+        self, call: "_Call", last: AnswerResult
+    ) -> records.TargetRecord | None:
+        """The target just tried, at the later home that the last one named."""
+        if last.is_ok() or call.record is None:
+            return None
+        home = self._fleet.nodes.get(last.error.moved_to)
+        if home is None:
+            return None
+        return dataclasses.replace(
+            call.record, home=home.name, home_incarnation=home.incarnation
+        )
 
     async def _again(self, call: "_Call", last: AnswerResult) -> AnswerResult:
         """Puts a request back into the queue that its home had no slot for."""
-        if last.error.reason is exchange.Reason.BUSY and call.last_target:
+        if last.error.reason is exchange.Reason.BUSY and call.record:
             # It rests for a moment, and may be the only one there is.
-            call.tried.discard(call.last_target)
+            call.tried.discard(call.record.id)
         return await self._first(call)
 
     async def _first(self, call: "_Call") -> AnswerResult:
@@ -196,7 +209,7 @@
         """Sends the request to a target whose slot is counted already."""
         call.tries += 1
         call.tried.add(record.id)
-        call.last_target = record.id
+        call.record = record
         self._counts.placed(call.route.service, call.tries)
         started = self._clock.monotonic()
         head = call.head.for_attempt(call.tries, call.deadline - started)
@@ -213,7 +226,9 @@
             latency = self._clock.monotonic() - started
             self._placement.ended(record, result, latency)
             self._waiting.ended(call.route.service)
-        if record.home != self._node:
+        if not _is_not_run(result):
+            call.reached = result
+        if self._witness is not None and record.home != self._node:
             self._witness(record, call.head.workspace, result, latency)
         return result
 
@@ -248,7 +263,8 @@
     deadline: datetime.timedelta
     tries: int = 0
     given_up: bool = False
-    last_target: str = ""
+    record: records.TargetRecord | None = None
+    reached: AnswerResult | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -281,6 +297,22 @@
     return call.repeatable or not_run
 
 
+def _is_not_run(result: AnswerResult) -> bool:
+    return (
+        result.is_error() and result.error.outcome is exchange.Outcome.NOT_RUN
+    )
+
+
+def _told(call: _Call, last: AnswerResult) -> AnswerResult:
+    """What the caller hears: never "not run" of work that a target had.
+
+    A first try may have run and failed while a later one found no slot.
+    """
+    if call.reached is not None and _is_not_run(last):
+        return call.reached
+    return last
+
+
 def _was_cheap(result: AnswerResult) -> bool:
     """Whether a home refused before its target had any work of it."""
     return result.is_error() and result.error.reason in _CHEAP
--- a/endivewind/commands/bench_spreading.py
+++ b/endivewind/commands/bench_spreading.py
@@ -16,6 +16,7 @@
 from absl import flags
 
 from endivewind import exceptions
+from endivewind.commands import bench_options
 from endivewind.commands import options
 from endivewind.config import spreading
 from endivewind.config import store
@@ -39,7 +40,8 @@
 LOADED_OBJECTS = 50
 CHANGED = store.Key(store.SERVICE, "riders")
 
-_NODES = flags.DEFINE_integer("nodes", 50, "Nodes that the change reaches.")
+flags.declare_key_flag("nodes")
+DEFAULT_NODES = 50
 _LOSS = flags.DEFINE_float("loss", 0.1, "Share of messages lost.")
 _RUNS = flags.DEFINE_integer("runs", 5, "Runs, each with its own seed.")
 
@@ -194,13 +196,19 @@
     }
 
 
-def run_once(nodes: int, loss: float, seed: int) -> SpreadingRun:
+def run_once(
+    nodes: int,
+    loss: float,
+    seed: int,
+    changed: tuple[store.Key, dict] | None = None,
+) -> SpreadingRun:
     """One change, heard from the platform by one node only.
 
     Every other watcher has lost the platform, and the zone of the one that
     hears reaches no node of the other region, while it is heard itself: the
     change has to walk round through other zones.
     """
+    key, value = changed or (CHANGED, change(5, 2))
     cores = Cores(nodes, loss, seed)
     source = next(iter(cores.members.values()))
     other = {region for region, _ in ZONES if region != source.region}
@@ -209,17 +217,17 @@
     quiet = statistics.mean(cores.sent.values()) / QUIET.total_seconds()
     cores.sent = dict.fromkeys(cores.members, 0)
     start = cores.now
-    cores.write(source.name, CHANGED, change(5, 2))
+    cores.write(source.name, key, value)
     stores = cores.stores.values()
     waiting = set(cores.members)
 
     def done() -> bool:
         while waiting:
             name = next(iter(waiting))
-            if cores.stores[name].in_force(CHANGED) != 2:
+            if cores.stores[name].in_force(key) != value["version"]:
                 return False
             waiting.discard(name)
-        return all(item.in_force(CHANGED) == 2 for item in stores)
+        return all(item.in_force(key) == value["version"] for item in stores)
 
     reached = cores.run_until(done)
     seconds = (cores.now - start).total_seconds() if reached else float("inf")
@@ -249,9 +257,15 @@
 
 def main(arguments: list[str]) -> int:
     """Prints the figures for --nodes."""
-    if arguments or _NODES.value < 2 or _RUNS.value < 1:
+    if (
+        arguments
+        or (bench_options.NODES.value or DEFAULT_NODES) < 2
+        or _RUNS.value < 1
+    ):
         raise exceptions.UsageError(f"usage: endivewind-bench {USAGE}")
-    figures = measure(_NODES.value, _LOSS.value, _RUNS.value)
+    figures = measure(
+        (bench_options.NODES.value or DEFAULT_NODES), _LOSS.value, _RUNS.value
+    )
     lines = [
         f"{name}: {value}"
         for name, value in dataclasses.asdict(figures).items()
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -113,12 +113,15 @@
       reason: why there is no answer of a target.
       detail: for people.
       retry_after: when to come back; None where coming back is no use.
+      moved_to: the node to which the target has moved, where its former home
+        knows it; empty otherwise.
     """
 
     outcome: Outcome
     reason: Reason
     detail: str = ""
     retry_after: datetime.timedelta | None = None
+    moved_to: str = ""
 
 
 class ByteStream(Protocol):
@@ -160,6 +163,10 @@
     """An answer ended before its announced end."""
 
 
+class TruncatedBodyError(Exception):
+    """A request's body ended before its announced end, or is too large."""
+
+
 def not_run(
     reason: Reason,
     detail: str = "",
@@ -169,6 +176,11 @@
     return Refusal(Outcome.NOT_RUN, reason, detail, retry_after)
 
 
+def broken_body(error: TruncatedBodyError) -> Refusal:
+    """The refusal where a target may have seen a part of the body."""
+    return unknown(Reason.BAD_REQUEST, f"the body broke off: {error}")
+
+
 def unknown(
     reason: Reason,
     detail: str = "",
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -37,9 +37,12 @@
 MAX_VERSION_DATAGRAMS = 4
 # A joining node differs in most buckets; all at once is cheaper for it.
 WHOLE_BUCKETS = 100
-PULL_PERIOD = datetime.timedelta(seconds=1)
-# When a whole fleet restarts, nobody has a state to hand on.
-JOIN_LIMIT = datetime.timedelta(seconds=5)
+# A whole state is about 0.8 MB at full size and takes a second or two; asking
+# again while it comes would double the work of a fleet that restarts.
+PULL_PERIOD = datetime.timedelta(seconds=3)
+# When a whole fleet restarts, nobody has a state to hand on. Pulls must end
+# then as well, or every node would ask every other for ever.
+JOIN_LIMIT = datetime.timedelta(seconds=6)
 HOMES_PER_FRAME = 16
 
 # Node, its incarnation, then sequence and 1 or refutation and state.
@@ -224,11 +227,13 @@
         self._queue = ChangeQueue()
         self._digests = Digests()
         self._heard: list[records.TargetRecord] = []
+        self._turns: list[membership.MemberRecord] = []
         self._started = clock.monotonic()
         self._last_repair = clock.monotonic() - REPAIR_PERIOD
         self._last_pull = clock.monotonic() - PULL_PERIOD
-        self._joined = False
-        self._spread(members.me)
+        self._joined = True
+        for record in members.members.values():
+            self._apply(record)
 
     @property
     def joined(self) -> bool:
@@ -252,6 +257,11 @@
         heard, self._heard = self._heard, []
         return heard
 
+    def take_turns(self) -> list[membership.MemberRecord]:
+        """Members whose record has changed since the last call."""
+        turns, self._turns = self._turns, []
+        return turns
+
     def originate(
         self, made: collections.abc.Iterable[records.TargetChange]
     ) -> None:
@@ -261,6 +271,16 @@
                 self._enqueue(change)
         self._refresh(self._members.me.node.name)
 
+    def join(self) -> None:
+        """Lets others know of this start, and asks one for its whole state."""
+        self._started = self._clock.monotonic()
+        self._joined = False
+        self.introduce()
+
+    def introduce(self) -> None:
+        """Lets others know of this start."""
+        self._enqueue(self._members.me)
+
     def leave(self) -> list[Send]:
         """Tells a few nodes at once that this one is leaving."""
         self._run(self._members.leave(), None)
@@ -279,11 +299,10 @@
             self._take(payload)
         known = self._members.members.get(message.sender)
         stranger = known is None or not known.usable
-        about = self._members.heard(message.sender)
-        extra = () if about is None else (changes.encode(about),)
         refuted = self._members.me is not before
+        extra: tuple[bytes, ...] = ()
         if stranger or refuted:
-            extra = (*extra, changes.encode(self._members.me))
+            extra = (changes.encode(self._members.me),)
         output: list[membership.Output] = []
         if message.ping and message.relay:
             output.extend(
@@ -392,6 +411,7 @@
         self._enqueue(record)
 
     def _apply(self, record: membership.MemberRecord) -> None:
+        self._turns.append(record)
         mine = record.node.name == self._members.me.node.name
         if record.usable or mine:
             # A node that is leaving keeps its own targets to the end.
@@ -501,7 +521,7 @@
         if message.summary == self.summary:
             return []
         now = self._clock.monotonic()
-        if not self._joined and now - self._last_pull >= PULL_PERIOD:
+        if not self.joined and now - self._last_pull >= PULL_PERIOD:
             self._last_pull = now
             return [Send(address, self._pull(()))]
         period = BUSY_REPAIR_PERIOD if len(self._queue) else REPAIR_PERIOD
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -85,7 +85,7 @@
         forward = _forward_out(head, body)
         forward.target = target
         forward.home_incarnation = home.incarnation
-        return await self._call(home, forward, head, body, _HOME_FAILURES)
+        return await self._call(home, forward, head, body, HOME_FAILURES)
 
     async def forward_to_issuer(
         self,
@@ -105,7 +105,7 @@
         forward.to_issuer = True
         forward.home_incarnation = incarnation
         forward.priority = priority
-        return await self._call(issuer, forward, head, body, _ISSUER_FAILURES)
+        return await self._call(issuer, forward, head, body, ISSUER_FAILURES)
 
     async def _call(
         self,
@@ -113,7 +113,7 @@
         forward: Any,
         head: exchange.RequestHead,
         body: exchange.RequestBody,
-        failures: "_Failures",
+        failures: "Failures",
     ) -> AnswerResult:
         link = self._take_idle(peer.address)
         if link is None:
@@ -134,6 +134,9 @@
             self._distrust(peer.address)
             detail = f"link to {peer.name}: {error or 'silent'}"
             return expression.Error(failures.lost(detail))
+        except exchange.TruncatedBodyError as error:
+            link.close()
+            return expression.Error(exchange.broken_body(error))
         except BaseException:
             link.close()
             raise
@@ -269,7 +272,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Failures:
+class Failures:
     """What a failed link means to whoever used it."""
 
     unreachable: collections.abc.Callable[[str], exchange.Refusal]
@@ -282,11 +285,11 @@
     )
 
 
-_HOME_FAILURES = _Failures(
+HOME_FAILURES = Failures(
     lambda detail: exchange.not_run(exchange.Reason.HOME_UNREACHABLE, detail),
     lambda detail: exchange.unknown(exchange.Reason.HOME_LOST, detail),
 )
-_ISSUER_FAILURES = _Failures(_issuer_lost, _issuer_lost)
+ISSUER_FAILURES = Failures(_issuer_lost, _issuer_lost)
 
 
 async def _next_frame(link: _Link) -> Any:
@@ -388,6 +391,7 @@
         exchange.Reason(refusal.reason),
         refusal.detail,
         None if wait < 0 else datetime.timedelta(milliseconds=wait),
+        refusal.moved_to or "",
     )
 
 
@@ -645,5 +649,6 @@
         reason=refusal.reason.value,
         detail=refusal.detail,
         retry_after_ms=-1 if wait is None else int(wait.total_seconds() * 1000),
+        moved_to=refusal.moved_to or None,
     )
     writer.write(codec.encode(codec.messages.Frame(refusal=message)))
