Run each cell of the matrix from a home as well

Cause: the mutant that tells a passed deadline as not-run survived: over three nodes the issuer's own deadline speaks before the home's verdict arrives. Change: each cell also sends a key that the target's home issued.

--- a/endivewind/standins/matrix.py
+++ b/endivewind/standins/matrix.py
@@ -56,19 +56,30 @@
 
 
 def run_cell(cell: tuple[Cell, ...]) -> tuple[str, int]:
-    """One payout with faults, sent again to every node, then once more.
+    """One payout with faults, first over three nodes, then at a home alone.
+
+    Where the key's issuer is the target's home as well, nothing stands
+    between the dispatcher's verdict and the caller.
 
     Returns:
       What promise was broken, or an empty string; and how many of the faults
-      did not come to pass.
+      did not come to pass over three nodes.
     """
+    broken, left = _run_cell(cell, *world.ENTRIES)
+    if not broken:
+        broken, _ = _run_cell(cell, world.HOMES[0], world.HOMES[0])
+    return broken, left
+
+
+def _run_cell(
+    cell: tuple[Cell, ...], issuer: str, entry: str
+) -> tuple[str, int]:
+    """Sends a payout, sends it again to every node, then once more."""
     made = world.World(virtual.VirtualLoop())
-    issuer, entry = world.ENTRIES
     try:
         key = made.issue(issuer)
         other = made.issue(entry)
         made.faults.update(cell)
-        # Through another node than the issuer, so that every step is there.
         made.run(_ended(made, entry, key))
         made.run(_ended(made, issuer, other))
         left = len(made.faults)
