Blame a silent connection before its target

Cause: a pooled connection to a target that something on the way has forgotten makes each request on it wait out its deadline, and each counted against a healthy target.

Mutants: blamed at once, and the home's incarnation not checked: both caught.

--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -15,6 +15,8 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import headers
+from endivewind import logs
+from endivewind.targets import doubts
 from endivewind.targets import evidence
 from endivewind.targets import handover
 from endivewind.targets import records
@@ -95,6 +97,7 @@
         self._clock = clock
         self._observer = observer
         self._ledger = ledger
+        self._doubts = doubts.ConnectionDoubts()
         self._closed = False
 
     @classmethod
@@ -186,7 +189,9 @@
             return _refuse(
                 exchange.Reason.BUSY, f"{target} has no free slot", BUSY_RETRY
             )
-        hand_over = _HandOver(item, head, self._clock, self._observer)
+        hand_over = _HandOver(
+            item, head, self._clock, self._observer, self._doubts
+        )
         try:
             result = await self._send(hand_over, head, body)
         except BaseException:
@@ -207,13 +212,16 @@
         Failure: a pooled connection has been closed or forgotten by the other
         side. Symptom: a healthy target looks lost. Work that may repeat is
         sent once more over a fresh connection before the target is blamed;
-        work under a ticket gets a fresh connection from the start.
+        work under a ticket gets a fresh connection from the start, and so
+        does all work of a target whose pooled connections are in doubt.
         """
         once = bool(head.ticket)
+        now = self._clock.monotonic()
+        fresh = once or self._doubts.fresh_only(hand_over.item.record.id, now)
         deadline = head.remaining.total_seconds()
         try:
             async with asyncio.timeout(deadline):
-                session = self._fresh if once else self._pooled
+                session = self._fresh if fresh else self._pooled
                 try:
                     return await self._request(session, hand_over, head, body)
                 except HandOverLostError:
@@ -262,6 +270,7 @@
         head: exchange.RequestHead,
         clock: clocks.Clock,
         observer: evidence.Observer,
+        connections: doubts.ConnectionDoubts,
     ) -> None:
         self.item = item
         self.progress = _Progress()
@@ -270,6 +279,7 @@
         self._head = head
         self._clock = clock
         self._observer = observer
+        self._connections = connections
         self._started = clock.monotonic()
         self._latency: datetime.timedelta | None = None
         self._ended = False
@@ -290,8 +300,20 @@
         """Ends it for its caller, who has left or waited out the deadline."""
         waited = self._clock.monotonic() - self._started
         late = waited >= self._head.remaining and self._latency is None
-        kind = evidence.Kind.TIMEOUT if late else evidence.Kind.CANCELLED
-        self.end(kind)
+        if late:
+            self.timed_out()
+        else:
+            self.kind = evidence.Kind.CANCELLED
+        self.end()
+
+    def timed_out(self) -> None:
+        """Blames the target for a deadline that passed, or its connection."""
+        self.kind = evidence.Kind.TIMEOUT
+        target = self.item.record.id
+        now = self._clock.monotonic()
+        if self.progress.reused and self._connections.stalled(target, now):
+            log.warning("connection in doubt", extra=logs.fields(target=target))
+            self.kind = evidence.Kind.CANCELLED
 
     def end(self, kind: evidence.Kind | None = None) -> None:
         """Frees the slot and reports, once."""
@@ -425,7 +447,7 @@
 def _timed_out(hand_over: _HandOver) -> AnswerResult:
     if not hand_over.may_have_run:
         return _unreachable(hand_over, "connect timed out")
-    hand_over.kind = evidence.Kind.TIMEOUT
+    hand_over.timed_out()
     detail = "no answer before the deadline"
     return expression.Error(exchange.unknown(exchange.Reason.DEADLINE, detail))
 
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -36,6 +36,7 @@
 _LEDGER = "targets.handover_tests"
 _FUZZ = "proofs.at_most_once_fuzz_tests"
 _LINKS = "nodes.links_tests"
+_DISPATCH = "targets.dispatch_tests"
 _TICKETS = "callers.tickets_tests"
 
 MUTANTS = (
@@ -74,6 +75,20 @@
         "",
         _TICKETS,
     ),
+    Mutant(
+        "the home's incarnation is not checked",
+        "targets/dispatch.py",
+        "        if home_incarnation != self._targets.incarnation:\n",
+        "        if home_incarnation > self._targets.incarnation:\n",
+        _DISPATCH,
+    ),
+    Mutant(
+        "a target is blamed for a silent connection",
+        "targets/doubts.py",
+        "        if now < until:\n            return True\n",
+        "        if now < until:\n            return False\n",
+        _DISPATCH,
+    ),
     Mutant(
         "a link is used again after a part of an answer",
         "nodes/links.py",
