--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -2,7 +2,13 @@
 
 from endivewind.commands import running
 
-MEASUREMENTS: tuple[str, ...] = ("decisions", "matrix", "overhead", "spreading")
+MEASUREMENTS: tuple[str, ...] = (
+    "control",
+    "decisions",
+    "matrix",
+    "overhead",
+    "spreading",
+)
 
 BINARY = running.Binary(
     name="endivewind-bench",
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -265,6 +265,7 @@
             self._not_ready,
             self._status,
             metrics.NodeMetrics(self._metric_sources()).render,
+            lambda: self._gossip.status(),
         )
         operators_address = await self._serve(
             web.AppRunner(self._operator_application(sources), access_log=None),
--- a/endivewind/nodes/service.py
+++ b/endivewind/nodes/service.py
@@ -78,6 +78,7 @@
         """Binds the socket to an address and starts the tasks."""
         host, _, port = address.rpartition(":")
         await self._socket.start(host.strip("[]"), int(port))
+        self._core.join()
         for work in (self._run(), self._list()):
             self._tasks.append(asyncio.create_task(work))
 
@@ -136,8 +137,11 @@
         found: dict[str, object] = {
             state.name.lower(): count for state, count in counts.items()
         }
+        found["targets"] = self._state.fleet.target_count
         found["self_doubt"] = self._members.doubtful
         found["digest"] = self._core.summary
+        found["datagram_bytes_sent"] = self._socket.sent_bytes
+        found["datagram_bytes_received"] = self._socket.received_bytes
         return found
 
     async def _run(self) -> None:
@@ -145,6 +149,7 @@
             self.targets_changed()
             self._dispatch(self._core.tick())
             self._step_down()
+            self._log_turns()
             await asyncio.sleep(TICK.total_seconds())
 
     async def _list(self) -> None:
@@ -163,6 +168,17 @@
                 async with asyncio.timeout(wait):
                     await self._list_now.wait()
 
+    def _log_turns(self) -> None:
+        for record in self._core.take_turns():
+            alive = record.state is membership.State.ALIVE
+            log.log(
+                logging.DEBUG if alive else logging.WARNING,
+                "member",
+                extra=logs.fields(
+                    node=record.node.name, state=record.state.name.lower()
+                ),
+            )
+
     def _step_down(self) -> None:
         """Ends this start's part when a later start of its name is known."""
         if self._members.superseded and not self._warned:
