Record verdicts, drains and membership in the audit trail

Cause: `endivewind audit` promised them, and nodes recorded nothing. Sending a configuration message had a timeout of its own that could leave a link open.

Change: platform/auditor.py compares a node's own targets with what it saw last, keeps records until they are written in batches, and never holds up what they tell.

--- a/endivewind/commands/submit.py
+++ b/endivewind/commands/submit.py
@@ -212,8 +212,9 @@
     )
     ended = await submission.run(steps)
     waited = None
-    if _WAIT.value:
-        waited = await _wait(platform, _to_wait_for(ended))
+    to_wait_for = _to_wait_for(ended)
+    if _WAIT.value and to_wait_for:
+        waited = await _wait(platform, to_wait_for)
     value = {
         "operation": operation,
         "versions": {
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -31,6 +31,8 @@
 from endivewind.nodes import view
 from endivewind.operators import configuration as operators
 from endivewind.operators import http
+from endivewind.platform import audit
+from endivewind.platform import auditor
 from endivewind.platform import client
 from endivewind.platform import membership
 from endivewind.platform import restoring
@@ -91,6 +93,7 @@
         self._session: aiohttp.ClientSession
         self._watcher: watcher.Watcher
         self._restorer: restoring.Restorer
+        self._auditor: auditor.Auditor
         self._configuration_peer: configuration.ConfigurationPeer
         self._self_record: view.NodeRecord
         self._gossip: service.GossipService
@@ -144,6 +147,13 @@
         self._listener = listener.Listener(
             self._gateway, self._ticketing, config.limits, self._not_ready
         )
+        self._auditor = auditor.Auditor(
+            config.name,
+            self._incarnation,
+            self._platform,
+            self._clock,
+            self._rng,
+        )
         self._restorer = restoring.Restorer(
             self._configuration, self._platform, self._rng
         )
@@ -190,6 +200,7 @@
         for work in (
             self._watcher.run(),
             self._restorer.run(),
+            self._auditor.run(),
             self._configuration_peer.run(),
             self._register(),
             self._expire(),
@@ -209,6 +220,7 @@
         await departure.run(datetime.timedelta(seconds=limit))
         await membership.unregister(self._platform, self._self_record)
         await self._gossip.leave()
+        await self._record_leaving()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -219,6 +231,15 @@
         await self._dispatcher.close()
         await self._session.close()
 
+    async def _record_leaving(self) -> None:
+        """Writes the last records, but waits no longer than one call."""
+        self._auditor.membership(audit.Action.LEAVE)
+        try:
+            async with asyncio.timeout(client.CALL_TIMEOUT.total_seconds()):
+                await self._auditor.flush()
+        except TimeoutError:
+            log.warning("the last audit records were not written")
+
     async def run(
         self,
         target: str,
@@ -309,6 +330,7 @@
 
     def _targets_changed(self) -> None:
         self._gossip.targets_changed()
+        self._auditor.targets(self._targets.announced(), self._judge.causes)
         held = [item.id for item in self._targets.announced()]
         log.info("targets held", extra=logs.fields(targets=held))
 
@@ -326,6 +348,7 @@
             )
             if written.is_ok():
                 self._gossip.registered()
+                self._auditor.membership(audit.Action.JOIN)
                 return
             log.warning("can't register: %s", written.error)
             await asyncio.sleep(self._rng.uniform(0.5, 1.5))
--- a/endivewind/nodes/configuration.py
+++ b/endivewind/nodes/configuration.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import datetime
 import logging
 import random
 from typing import Any
@@ -28,7 +27,6 @@
 # A peer that takes nothing must not pile up tasks; a message dropped here is
 # made up for by the next digest.
 MAX_SENDING = 64
-SEND_TIMEOUT = datetime.timedelta(seconds=2)
 
 InForce = collections.abc.Callable[[store.Key], None]
 
@@ -167,11 +165,8 @@
         task.add_done_callback(self._sending.discard)
 
     async def _send_one(self, address: str, frame: Any) -> None:
-        try:
-            async with asyncio.timeout(SEND_TIMEOUT.total_seconds()):
-                await self._pool.send(address, frame)
-        except TimeoutError:
-            log.debug("no room at %s", address)
+        if not await self._pool.send(address, frame):
+            log.debug("can't send to %s", address)
 
 
 def message_out(message: spreading.Message) -> Any:
--- a/endivewind/tests/proofs/submission_tests.py
+++ b/endivewind/tests/proofs/submission_tests.py
@@ -79,3 +79,11 @@
         await self.fleet.nodes["node-a"].message("in force")
         _, held = await self.run_command("get", "service", "riders")
         self.assertIsNone(held["value"]["spec"])
+
+    async def test_the_trail_tells_who_joined_and_left(self):
+        await self.start("node-a")
+
+        await self.fleet.nodes["node-a"].stop()
+
+        _, trail = await self.run_command("audit", "--subject=node/node-a")
+        self.assertEqual(["join", "leave"], [i["action"] for i in trail])
