--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -31,7 +31,9 @@
 CROSSING_SHARE = 0.25
 MAX_QUEUED = 4096
 BUCKETS = 128
-# A node repairs with one other at a time, and leaves news time to spread.
+# A node repairs with one other at a time, and leaves news time to spread: what
+# it has heard in the last REPAIR_PERIOD others may simply not have heard yet.
+# Without that each change would make every node compare its buckets.
 REPAIR_PERIOD = datetime.timedelta(seconds=2)
 BUSY_REPAIR_PERIOD = datetime.timedelta(seconds=10)
 MAX_VERSION_DATAGRAMS = 4
@@ -229,6 +231,7 @@
         self._heard: list[records.TargetRecord] = []
         self._turns: list[membership.MemberRecord] = []
         self._started = clock.monotonic()
+        self._changed_at = clock.monotonic()
         self._last_repair = clock.monotonic() - REPAIR_PERIOD
         self._last_pull = clock.monotonic() - PULL_PERIOD
         self._joined = True
@@ -431,7 +434,10 @@
             self._queue.put(key, payload)
 
     def _refresh(self, name: str) -> None:
+        before = self._digests.summary
         self._digests.put(name, self._version(name))
+        if self._digests.summary != before:
+            self._changed_at = self._clock.monotonic()
 
     def _version(self, name: str) -> Version | None:
         member = self._members.members.get(name)
@@ -524,7 +530,8 @@
         if not self.joined and now - self._last_pull >= PULL_PERIOD:
             self._last_pull = now
             return [Send(address, self._pull(()))]
-        period = BUSY_REPAIR_PERIOD if len(self._queue) else REPAIR_PERIOD
+        settled = now - self._changed_at >= REPAIR_PERIOD
+        period = REPAIR_PERIOD if settled else BUSY_REPAIR_PERIOD
         if now - self._last_repair < period:
             return []
         self._last_repair = now
