--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format capacity
+.PHONY: demo test lint format capacity fuzz mutants
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -27,3 +27,13 @@
 
 capacity: $(STAMP)
 	$(BIN)/endivewind-bench control --sweep --check=docs/CAPACITY.md
+
+SEED ?= 0
+MINUTES ?= 1
+
+# A longer run of the state machines than CI makes; the seed fixes its order.
+fuzz: $(STAMP)
+	$(BIN)/python -m endivewind.tests.fuzz $(SEED) $(MINUTES)
+
+mutants: $(STAMP)
+	$(BIN)/python -m endivewind.tests.mutants
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -118,7 +118,10 @@
                 del self._loads[name]
 
     def _of(self, target: str) -> _TargetLoad:
-        return self._loads.setdefault(target, _TargetLoad())
+        known = self._loads.get(target)
+        if known is None:
+            known = self._loads[target] = _TargetLoad()
+        return known
 
 
 class Placement:
@@ -170,6 +173,10 @@
         else:
             self._paths.succeeded(record.home)
 
+    def admitted_slots(self, service: str) -> int:
+        """Slots of the targets that this entry may give normal work."""
+        return self._pool(service).slots
+
     def _pool(self, service: str) -> placing.Pool:
         """The service's pool; made again only when something has changed.
 
--- a/endivewind/standins/target.py
+++ b/endivewind/standins/target.py
@@ -42,7 +42,8 @@
     """A target that counts what it ran, by the header Work-Id.
 
     A fault of all requests is set with `PUT /standin/fault`: {"errors": share
-    of requests that fail, "delay_ms": extra time, "hang": true}. A fault of
+    of requests that fail, "delay_ms": extra time, "hang": true,
+    "draining": true}. A fault of
     one request is named by its header Standin-Fault.
     """
 
@@ -57,6 +58,7 @@
         self._errors = 0.0
         self._delay = 0.0
         self._hang = False
+        self._draining = False
         self._last: str | None = None
         self._moves = 0
         self._incarnation = int(
@@ -101,6 +103,7 @@
             "address": f"http://{address}",
             "incarnation": self._incarnation,
             "moves": self._moves,
+            "state": "draining" if self._draining else "ready",
             "lease_ms": 2000,
         }
         try:
@@ -190,6 +193,7 @@
         self._errors = float(fault.get("errors", 0))
         self._delay = float(fault.get("delay_ms", 0)) / 1000
         self._hang = bool(fault.get("hang", False))
+        self._draining = bool(fault.get("draining", False))
         return web.Response(status=204)
 
 
--- a/endivewind/targets/judge.py
+++ b/endivewind/targets/judge.py
@@ -69,12 +69,11 @@
 
     def service(self, name: str) -> judging.ServiceJudge:
         """The judge of a service; made when it is first needed."""
-        limits = _BOUNDS[self._profile_of(name)]
         known = self._services.get(name)
         if known is None:
-            known = self._services[name] = judging.ServiceJudge(limits)
-        elif known.limits is not limits:
-            known.configure(limits)
+            known = self._services[name] = judging.ServiceJudge(
+                self._limits(name)
+            )
         return known
 
     def started(self, target: str, service: str) -> int:
@@ -100,16 +99,20 @@
     def advance(self) -> None:
         """Looks for overdue requests and ended holds; call it often."""
         now = self._clock.monotonic()
-        for judge in self._services.values():
-            self._forget_gone(judge)
+        held = {record.id for record in self._targets.announced()}
+        for name, judge in self._services.items():
+            # Here and not at each request: a profile changes seldom.
+            limits = self._limits(name)
+            if judge.limits is not limits:
+                judge.configure(limits)
+            for target in set(judge.targets()) - held:
+                judge.forget(target)
+                self._causes.pop(target, None)
             for change in judge.advance(now):
                 self._apply(change)
 
-    def _forget_gone(self, judge: judging.ServiceJudge) -> None:
-        for target in judge.targets():
-            if self._targets.get(target) is None:
-                judge.forget(target)
-                self._causes.pop(target, None)
+    def _limits(self, name: str) -> bounds.ErrorBounds:
+        return _BOUNDS[self._profile_of(name)]
 
     def _apply(self, change: judging.Change) -> None:
         health = records.Health(change.status.value)
