--- a/endivewind/commands/control_fleet.py
+++ b/endivewind/commands/control_fleet.py
@@ -124,8 +124,7 @@
         if message.sender == self._fleet.real_name:
             self._fleet.count_in(frame)
         if isinstance(message, gossip.Pull):
-            for part in self.core.answer(message):
-                self._fleet.link(message.address, states.frame_out(part))
+            self._fleet.answer(message.address, self.core.answer(message))
             return
         self.send(self.core.receive_state(message))
 
@@ -210,9 +209,15 @@
 
     def link(self, address: str, frame: Any) -> None:
         """Sends a frame by a link."""
-        if address == self.real_address:
-            self.link_bytes += len(codec.encode(frame))
-        self._start(self._pool.send(address, frame))
+        self._start(self._send(address, frame))
+
+    def answer(
+        self,
+        address: str,
+        parts: collections.abc.Iterable[gossip.FleetState],
+    ) -> None:
+        """Sends an answer's parts one after the other, as a real node does."""
+        self._start(self._send_all(address, parts))
 
     def count_in(self, frame: Any) -> None:
         """Counts a frame that came from the real node."""
@@ -270,6 +275,19 @@
             for target in targets
         ]
 
+    async def _send(self, address: str, frame: Any) -> None:
+        if address == self.real_address:
+            self.link_bytes += len(codec.encode(frame))
+        await self._pool.send(address, frame)
+
+    async def _send_all(
+        self,
+        address: str,
+        parts: collections.abc.Iterable[gossip.FleetState],
+    ) -> None:
+        for part in parts:
+            await self._send(address, states.frame_out(part))
+
     async def _tick(self, phase: int) -> None:
         await asyncio.sleep(phase * TICK.total_seconds() / _PHASES)
         while True:
