End a stop at its limit, and see every cut in the proofs

Cause: after the stop's limit the HTTP server waited another minute for work that hangs; and the proofs' own client sent a GET again after a cut, which hid cuts of GETs from the rolling replacement.

Change: the listener cuts 0.5 s after the limit; the proofs' client never sends again by itself. A new proof stops a node whose request hangs.

--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -250,7 +250,10 @@
     async def _bind(self) -> Addresses:
         config = self._settings
         callers = await self._serve(
-            web.ServerRunner(self._listener.server()),
+            web.ServerRunner(
+                self._listener.server(),
+                shutdown_timeout=leaving.CUT_AFTER.total_seconds(),
+            ),
             config.callers,
             tls.server_context(config.callers_tls),
         )
--- a/endivewind/nodes/leaving.py
+++ b/endivewind/nodes/leaving.py
@@ -11,6 +11,9 @@
 # within a probe or two that it is not ready. New work that is under way
 # meanwhile is still served.
 NOTICE = datetime.timedelta(seconds=1)
+# Work that is still there at the limit is cut; without this bound the HTTP
+# server waits another minute for it and the VM can't be replaced.
+CUT_AFTER = datetime.timedelta(milliseconds=500)
 
 
 class Door(Protocol):
--- a/endivewind/tests/proofs/calls.py
+++ b/endivewind/tests/proofs/calls.py
@@ -48,6 +48,20 @@
         return json.loads(self.body)
 
 
+class _CutError(Exception):
+    """A connection that broke before the answer."""
+
+
+async def _never_resend(request, handler):
+    """Shows a cut that aiohttp would hide by sending a GET again."""
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _CutError from error
+
+
 class Caller:
     """A caller with connections of its own."""
 
@@ -78,14 +92,18 @@
             async with (
                 asyncio.timeout(WAIT_SECONDS),
                 self._session.request(
-                    method, url, headers=sent, data=body
+                    method,
+                    url,
+                    headers=sent,
+                    data=body,
+                    middlewares=(_never_resend,),
                 ) as response,
             ):
                 read = await response.read()
                 return Reply(response.status, dict(response.headers), read)
         except aiohttp.ClientConnectorError:
             return Reply(0)
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, _CutError):
             return Reply(0, cut=True)
 
     async def key(
--- a/endivewind/tests/proofs/stop_tests.py
+++ b/endivewind/tests/proofs/stop_tests.py
@@ -74,6 +74,23 @@
             self.assertEqual(0, await stopping)
             self.assertEqual(1, (await caller.runs(fleet))["slow"])
 
+    async def test_stop_ends_at_its_limit(self):
+        """A request that hangs must not hold up the replacement of a VM."""
+        async with _fleet() as (fleet, caller):
+            node = fleet.nodes["node-1"]
+            far_off = {"Endivewind_Timeout_Ms": "300000"}
+            hung = asyncio.create_task(
+                caller.send(node, "GET", work="hung", fault="hang", **far_off)
+            )
+            targets = fleet.targets.values()
+            await _first_message(targets, "work runs", "hung")
+
+            code = await node.stop()
+
+            self.assertEqual(0, code)
+            reply = await hung
+            self.assertTrue(reply.cut, reply)
+
     async def test_rolling_replacement_under_load(self):
         """All nodes and all targets are replaced while callers call.
 
