--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -1,6 +1,7 @@
 """Serves a request: routes it, places it and passes it to a target's home."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import datetime
 
@@ -11,9 +12,12 @@
 from endivewind.callers import counts
 from endivewind.callers import placement
 from endivewind.callers import routing
+from endivewind.callers import waiting
 from endivewind.config import objects
 from endivewind.config import store
+from endivewind.decisions import admission
 from endivewind.decisions import placing
+from endivewind.decisions import retries
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.targets import dispatch
@@ -21,8 +25,20 @@
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
-NO_TARGET_RETRY = datetime.timedelta(seconds=1)
+# Hears how requests went at targets of other homes.
+Witness = collections.abc.Callable[
+    [records.TargetRecord, str, AnswerResult, datetime.timedelta], None
+]
+
 MAX_PLACINGS = 3
+_FAILED_STATUS = frozenset({500, 502, 503, 504})
+_CHEAP = frozenset(
+    {
+        exchange.Reason.BUSY,
+        exchange.Reason.STOPPING,
+        exchange.Reason.STALE_HOME,
+    }
+)
 
 
 class Gateway:
@@ -37,7 +53,9 @@
         dispatcher: dispatch.Dispatcher,
         pool: links.LinkPool,
         clock: clocks.Clock,
+        witness: Witness | None = None,
     ) -> None:
+        self._witness = witness
         self._node = node
         self._placement = placement
         self._configuration = configuration
@@ -46,6 +64,11 @@
         self._pool = pool
         self._clock = clock
         self._table = routing.RoutingTable()
+        self._budgets: dict[str, retries.RetryBudget] = {}
+        self._rates = admission.RateLimits()
+        self._workspaces: dict[str, objects.Workspace] = {}
+        self._shards: dict[str, frozenset[str]] = {}
+        self._waiting = waiting.WaitingRoom(placement, self._queue_limit, clock)
         self._counts = counts.RequestCounts(clock)
 
     @property
@@ -58,6 +81,20 @@
         if kind == store.ROUTE_GROUP:
             group = self._configuration.route_group(name)
             self._table.replace(name, group.routes if group else ())
+        elif kind == store.WORKSPACE_SHARD:
+            self._take_workspaces(name)
+
+    def _take_workspaces(self, name: str) -> None:
+        shard = self._configuration.workspace_shard(name)
+        found = shard.workspaces if shard else {}
+        for gone in self._shards.pop(name, frozenset()) - set(found):
+            self._workspaces.pop(gone, None)
+        self._workspaces.update(found)
+        self._shards[name] = frozenset(found)
+
+    def _queue_limit(self, service: str) -> int:
+        found = self._configuration.service(service) or objects.Service()
+        return found.queue_limit
 
     def route(
         self, host: str, path: str, workspace: str
@@ -77,55 +114,108 @@
         body: exchange.RequestBody,
     ) -> AnswerResult:
         """Places a request until a target has run it or may have run it."""
-        deadline = self._clock.monotonic() + head.remaining
-        tried: set[str] = set()
-        last = exchange.not_run(
-            exchange.Reason.NO_TARGET,
-            f"no target of {route.service} can take work",
-            NO_TARGET_RETRY,
+        limited = self._over_rate(head.workspace)
+        if limited is not None:
+            return expression.Error(limited)
+        call = _Call(
+            route, head, body, self._clock.monotonic() + head.remaining
         )
-        record: records.TargetRecord | None = None
-        for number in range(1, MAX_PLACINGS + 1):
-            demand = placing.Demand(may_repeat(route, head.method), tried)
-            record = self._moved(record, last) or self._placement.choose(
-                route.service, demand
-            )
+        budget = self._budget(route.service)
+        budget.request()
+        last = await self._first(call)
+        while call.tries < MAX_PLACINGS and _may_place_again(call, last):
+            record = self._moved(call, last)
+            if record is None and _was_cheap(last):
+                last = await self._again(call, last)
+                continue
+            if record is None and budget.take():
+                record = self._placement.choose(route.service, call.demand())
             if record is None:
                 break
-            tried.add(record.id)
-            self._counts.placed(route.service, number)
-            remaining = deadline - self._clock.monotonic()
-            attempt = head.for_attempt(number, remaining)
-            result = await self._attempt(record, attempt, body)
-            if result.is_ok():
-                return result
-            last = result.error
-            if not _may_place_again(route, head, body, last):
-                break
-        return expression.Error(last)
+            self._placement.started(record, len(body.held))
+            last = await self._attempt(call, record)
+        return _told(call, last)
 
     def _moved(
-        self, record: records.TargetRecord | None, last: exchange.Refusal
+        self, call: "_Call", last: AnswerResult
     ) -> records.TargetRecord | None:
         """The target just tried, at the later home that the last one named."""
-        home = self._fleet.nodes.get(last.moved_to)
-        if record is None or home is None:
+        if last.is_ok() or call.record is None:
+            return None
+        home = self._fleet.nodes.get(last.error.moved_to)
+        if home is None:
             return None
         return dataclasses.replace(
-            record, home=home.name, home_incarnation=home.incarnation
+            call.record, home=home.name, home_incarnation=home.incarnation
         )
 
+    async def _again(self, call: "_Call", last: AnswerResult) -> AnswerResult:
+        """Puts a request back into the queue that its home had no slot for."""
+        if last.error.reason is exchange.Reason.BUSY and call.record:
+            # It rests for a moment, and may be the only one there is.
+            call.tried.discard(call.record.id)
+        return await self._first(call)
+
+    async def _first(self, call: "_Call") -> AnswerResult:
+        """Waits for a slot within the fair order, and sends the request."""
+        owner = self._workspaces.get(call.head.workspace)
+        weight = owner.weight if owner else 1
+        placed = await self._waiting.place(
+            waiting.Claim(
+                call.route.service,
+                call.demand(),
+                waiting.waiter(
+                    call.head.workspace,
+                    weight,
+                    call.route.priority,
+                    call.deadline,
+                ),
+                len(call.body.held),
+            )
+        )
+        if placed.is_error():
+            call.given_up = True
+            return expression.Error(placed.error)
+        return await self._attempt(call, placed.ok)
+
+    def _over_rate(self, workspace: str) -> exchange.Refusal | None:
+        """A refusal where the workspace has used up its rate at this entry."""
+        owner = self._workspaces.get(workspace)
+        if owner is None:
+            return None
+        now = self._clock.monotonic()
+        refused = self._rates.take(workspace, owner.rate, owner.burst, now)
+        if refused is None:
+            return None
+        return exchange.not_run(
+            exchange.Reason.RATE_LIMITED,
+            refused.reason.value,
+            self._placement.come_back_after(refused.retry_after),
+        )
+
+    def _budget(self, service: str) -> retries.RetryBudget:
+        """The retry budget of a service, with its share in force."""
+        found = self._configuration.service(service) or objects.Service()
+        known = self._budgets.get(service)
+        if known is None:
+            known = retries.RetryBudget(found.retry_percent)
+            self._budgets[service] = known
+        known.configure(found.retry_percent)
+        return known
+
     async def _attempt(
-        self,
-        record: records.TargetRecord,
-        head: exchange.RequestHead,
-        body: exchange.RequestBody,
+        self, call: "_Call", record: records.TargetRecord
     ) -> AnswerResult:
+        """Sends the request to a target whose slot is counted already."""
+        call.tries += 1
+        call.tried.add(record.id)
+        call.record = record
+        self._counts.placed(call.route.service, call.tries)
         started = self._clock.monotonic()
-        self._placement.started(record)
+        head = call.head.for_attempt(call.tries, call.deadline - started)
         result: AnswerResult | None = None
         try:
-            result = await self._pass_on(record, head, body)
+            result = await self._pass_on(record, head, call.body)
         except TimeoutError:
             result = expression.Error(
                 exchange.unknown(
@@ -135,6 +225,11 @@
         finally:
             latency = self._clock.monotonic() - started
             self._placement.ended(record, result, latency)
+            self._waiting.ended(call.route.service)
+        if not _is_not_run(result):
+            call.reached = result
+        if self._witness is not None and record.home != self._node:
+            self._witness(record, call.head.workspace, result, latency)
         return result
 
     async def _pass_on(
@@ -158,17 +253,69 @@
             return await self._pool.forward(home, record.id, head, body)
 
 
-def _may_place_again(
-    route: objects.Route,
-    head: exchange.RequestHead,
-    body: exchange.RequestBody,
-    refusal: exchange.Refusal,
-) -> bool:
-    if not body.replayable or refusal.reason is exchange.Reason.DEADLINE:
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """One request on its way through the gateway."""
+
+    route: objects.Route
+    head: exchange.RequestHead
+    body: exchange.RequestBody
+    deadline: datetime.timedelta
+    tries: int = 0
+    given_up: bool = False
+    record: records.TargetRecord | None = None
+    reached: AnswerResult | None = None
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        if self.head.ticket:
+            return False
+        return may_repeat(self.route, self.head.method)
+
+    def demand(self) -> placing.Demand:
+        """Where it may be placed now."""
+        return placing.Demand(self.repeatable, self.tried)
+
+
+def _may_place_again(call: _Call, result: AnswerResult) -> bool:
+    """Whether another target may get the request.
+
+    Only what truly did not run, or what may run twice. An answer of 5xx to
+    the latter is one target's trouble as long as the budget pays for asking
+    another. What was refused before any target was chosen is final.
+    """
+    if not call.body.replayable or call.given_up:
+        return False
+    if result.is_ok():
+        failed = result.ok.status in _FAILED_STATUS
+        return failed and call.repeatable and result.ok.rest is None
+    if result.error.reason is exchange.Reason.DEADLINE:
         return False
-    if refusal.outcome is exchange.Outcome.NOT_RUN:
-        return True
-    return may_repeat(route, head.method)
+    not_run = result.error.outcome is exchange.Outcome.NOT_RUN
+    return call.repeatable or not_run
+
+
+def _is_not_run(result: AnswerResult) -> bool:
+    return (
+        result.is_error() and result.error.outcome is exchange.Outcome.NOT_RUN
+    )
+
+
+def _told(call: _Call, last: AnswerResult) -> AnswerResult:
+    """What the caller hears: never "not run" of work that a target had.
+
+    A first try may have run and failed while a later one found no slot.
+    """
+    if call.reached is not None and _is_not_run(last):
+        return call.reached
+    return last
+
+
+def _was_cheap(result: AnswerResult) -> bool:
+    """Whether a home refused before its target had any work of it."""
+    return result.is_error() and result.error.reason in _CHEAP
 
 
 def may_repeat(route: objects.Route, method: str) -> bool:
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -8,10 +8,12 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind.decisions import crossing
 from endivewind.decisions import ejection
 from endivewind.decisions import floor
 from endivewind.decisions import paths
 from endivewind.decisions import placing
+from endivewind.decisions import ramp
 from endivewind.nodes import view
 from endivewind.targets import records
 
@@ -26,6 +28,16 @@
 SHED_REST = datetime.timedelta(milliseconds=250)
 _SHED_STATUS = frozenset({429, 503})
 _PATH_FAILURES = (exchange.Reason.HOME_LOST, exchange.Reason.HOME_UNREACHABLE)
+# A region pair shares 4 Gbit/s each way; an entry's part of it where each
+# region has some 250 nodes.
+CROSS_REGION_BYTES = 2_000_000.0
+# What headers and frames add to each direction of a request, about.
+HEAD_BYTES = 500
+# At most this share of a pool is on a ramp through one change.
+RAMP_SHARE = 0.25
+# When a refused caller may come back at the earliest.
+LEAST_RETRY = datetime.timedelta(seconds=1)
+RETRY_SPREAD = 3
 _LATENCY_WEIGHT = 1 / 8
 # An older latency says nothing of the present.
 _LATENCY_LIFE = datetime.timedelta(seconds=2)
@@ -62,9 +74,17 @@
 class Loads(placing.Load):
     """This entry's work by target; only targets that it has used."""
 
-    def __init__(self, clock: clocks.Clock, known: paths.Paths) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        known: paths.Paths,
+        budget: crossing.CrossRegionBudget,
+        ramps: ramp.Ramps,
+    ) -> None:
         self._clock = clock
+        self._ramps = ramps
         self._paths = known
+        self._budget = budget
         self._loads: dict[str, _TargetLoad] = {}
 
     def in_use(self, target: str) -> int:
@@ -80,6 +100,14 @@
         idle = self._clock.monotonic() - known.heard
         return known.latency if idle < _LATENCY_LIFE else 0.0
 
+    def slots(self, item: floor.Candidate) -> int:
+        """Slots of it that this entry may use now."""
+        return self._ramps.slots(item.id, item.slots, self._clock.monotonic())
+
+    def affords(self, region: str) -> bool:
+        """Whether the traffic budget allows work in another region."""
+        return self._budget.allows(region, self._clock.monotonic())
+
     def is_resting(self, target: str) -> bool:
         """Whether it refused work a moment ago."""
         known = self._loads.get(target)
@@ -111,10 +139,11 @@
         elif result.is_ok():
             known.take(latency.total_seconds(), self._clock.monotonic())
 
-    def keep(self, known: collections.abc.Container[str]) -> None:
-        """Forgets idle targets that the fleet no longer has."""
-        for name, load in list(self._loads.items()):
-            if not load.in_use and name not in known:
+    def forget(self, targets: collections.abc.Iterable[str]) -> None:
+        """Drops targets that the fleet no longer has, once they are idle."""
+        for name in targets:
+            load = self._loads.get(name)
+            if load is not None and not load.in_use:
                 del self._loads[name]
 
     def _of(self, target: str) -> _TargetLoad:
@@ -134,7 +163,18 @@
         floor_of: FloorOf,
         clock: clocks.Clock,
         rng: random.Random,
+        cross_region_bytes: float = CROSS_REGION_BYTES,
     ) -> None:
+        """Starts with no load.
+
+        Args:
+          place: where this entry is.
+          fleet: what is known of the targets.
+          floor_of: slots for each region that stay in use, by service.
+          clock: for paths, rests and budgets.
+          rng: for the choices.
+          cross_region_bytes: a second, to each other region.
+        """
         self._place = place
         self._fleet = fleet
         self._floor_of = floor_of
@@ -142,7 +182,9 @@
         self._clock = clock
         self._pools: dict[str, tuple[tuple[int, int], placing.Pool]] = {}
         self._paths = paths.Paths()
-        self._loads = Loads(clock, self._paths)
+        self._crossing = crossing.CrossRegionBudget(cross_region_bytes)
+        self._ramps = ramp.Ramps()
+        self._loads = Loads(clock, self._paths, self._crossing, self._ramps)
 
     def choose(
         self, service: str, demand: placing.Demand
@@ -152,8 +194,9 @@
         chosen = placing.choose(pool, demand, self._loads, self._rng)
         return self._fleet.targets(service)[chosen.id] if chosen else None
 
-    def started(self, record: records.TargetRecord) -> None:
-        """Takes note of a request sent to a target."""
+    def started(self, record: records.TargetRecord, size: int = 0) -> None:
+        """Takes note of a request, with its bytes, sent to a target."""
+        self._spend(record, size)
         self._loads.started(record.id)
         self._paths.started(record.home, self._clock.monotonic())
 
@@ -168,15 +211,38 @@
         if result is None:
             return
         self._loads.learn(record.id, result, latency)
+        if result.is_ok():
+            self._spend(record, _size(result.ok))
         if result.is_error() and result.error.reason in _PATH_FAILURES:
             self._paths.failed(record.home, self._clock.monotonic())
         else:
             self._paths.succeeded(record.home)
 
+    def has_candidate(self, service: str, demand: placing.Demand) -> bool:
+        """Whether any target could take the request once it has a slot."""
+        return any(
+            item.id not in demand.excluded
+            for tier in self._pool(service).tiers
+            for item in tier
+        )
+
     def admitted_slots(self, service: str) -> int:
         """Slots of the targets that this entry may give normal work."""
         return self._pool(service).slots
 
+    def _spend(self, record: records.TargetRecord, size: int) -> None:
+        if record.region != self._place.region:
+            now = self._clock.monotonic()
+            self._crossing.spend(record.region, size + HEAD_BYTES, now)
+
+    def come_back_after(self, least: datetime.timedelta) -> datetime.timedelta:
+        """When a refused caller should come back.
+
+        Spread over three times the least: callers that were refused together
+        would else come back together, and be refused together again.
+        """
+        return least * self._rng.uniform(1, RETRY_SPREAD)
+
     def _pool(self, service: str) -> placing.Pool:
         """The service's pool; made again only when something has changed.
 
@@ -197,9 +263,38 @@
         pool = placing.Pool.from_candidates(
             candidates, floor_slots, self._place
         )
+        if known is not None:
+            gone = known[1].targets() - {item.id for item in candidates}
+            self._loads.forget(gone)
+            self._ramps.forget(gone)
+            self._start_ramps(known[1], pool)
         self._pools[service] = (version, pool)
         return pool
 
+    def _start_ramps(self, before: placing.Pool, pool: placing.Pool) -> None:
+        """Ramps targets that are new to the pool.
+
+        Not where they are many, as after a node's start or a restart of most
+        of the service, and not where the floor has brought them back: then
+        their slots are needed at once, and the floor must not be undercut.
+        """
+        now = self._clock.monotonic()
+        fresh = pool.normal_targets() - before.targets()
+        if len(fresh) > RAMP_SHARE * len(pool.targets()):
+            return
+        for target in fresh:
+            self._ramps.begin(target, now)
+
+
+def _size(answer: exchange.Answer) -> int:
+    """Bytes of an answer's body, as far as its head tells them."""
+    if answer.rest is None:
+        return len(answer.body)
+    for name, value in answer.headers:
+        if name.lower() == b"content-length" and value.isdigit():
+            return int(value)
+    return len(answer.body)
+
 
 def _candidate(record: records.TargetRecord) -> floor.Candidate:
     return floor.Candidate(
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -15,6 +15,7 @@
 SUBSET = 24
 # One request in so many goes to a target in trial, while there is one.
 TRIAL_EVERY = 20
+_FAR = 2
 # A latency that is so many times another's says that a target is slower.
 CLEARLY = 2
 
@@ -66,6 +67,19 @@
             sum(item.slots for item in kept),
         )
 
+    def targets(self) -> set[str]:
+        """Those that may get normal work of this entry."""
+        return {item.id for tier in self.tiers for item in tier}
+
+    def normal_targets(self) -> set[str]:
+        """The same without those that only the floor has brought back."""
+        return {
+            item.id
+            for tier in self.tiers
+            for item in tier
+            if item.status is ejection.Status.NORMAL
+        }
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -92,6 +106,12 @@
     def reaches(self, home: str) -> bool:
         """Whether the path from this entry to a home is open."""
 
+    def slots(self, item: floor.Candidate) -> int:
+        """Slots of it that this entry may use now."""
+
+    def affords(self, region: str) -> bool:
+        """Whether the traffic budget allows work in another region."""
+
     def is_resting(self, target: str) -> bool:
         """Whether it refused work a moment ago."""
 
@@ -113,8 +133,9 @@
             return tried
     # Where every path has failed, a doubtful one is better than none.
     for any_path in (False, True):
-        for tier in pool.tiers:
-            found = _of_tier(tier, demand, load, rng, any_path)
+        for number, tier in enumerate(pool.tiers):
+            far = number == _FAR
+            found = _of_tier(tier, demand, load, rng, any_path, far)
             if found:
                 return found
     return None
@@ -138,6 +159,7 @@
     load: Load,
     rng: random.Random,
     any_path: bool,
+    far: bool,
 ) -> floor.Candidate | None:
     """The better of the first two free ones in a random order."""
     size = len(tier)
@@ -153,6 +175,8 @@
             continue
         if not (any_path or load.reaches(item.home)):
             continue
+        if far and not load.affords(item.region):
+            continue
         if first is None:
             first = item
             continue
@@ -172,7 +196,7 @@
 def _is_free(item: floor.Candidate, demand: Demand, load: Load) -> bool:
     if item.id in demand.excluded or load.is_resting(item.id):
         return False
-    return load.in_use(item.id) < item.slots
+    return load.in_use(item.id) < load.slots(item)
 
 
 def _better(
--- a/endivewind/tests/callers/gateway_tests.py
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 import unittest
+from unittest import mock
 
 import expression
 
@@ -84,6 +85,7 @@
         None,
         pool,
         clock,
+        mock.Mock(),
     )
     head = exchange.RequestHead(
         "r1", "GET", "/", (), "riders", "", datetime.timedelta(seconds=5)
