--- a/endivewind/tests/proofs/stop_tests.py
+++ b/endivewind/tests/proofs/stop_tests.py
@@ -121,18 +121,18 @@
         """A venue's target drains; every node hears, and its work ends."""
         async with _fleet() as (fleet, caller):
             entry = fleet.nodes["node-3"]
-            leaving = fleet.targets["ledger-1"]
             slow = [
                 asyncio.create_task(
                     caller.send(entry, "GET", work="slow", fault="delay")
                 )
                 for _ in range(12)
             ]
-            await leaving.message("work runs", work="slow")
+            targets = fleet.targets.values()
+            leaving = await _first_message(targets, "work runs", "slow")
             await caller.drain(leaving)
             async with asyncio.timeout(WITHDRAWAL_SECONDS):
                 for node in fleet.nodes.values():
-                    while (await caller.states(node))["ledger-1"] == "ready":
+                    while _is_ready(await caller.states(node), leaving.name):
                         pass
             before = await caller.runs_at(leaving)
             replies = await asyncio.gather(
@@ -148,16 +148,23 @@
             )
 
 
-async def _first_message(targets, message: str, work: str) -> None:
+def _is_ready(states: dict[str, str], target: str) -> bool:
+    return states.get(target) == "ready"
+
+
+async def _first_message(targets, message: str, work: str) -> processes.Process:
     """Waits until one of the targets logs a message about a work."""
-    waits = [
-        asyncio.create_task(target.message(message, work=work))
+    waits = {
+        asyncio.create_task(target.message(message, work=work)): target
         for target in targets
-    ]
-    _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    }
+    done, pending = await asyncio.wait(
+        waits, return_when=asyncio.FIRST_COMPLETED
+    )
     for task in pending:
         task.cancel()
     await asyncio.gather(*waits, return_exceptions=True)
+    return waits[done.pop()]
 
 
 async def _again(fleet, name: str) -> processes.Process:
