Let a trial forgive a poor answer, and doubt shares of few requests

Change: in a trial four good answers make up for a poor one; a share measured on n requests is taken to be 1/n higher.

--- a/endivewind/decisions/baseline.py
+++ b/endivewind/decisions/baseline.py
@@ -142,7 +142,10 @@
         self._refreshed = now
         fresh = [peer for peer in peers if now - peer.at <= FRESH]
         self._set_limits(fresh)
-        expected = list(self._usual)
+        doubt = 1 / max(self._measured, 1)
+        # What has not shown in n requests may still come in one of n; else the
+        # first long work of a service that has just started looks stalled.
+        expected = [share + doubt for share in self._usual]
         self._typical_evidence = [0.0] * _TESTS
         # One alone would be its own measure, and be excused for ever.
         if len(fresh) > 1:
--- a/endivewind/decisions/ejection.py
+++ b/endivewind/decisions/ejection.py
@@ -10,6 +10,11 @@
 FORGIVE = datetime.timedelta(minutes=5)
 
 
+# A healed target is slow now and then as any other: so many good answers make
+# up for a poor one, else one in twenty trials of a healthy target would fail.
+GOOD_FOR_POOR = 4
+
+
 class Status(enum.StrEnum):
     """What work a target gets."""
 
@@ -36,7 +41,7 @@
         self._strikes = 0
         self._since = datetime.timedelta()
         self._good = 0
-        self._poor = 0
+        self._poor = 0.0
 
     @property
     def status(self) -> Status:
@@ -80,6 +85,7 @@
         """Takes the outcome of a request in trial; True on a change."""
         if good:
             self._good += 1
+            self._poor = max(0.0, self._poor - 1 / GOOD_FOR_POOR)
             if self._good < self._bounds.trial_successes:
                 return False
             self._enter(Status.NORMAL, now)
@@ -95,4 +101,4 @@
         self._status = status
         self._since = now
         self._good = 0
-        self._poor = 0
+        self._poor = 0.0
--- a/endivewind/tests/decisions/judging_tests.py
+++ b/endivewind/tests/decisions/judging_tests.py
@@ -290,6 +290,20 @@
 
         self.assertIs(ejection.Status.EJECTED, bench.judge.status("riders-2"))
 
+    def test_a_healed_target_may_be_slow_now_and_then(self):
+        limits = bounds.DETECTION
+        state = ejection.Ejection(limits)
+        state.eject(datetime.timedelta())
+        state.advance(limits.hold)
+
+        for _ in range(3):
+            state.tried(False, limits.hold)
+            for _ in range(limits.trial_successes - 1):
+                state.tried(True, limits.hold)
+        state.tried(True, limits.hold)
+
+        self.assertIs(ejection.Status.NORMAL, state.status)
+
     def test_hold_of_a_flapping_target_grows_and_is_forgiven(self):
         limits = bounds.DETECTION
         state = ejection.Ejection(limits)
