--- a/endivewind/tests/proofs/ejection_tests.py
+++ b/endivewind/tests/proofs/ejection_tests.py
@@ -25,6 +25,8 @@
                 "slots": 3,
                 "floor_slots": floor_slots,
                 "timeout_ms": TIMEOUT_MS,
+                # A retry would hide from the test which target failed.
+                "retry_percent": 0,
             }
         },
         "route_groups": {
