--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format fuzz mutants
+.PHONY: demo test lint format capacity fuzz mutants
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -25,6 +25,9 @@
 	$(BIN)/ruff format endivewind examples
 	$(BIN)/ruff check --fix endivewind examples
 
+capacity: $(STAMP)
+	$(BIN)/endivewind-bench control --sweep --check=docs/CAPACITY.md
+
 SEED ?= 0
 MINUTES ?= 1
 
--- a/endivewind/tests/proofs/stop_tests.py
+++ b/endivewind/tests/proofs/stop_tests.py
@@ -125,8 +125,9 @@
 
             self.assertEqual({200}, {reply.status for reply in replies})
             self.assertEqual(before["new"], after["new"])
+            ended = await asyncio.gather(*slow)
             self.assertEqual(
-                {200}, {reply.status for reply in await asyncio.gather(*slow)}
+                {(200, "")}, {(reply.status, reply.reason) for reply in ended}
             )
 
 
@@ -212,6 +213,10 @@
             homes = nodes[index:] + nodes[:index]
             await fleet.target(f"ledger-{index + 1}", "ledger", homes)
         await fleet.submit(CONFIGURATION)
+        caller = calls.Caller(session)
         for node in nodes:
             await node.message("in force", object="saltline")
-        yield fleet, calls.Caller(session)
+            async with asyncio.timeout(calls.WAIT_SECONDS):
+                while len(await caller.states(node)) < len(fleet.targets):
+                    pass
+        yield fleet, caller
