Refuse a request after two targets were lost with it

Cause: one request that crashes its targets, sent again by its caller and by our own retries, took all targets of a service out one after another. Ruled out: refusing after one crash, which refuses innocent requests; counting at the home, which mostly has one target of a service. Conclusion: an entry loses two targets at most to one request; entries do not tell each other yet.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -10,6 +10,7 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind.callers import counts
+from endivewind.callers import crashes
 from endivewind.callers import placement
 from endivewind.callers import routing
 from endivewind.callers import waiting
@@ -66,6 +67,7 @@
         self._table = routing.RoutingTable()
         self._budgets: dict[str, retries.RetryBudget] = {}
         self._rates = admission.RateLimits()
+        self._crashes = crashes.CrashWatch(clock)
         self._workspaces: dict[str, objects.Workspace] = {}
         self._shards: dict[str, frozenset[str]] = {}
         self._waiting = waiting.WaitingRoom(placement, self._queue_limit, clock)
@@ -114,9 +116,10 @@
         body: exchange.RequestBody,
     ) -> AnswerResult:
         """Places a request until a target has run it or may have run it."""
-        limited = self._over_rate(head.workspace)
-        if limited is not None:
-            return expression.Error(limited)
+        refused = self._over_rate(head.workspace)
+        refused = refused or self._crashes.refusal(head, body)
+        if refused is not None:
+            return expression.Error(refused)
         call = _Call(
             route, head, body, self._clock.monotonic() + head.remaining
         )
@@ -124,6 +127,8 @@
         budget.request()
         last = await self._first(call)
         while call.tries < MAX_PLACINGS and _may_place_again(call, last):
+            if self._crashes.refusal(head, body) is not None:
+                break
             record = self._moved(call, last)
             if record is None and _was_cheap(last):
                 last = await self._again(call, last)
@@ -228,6 +233,7 @@
             self._waiting.ended(call.route.service)
         if not _is_not_run(result):
             call.reached = result
+            self._crashes.ended(head, call.body, record, result)
         if self._witness is not None and record.home != self._node:
             self._witness(record, call.head.workspace, result, latency)
         return result
--- a/endivewind/standins/target.py
+++ b/endivewind/standins/target.py
@@ -6,6 +6,7 @@
 import enum
 import itertools
 import logging
+import os
 
 import aiohttp
 from aiohttp import web
@@ -30,6 +31,7 @@
     """What a request asks to go wrong with itself, by its header."""
 
     CLOSE = "close"
+    CRASH = "crash"
     HANG = "hang"
     DELAY = "delay"
     LARGE = "large"
@@ -165,6 +167,8 @@
     ) -> web.StreamResponse | None:
         """Does what the fault asks; None where an answer is still due."""
         match fault:
+            case Fault.CRASH:
+                os._exit(1)
             case Fault.CLOSE:
                 _cut(request)
                 return web.Response()
