--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -56,8 +56,8 @@
     Mutant(
         "work is placed again without a sealed not-run",
         "callers/gateway.py",
-        "    if refusal.outcome is exchange.Outcome.NOT_RUN:\n",
-        "    if refusal.outcome is not exchange.Outcome.RAN:\n",
+        "    not_run = result.error.outcome is exchange.Outcome.NOT_RUN\n",
+        "    not_run = result.error.outcome is not exchange.Outcome.RAN\n",
         _FUZZ,
     ),
     Mutant(
