--- a/endivewind/commands/bench_control.py
+++ b/endivewind/commands/bench_control.py
@@ -350,11 +350,23 @@
             return response.status == 200
 
     async def _renew(self) -> None:
+        """Keeps the real node's targets announced, each by a task of its own.
+
+        One after another, they would lapse at sizes where this process is
+        busy with the nodes that it plays.
+        """
+        async with asyncio.TaskGroup() as group:
+            for number, target in enumerate(self._own):
+                group.create_task(self._renew_one(target, number))
+
+    async def _renew_one(self, target: str, number: int) -> None:
+        loop = asyncio.get_running_loop()
         period = LEASE.total_seconds() / 3
+        due = loop.time() + period * number / len(self._own)
         while True:
-            for target in self._own:
-                await self._put(target)
-                await asyncio.sleep(period / len(self._own))
+            await asyncio.sleep(due - loop.time())
+            await self._put(target)
+            due = max(due + period, loop.time())
 
     def _url(self, target: str) -> str:
         return f"http://{self._listening['targets']}/v1/targets/{target}"
