Part the two ends of a link, and build a node before it listens

Cause: nodes/links.py had grown to 654 lines with both ends in it; Node.start() had 110 lines and bound the callers' and operators' addresses before the gossip service existed, so that a request in that moment ended in a 500. Conclusion: no behaviour has changed but the order of binding.

--- a/endivewind/commands/control_fleet.py
+++ b/endivewind/commands/control_fleet.py
@@ -17,6 +17,7 @@
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
 from endivewind.nodes import gossip
+from endivewind.nodes import link_server
 from endivewind.nodes import links
 from endivewind.nodes import membership
 from endivewind.nodes import states
@@ -37,7 +38,7 @@
 _PHASES = 10
 
 
-class Played(links.Home):
+class Played(link_server.Home):
     """One played node."""
 
     def __init__(self, fleet: "PlayedFleet", name: str, zone: int) -> None:
@@ -45,7 +46,7 @@
         self.name = name
         self._region, self._zone = ZONES[zone % len(ZONES)]
         self._socket = datagrams.DatagramSocket(self._received)
-        self._server = links.LinkServer(self)
+        self._server = link_server.LinkServer(self)
         self.record: view.NodeRecord
         self.view: view.FleetView
         self.core: gossip.Gossip
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -26,6 +26,7 @@
 from endivewind.config import store
 from endivewind.nodes import configuration
 from endivewind.nodes import leaving
+from endivewind.nodes import link_server
 from endivewind.nodes import links
 from endivewind.nodes import service
 from endivewind.nodes import view
@@ -57,7 +58,7 @@
     operators: str
 
 
-class Node(links.Home):
+class Node(link_server.Home):
     """A node: the entry for callers and the home of its targets."""
 
     def __init__(
@@ -79,7 +80,7 @@
             identity, clock, self._fleet.claim
         )
         self._pool = links.LinkPool(clock, tls.link_context(config.nodes_tls))
-        self._link_server = links.LinkServer(self)
+        self._link_server = link_server.LinkServer(self)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
@@ -109,7 +110,36 @@
         return cls(config, clock, rng)
 
     async def start(self) -> Addresses:
-        """Binds every address, joins the fleet and starts the tasks."""
+        """Joins the fleet, binds every address and starts the tasks.
+
+        Nothing is accepted before all that answers it is built: callers and
+        peers come back to a node's addresses the moment it listens again.
+        """
+        self._session = aiohttp.ClientSession()
+        self._platform = client.PlatformClient(
+            self._settings.platform, self._session
+        )
+        self._build_requests()
+        self._build_configuration()
+        nodes = await self._bind_links()
+        self._build_membership(nodes)
+        await self._gossip.start(nodes)
+        addresses = await self._bind(nodes)
+        await self._link_server.serve()
+        for work in (
+            self._watcher.run(),
+            self._restorer.run(),
+            self._auditor.run(),
+            self._configuration_peer.run(),
+            self._register(),
+            self._expire(),
+            self._judge_often(),
+        ):
+            self._tasks.append(asyncio.create_task(work))
+        return addresses
+
+    def _build_requests(self) -> None:
+        """What serves requests: from the listener to this home's targets."""
         config = self._settings
         self._judge = judge.Judge(
             self._targets,
@@ -120,8 +150,6 @@
         self._dispatcher = dispatch.Dispatcher.from_registry(
             self._targets, self._clock, self._judge
         )
-        self._session = aiohttp.ClientSession()
-        self._platform = client.PlatformClient(config.platform, self._session)
         place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
             config.name,
@@ -148,6 +176,10 @@
         self._listener = listener.Listener(
             self._gateway, self._ticketing, config.limits, self._not_ready
         )
+
+    def _build_configuration(self) -> None:
+        """What keeps configuration in force, and the audit trail."""
+        config = self._settings
         self._auditor = auditor.Auditor(
             config.name,
             self._incarnation,
@@ -179,11 +211,18 @@
             self._configuration_peer.listed,
             lambda: self._configuration_peer.is_watcher,
         )
-        addresses = await self._bind()
+
+    def _build_membership(self, nodes: str) -> None:
+        """This node's record and its part in gossip.
+
+        Args:
+          nodes: the address bound for other nodes.
+        """
+        config = self._settings
         self._self_record = view.NodeRecord(
             config.name,
             self._incarnation,
-            config.nodes_advertised or addresses.nodes,
+            config.nodes_advertised or nodes,
             config.region,
             config.zone,
         )
@@ -196,19 +235,6 @@
             self._clock,
             self._rng,
         )
-        await self._gossip.start(addresses.nodes)
-        await self._link_server.serve()
-        for work in (
-            self._watcher.run(),
-            self._restorer.run(),
-            self._auditor.run(),
-            self._configuration_peer.run(),
-            self._register(),
-            self._expire(),
-            self._judge_often(),
-        ):
-            self._tasks.append(asyncio.create_task(work))
-        return addresses
 
     async def stop(self) -> None:
         """Leaves as planned: work in flight ends before the process does."""
@@ -269,7 +295,12 @@
         """Takes a frame of another node's gossip."""
         self._gossip.frame(frame)
 
-    async def _bind(self) -> Addresses:
+    async def _bind_links(self) -> str:
+        host, port = _split(self._settings.nodes)
+        context = tls.server_context(self._settings.nodes_tls)
+        return await self._link_server.bind(host, port, context)
+
+    async def _bind(self, nodes: str) -> Addresses:
         config = self._settings
         callers = await self._serve(
             web.ServerRunner(
@@ -296,10 +327,6 @@
             web.AppRunner(self._operator_application(sources), access_log=None),
             config.operators,
         )
-        host, port = _split(config.nodes)
-        nodes = await self._link_server.bind(
-            host, port, tls.server_context(config.nodes_tls)
-        )
         return Addresses(callers, targets, nodes, operators_address)
 
     def _operator_application(self, sources: http.Sources) -> web.Application:
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -1,4 +1,4 @@
-"""Links to other nodes: forwards a request to the home of its target.
+"""Links to other nodes, the connecting end: forwards requests.
 
 A link carries one exchange at a time, so that TCP gives the backpressure and
 closing the link is the cancellation. Every frame carries the exchange's
@@ -7,7 +7,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
 import datetime
 import itertools
@@ -19,6 +18,7 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind.nodes import chunks
 from endivewind.nodes import codec
 from endivewind.nodes import view
 
@@ -30,14 +30,11 @@
 IDLE_LIMIT = datetime.timedelta(seconds=15)
 AGE_LIMIT = datetime.timedelta(minutes=5)
 MAX_IDLE_PER_PEER = 32
-HEARTBEAT_PERIOD = datetime.timedelta(milliseconds=250)
 # Four heartbeats lost in a row are not jitter on links that take 30 ms.
 SILENCE_LIMIT = datetime.timedelta(seconds=1)
 # The home answers at the deadline itself; this is its time to say so.
 DEADLINE_GRACE = datetime.timedelta(milliseconds=500)
 ISSUER_LOST_RETRY = datetime.timedelta(seconds=1)
-# A peer closes idle links before; one that is open longer has lost its peer.
-SERVER_IDLE_LIMIT = datetime.timedelta(seconds=60)
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
@@ -310,34 +307,6 @@
             return frame
 
 
-class _Heart:
-    """Sends heartbeats of one exchange while the home works on it."""
-
-    def __init__(self, writer: asyncio.StreamWriter, number: int) -> None:
-        beat = codec.messages.Heartbeat(exchange=number)
-        self._frame = codec.messages.Frame(heartbeat=beat)
-        self._writer = writer
-        self._loop = asyncio.get_running_loop()
-        self._timer: asyncio.TimerHandle | None = None
-
-    def __enter__(self) -> None:
-        self._schedule()
-
-    def __exit__(self, *error: object) -> None:
-        if self._timer:
-            self._timer.cancel()
-
-    def _schedule(self) -> None:
-        period = HEARTBEAT_PERIOD.total_seconds()
-        self._timer = self._loop.call_later(period, self._beat)
-
-    def _beat(self) -> None:
-        # Bytes that wait to be sent say as much as a heartbeat would.
-        if not self._writer.transport.get_write_buffer_size():
-            self._writer.write(codec.encode(self._frame))
-        self._schedule()
-
-
 def _forward_out(head: exchange.RequestHead, body: exchange.RequestBody) -> Any:
     return codec.messages.Forward(
         request_id=head.request_id,
@@ -362,28 +331,10 @@
 ) -> None:
     link.writer.write(codec.encode(codec.messages.Frame(forward=forward)))
     if body.rest is not None:
-        await _send_chunks(link.writer, forward.exchange, body.rest)
+        await chunks.send(link.writer, forward.exchange, body.rest)
     await link.writer.drain()
 
 
-async def _send_chunks(
-    writer: asyncio.StreamWriter,
-    number: int,
-    chunks: collections.abc.AsyncIterator[bytes],
-) -> None:
-    async for data in chunks:
-        _write_chunk(writer, number, data, last=False)
-        await writer.drain()
-    _write_chunk(writer, number, b"", last=True)
-
-
-def _write_chunk(
-    writer: asyncio.StreamWriter, number: int, data: bytes, *, last: bool
-) -> None:
-    chunk = codec.messages.Chunk(exchange=number, data=data, last=last)
-    writer.write(codec.encode(codec.messages.Frame(chunk=chunk)))
-
-
 def _refusal_in(refusal: Any) -> exchange.Refusal:
     wait = refusal.retry_after_ms
     return exchange.Refusal(
@@ -393,262 +344,3 @@
         None if wait < 0 else datetime.timedelta(milliseconds=wait),
         refusal.moved_to or "",
     )
-
-
-class Home:
-    """What a link server needs of the node behind it."""
-
-    async def run(
-        self,
-        target: str,
-        home_incarnation: int,
-        head: exchange.RequestHead,
-        body: exchange.RequestBody,
-    ) -> AnswerResult:
-        """Runs a forwarded request at one of this node's targets."""
-        raise NotImplementedError
-
-    async def run_as_issuer(
-        self,
-        incarnation: int,
-        head: exchange.RequestHead,
-        body: exchange.RequestBody,
-        priority: str,
-    ) -> AnswerResult:
-        """Runs a send of a ticket that this node issued."""
-        raise NotImplementedError
-
-    def gossiped(self, frame: Any) -> None:
-        """Takes a frame of another node's gossip."""
-        raise NotImplementedError
-
-    def configuration(self, frame: Any) -> None:
-        """Takes what a peer tells of its configuration, or asks."""
-        raise NotImplementedError
-
-
-class _CancellingProtocol(asyncio.StreamReaderProtocol):
-    """Cancels the connection's task as soon as the peer closes.
-
-    Without it a home would learn only at its next write that the caller has
-    gone, and the target would keep working for nobody.
-    """
-
-    task: asyncio.Task[None] | None = None
-
-    def eof_received(self) -> bool:
-        super().eof_received()
-        self._cancel()
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        super().connection_lost(exc)
-        self._cancel()
-
-    def _cancel(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
-
-
-class LinkServer:
-    """Accepts links from other nodes."""
-
-    def __init__(self, home: Home) -> None:
-        self._home = home
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._in_flight = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
-
-    @property
-    def in_flight(self) -> int:
-        """Exchanges being served now."""
-        return self._in_flight
-
-    async def drained(self) -> None:
-        """Waits until no exchange is being served."""
-        await self._idle.wait()
-
-    async def bind(
-        self, host: str, port: int, tls: ssl.SSLContext | None = None
-    ) -> str:
-        """Binds and returns the address; nothing is accepted before serve().
-
-        The node needs the address to build what answers the links.
-        """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._protocol,
-            host,
-            port,
-            ssl=tls,
-            reuse_address=True,
-            start_serving=False,
-        )
-        bound = self._server.sockets[0].getsockname()
-        return f"{host}:{bound[1]}"
-
-    async def serve(self) -> None:
-        """Accepts links from now on."""
-        if self._server is None:
-            raise RuntimeError("bind() comes first")
-        await self._server.start_serving()
-
-    async def stop(self) -> None:
-        """Stops listening and closes every link."""
-        if self._server:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _protocol(self) -> asyncio.BaseProtocol:
-        reader = asyncio.StreamReader()
-
-        def connected(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            task = asyncio.create_task(self._serve(reader, writer))
-            protocol.task = task
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-        protocol = _CancellingProtocol(reader, connected)
-        return protocol
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while True:
-                async with asyncio.timeout(SERVER_IDLE_LIMIT.total_seconds()):
-                    frame = await codec.read_frame(reader)
-                if frame.fleet_state or frame.pull:
-                    self._home.gossiped(frame)
-                elif (
-                    frame.configuration
-                    or frame.configuration_ask
-                    or frame.configuration_state
-                ):
-                    self._home.configuration(frame)
-                elif frame.forward:
-                    await self._counted(frame.forward, reader, writer)
-                else:
-                    raise codec.FrameError("a frame out of turn")
-        except (EOFError, OSError, asyncio.CancelledError):
-            # The peer has closed the link, or this node is stopping.
-            return
-        except (codec.FrameError, exchange.TruncatedAnswerError) as error:
-            log.warning("link closed: %s", error)
-        finally:
-            writer.close()
-
-    async def _counted(
-        self,
-        forward: Any,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        self._in_flight += 1
-        self._idle.clear()
-        try:
-            with _Heart(writer, forward.exchange):
-                await self._exchange(forward, reader, writer)
-        finally:
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
-
-    async def _exchange(
-        self,
-        forward: Any,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        body = exchange.RequestBody(forward.body)
-        if not forward.body_complete:
-            body.rest = _chunks_in(reader, forward.exchange)
-        result = await self._run(forward, body)
-        match result:
-            case expression.Result(tag="ok", ok=answer):
-                await _send_answer(writer, forward.exchange, answer)
-            case expression.Result(error=refusal):
-                _send_refusal(writer, forward.exchange, refusal)
-        await writer.drain()
-        if body.rest is not None:
-            # Chunks that nobody read would be taken for the next exchange.
-            async with contextlib.aclosing(body.rest):  # type: ignore[type-var]
-                async for _ in body.rest:
-                    pass
-
-    async def _run(
-        self, forward: Any, body: exchange.RequestBody
-    ) -> AnswerResult:
-        head = _head_in(forward)
-        if forward.to_issuer:
-            return await self._home.run_as_issuer(
-                forward.home_incarnation, head, body, forward.priority
-            )
-        return await self._home.run(
-            forward.target, forward.home_incarnation, head, body
-        )
-
-
-async def _chunks_in(
-    reader: asyncio.StreamReader, number: int
-) -> collections.abc.AsyncGenerator[bytes, None]:
-    while True:
-        frame = await codec.read_frame(reader)
-        chunk = frame.chunk
-        if chunk is None or chunk.exchange != number:
-            raise codec.FrameError("a chunk of another exchange")
-        if chunk.data:
-            yield chunk.data
-        if chunk.last:
-            return
-
-
-def _head_in(forward: Any) -> exchange.RequestHead:
-    return exchange.RequestHead(
-        request_id=forward.request_id,
-        method=forward.method,
-        path=forward.path,
-        headers=codec.headers_in(forward.headers),
-        service=forward.service_name,
-        workspace=forward.workspace,
-        remaining=datetime.timedelta(milliseconds=forward.remaining_ms),
-        ticket=forward.ticket or "",
-        attempt=forward.attempt or 0,
-    )
-
-
-async def _send_answer(
-    writer: asyncio.StreamWriter, number: int, answer: exchange.Answer
-) -> None:
-    head = codec.messages.Answer(
-        exchange=number,
-        status=answer.status,
-        headers=codec.headers_out(answer.headers),
-        body=answer.body,
-        body_complete=answer.rest is None,
-    )
-    writer.write(codec.encode(codec.messages.Frame(answer=head)))
-    if answer.rest is not None:
-        async with contextlib.aclosing(answer.rest):
-            await _send_chunks(writer, number, answer.rest)
-
-
-def _send_refusal(
-    writer: asyncio.StreamWriter, number: int, refusal: exchange.Refusal
-) -> None:
-    wait = refusal.retry_after
-    message = codec.messages.Refusal(
-        exchange=number,
-        outcome=refusal.outcome.value,
-        reason=refusal.reason.value,
-        detail=refusal.detail,
-        retry_after_ms=-1 if wait is None else int(wait.total_seconds() * 1000),
-        moved_to=refusal.moved_to or None,
-    )
-    writer.write(codec.encode(codec.messages.Frame(refusal=message)))
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -156,7 +156,7 @@
     ),
     Mutant(
         "a home does not hear that the caller left",
-        "nodes/links.py",
+        "nodes/link_server.py",
         "            self.task.cancel()\n",
         "            pass\n",
         _WHOLE,
