Judge errors from a home's first request

Cause: the share of errors that is usual was learned only once latencies were known, 200 requests later; since shares of few requests are doubted, a home that had just started took every error for usual until then. endivewind demo: ejected after 5 s, 64 to 68 whole answers of the gray target. Change: errors are measured from the first request; slow and stalled wait for the latencies as before, each with a count of its own. Before: the new test ejects nobody in 160 requests.

--- a/endivewind/decisions/baseline.py
+++ b/endivewind/decisions/baseline.py
@@ -76,7 +76,7 @@
     def __init__(self) -> None:
         self._history = latency.LatencyHistory()
         self._usual = [0.0] * _SIGNALS
-        self._measured = 0
+        self._measured = [0] * _SIGNALS
         self._expected = [0.0] * _SIGNALS
         self._typical_evidence = [0.0] * _TESTS
         self._steps = [
@@ -111,12 +111,19 @@
     ) -> None:
         """Takes one request of a target that is not ejected."""
         self._history.add(latency_seen)
+        self._measure(sequential.Signal.FAILED, signals)
         if self._slow == _UNKNOWN:
+            # Nothing can be called slow yet. Errors need no such limit: a home
+            # that has just started would else be blind to them for as long.
             return
-        self._measured += 1
-        weight = max(HISTORY_WEIGHT, 1 / self._measured)
-        for index, seen in enumerate(signals):
-            self._usual[index] += weight * (seen - self._usual[index])
+        self._measure(sequential.Signal.SLOW, signals)
+        self._measure(sequential.Signal.STALLED, signals)
+
+    def _measure(self, signal: sequential.Signal, signals: list[bool]) -> None:
+        self._measured[signal] += 1
+        weight = max(HISTORY_WEIGHT, 1 / self._measured[signal])
+        seen = signals[signal]
+        self._usual[signal] += weight * (seen - self._usual[signal])
 
     @property
     def is_shared(self) -> bool:
@@ -142,10 +149,12 @@
         self._refreshed = now
         fresh = [peer for peer in peers if now - peer.at <= FRESH]
         self._set_limits(fresh)
-        doubt = 1 / max(self._measured, 1)
         # What has not shown in n requests may still come in one of n; else the
         # first long work of a service that has just started looks stalled.
-        expected = [share + doubt for share in self._usual]
+        expected = [
+            share + 1 / max(measured, 1)
+            for share, measured in zip(self._usual, self._measured, strict=True)
+        ]
         self._typical_evidence = [0.0] * _TESTS
         # One alone would be its own measure, and be excused for ever.
         if len(fresh) > 1:
--- a/endivewind/tests/decisions/judging_tests.py
+++ b/endivewind/tests/decisions/judging_tests.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from endivewind.decisions import baseline
 from endivewind.decisions import bounds
 from endivewind.decisions import ejection
 from endivewind.decisions import judging
@@ -26,6 +27,10 @@
         self._number = 0
         self._rng = random.Random(1)
 
+    @property
+    def requests(self):
+        return self._number
+
     def request(self, target, result=GOOD, factor=1.0, workspace=None):
         self._number += 1
         self.now += STEP
@@ -81,6 +86,18 @@
     after few requests, and none of its peers may go with it.
     """
 
+    def test_errors_count_before_latencies_are_known(self):
+        """A home has just started and one of its targets fails all work.
+
+        Latencies are judged from 200 requests on. Errors need none of that:
+        until then callers would see every failure of the target.
+        """
+        bench = _Bench(bounds.DETECTION)
+        bench.rounds(20, riders_2={"result": FAILED})
+
+        self.assertLess(bench.requests, baseline.MIN_HISTORY)
+        self.assertEqual(["riders-2"], bench.ejected())
+
     def test_all_requests_fail(self):
         bench = self.bench()
 
