Start processes in one place

Change: tests/processes.py calls commands/children.py. Before: it stood twice. Conclusion: a change to how binaries start is made once.

--- a/endivewind/commands/children.py
+++ b/endivewind/commands/children.py
@@ -17,6 +17,8 @@
 from endivewind import exceptions
 
 _START_SECONDS = 20
+# A debug line may name hundreds of targets.
+MAX_LINE_BYTES = 1_048_576
 
 
 class Child:
@@ -106,6 +108,7 @@
         code,
         *arguments,
         stdout=asyncio.subprocess.PIPE,
+        limit=MAX_LINE_BYTES,
     )
 
 
--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -9,14 +9,14 @@
 import json
 import pathlib
 import signal
-import sys
 import tempfile
 from typing import Any
 
 import yaml
 
+from endivewind.commands import children
+
 WAIT_SECONDS = 20
-MAX_LINE_BYTES = 1_048_576
 # Connections leave from 127.0.0.1. A process that comes back at its old port
 # would find it taken by one of them now and then; at an address of their own
 # the processes that listen meet no such port.
@@ -193,27 +193,15 @@
 
     async def command(self, *arguments: str) -> Any:
         """Runs `endivewind` and returns its JSON output."""
-        child = await _spawn("main", *arguments, "--format=json")
+        child = await children.spawn("main", *arguments, "--format=json")
         output, _ = await child.communicate()
         if child.returncode:
             raise AssertionError(f"exit {child.returncode}: {output.decode()}")
         return json.loads(output)
 
     async def _start(self, name: str, *arguments: str) -> Process:
-        process = Process(name, await _spawn(*arguments))
+        process = Process(name, await children.spawn(*arguments))
         self._stack.push_async_callback(process.end)
         line = await process.message("listening")
         process.listening = line
         return process
-
-
-async def _spawn(module: str, *arguments: str) -> asyncio.subprocess.Process:
-    code = f"from endivewind.commands import {module}; {module}.run()"
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-c",
-        code,
-        *arguments,
-        stdout=asyncio.subprocess.PIPE,
-        limit=MAX_LINE_BYTES,
-    )
