Build sample targets and test writes in one place

Change: tests/samples.py builds the record; _write() of client_tests takes the sleep. Assertions are as they were. Conclusion: a new field of the record is added to the samples once.

--- a/endivewind/tests/callers/gateway_retries_tests.py
+++ b/endivewind/tests/callers/gateway_retries_tests.py
@@ -16,7 +16,7 @@
 from endivewind.decisions import placing
 from endivewind.decisions import retries
 from endivewind.nodes import view
-from endivewind.targets import records
+from endivewind.tests import samples
 
 SERVICE = "riders"
 TARGETS = 6
@@ -28,19 +28,7 @@
 
 
 def _record(number):
-    return records.TargetRecord(
-        id=f"riders-{number}",
-        service=SERVICE,
-        home="node-a",
-        home_incarnation=1,
-        sequence=number,
-        region="andina",
-        zone="andina-a",
-        slots=3,
-        weight=1,
-        state=records.State.READY,
-        health=records.Health.NORMAL,
-    )
+    return samples.target(f"riders-{number}", sequence=number)
 
 
 class GatewayTest(unittest.IsolatedAsyncioTestCase):
--- a/endivewind/tests/callers/gateway_tests.py
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -16,6 +16,7 @@
 from endivewind.decisions import placing
 from endivewind.nodes import view
 from endivewind.targets import records
+from endivewind.tests import samples
 
 _ANSWER = expression.Ok(exchange.Answer(200, (), b"whole"))
 
@@ -96,16 +97,4 @@
 
 
 def _record() -> records.TargetRecord:
-    return records.TargetRecord(
-        id="t1",
-        service="riders",
-        home="old",
-        home_incarnation=7,
-        sequence=1,
-        region="andina",
-        zone="a",
-        slots=3,
-        weight=1,
-        state=records.State.READY,
-        health=records.Health.NORMAL,
-    )
+    return samples.target("t1", home="old", home_incarnation=7, zone="a")
--- a/endivewind/tests/callers/placement_tests.py
+++ b/endivewind/tests/callers/placement_tests.py
@@ -12,25 +12,14 @@
 from endivewind.decisions import ramp
 from endivewind.nodes import view
 from endivewind.targets import records
+from endivewind.tests import samples
 
 SERVICE = "riders"
 FLOOR = 12
 
 
 def _record(number, health=records.Health.NORMAL):
-    return records.TargetRecord(
-        id=f"riders-{number}",
-        service=SERVICE,
-        home="node-a",
-        home_incarnation=1,
-        sequence=number,
-        region="andina",
-        zone="andina-a",
-        slots=3,
-        weight=1,
-        state=records.State.READY,
-        health=health,
-    )
+    return samples.target(f"riders-{number}", sequence=number, health=health)
 
 
 class PlacementTest(unittest.TestCase):
--- a/endivewind/tests/callers/waiting_tests.py
+++ b/endivewind/tests/callers/waiting_tests.py
@@ -12,7 +12,7 @@
 from endivewind.config import objects
 from endivewind.decisions import placing
 from endivewind.nodes import view
-from endivewind.targets import records
+from endivewind.tests import samples
 
 SERVICE = "riders"
 FAR_OFF = datetime.timedelta(hours=1)
@@ -112,16 +112,4 @@
 
 
 def _record():
-    return records.TargetRecord(
-        id="riders-1",
-        service=SERVICE,
-        home="node-a",
-        home_incarnation=1,
-        sequence=1,
-        region="andina",
-        zone="andina-a",
-        slots=2,
-        weight=1,
-        state=records.State.READY,
-        health=records.Health.NORMAL,
-    )
+    return samples.target("riders-1", slots=2)
--- a/endivewind/tests/platform/client_tests.py
+++ b/endivewind/tests/platform/client_tests.py
@@ -118,7 +118,7 @@
 
 
 class WriteTest(_PlatformCase):
-    async def _write(self, value, expected=0):
+    async def _write(self, value, expected=0, sleep=None):
         return await writing.write(
             self.client,
             "service",
@@ -126,7 +126,7 @@
             value,
             expected,
             self.platform.backoff,
-            self.platform.sleep,
+            sleep or self.platform.sleep,
         )
 
     async def test_answer_lost_after_the_write_writes_once(self):
@@ -148,15 +148,7 @@
         async def sleep(seconds):
             self.platform.put("riders", _value("theirs", "mine"))
 
-        ended = await writing.write(
-            self.client,
-            "service",
-            "riders",
-            _value("mine"),
-            0,
-            self.platform.backoff,
-            sleep,
-        )
+        ended = await self._write(_value("mine"), sleep=sleep)
 
         self.assertIs(writing.Ending.WRITTEN, ended.ending)
         self.assertTrue(ended.followed)
@@ -167,15 +159,7 @@
         async def sleep(seconds):
             self.platform.put("riders", _value("theirs", ""))
 
-        ended = await writing.write(
-            self.client,
-            "service",
-            "riders",
-            _value("mine"),
-            0,
-            self.platform.backoff,
-            sleep,
-        )
+        ended = await self._write(_value("mine"), sleep=sleep)
 
         self.assertIs(writing.Ending.CONFLICT, ended.ending)
 
@@ -186,15 +170,7 @@
             self.platform.put("riders", _value("second", "mine"))
             self.platform.put("riders", _value("third", "second"))
 
-        ended = await writing.write(
-            self.client,
-            "service",
-            "riders",
-            _value("mine"),
-            0,
-            self.platform.backoff,
-            sleep,
-        )
+        ended = await self._write(_value("mine"), sleep=sleep)
 
         self.assertIs(writing.Ending.UNKNOWN, ended.ending)
 
--- /dev/null
+++ b/endivewind/tests/samples.py
@@ -0,0 +1,22 @@
+"""Sample values that tests of several packages need."""
+
+from typing import Any
+
+from endivewind.targets import records
+
+
+def target(name: str, **changes: Any) -> records.TargetRecord:
+    """A ready, healthy target of the service riders at home node-a."""
+    fields: dict[str, Any] = {
+        "service": "riders",
+        "home": "node-a",
+        "home_incarnation": 1,
+        "sequence": 1,
+        "region": "andina",
+        "zone": "andina-a",
+        "slots": 3,
+        "weight": 1,
+        "state": records.State.READY,
+        "health": records.Health.NORMAL,
+    }
+    return records.TargetRecord(id=name, **{**fields, **changes})
