--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import datetime
+import random
 
 import expression
 
@@ -19,6 +20,7 @@
 from endivewind.decisions import admission
 from endivewind.decisions import placing
 from endivewind.decisions import retries
+from endivewind.decisions import splitting
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.targets import dispatch
@@ -31,7 +33,11 @@
     [records.TargetRecord, str, AnswerResult, datetime.timedelta], None
 ]
 
-MAX_PLACINGS = 3
+# Targets that one request may be sent to, where its route does not say.
+MAX_ATTEMPTS = 3
+# Homes that are asked on top of these, and refuse before their target has any
+# work of it; each costs a hop within the region.
+MAX_PLACINGS = 8
 _FAILED_STATUS = frozenset({500, 502, 503, 504})
 _CHEAP = frozenset(
     {
@@ -55,7 +61,9 @@
         pool: links.LinkPool,
         clock: clocks.Clock,
         witness: Witness | None = None,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self._witness = witness
         self._node = node
         self._placement = placement
@@ -72,6 +80,8 @@
         self._shards: dict[str, frozenset[str]] = {}
         self._waiting = waiting.WaitingRoom(placement, self._queue_limit, clock)
         self._counts = counts.RequestCounts(clock)
+        self._limits: objects.CallerLimits | None = None
+        self._splitters: dict[objects.Route, splitting.Splitter] = {}
 
     @property
     def counts(self) -> counts.RequestCounts:
@@ -83,6 +93,11 @@
         if kind == store.ROUTE_GROUP:
             group = self._configuration.route_group(name)
             self._table.replace(name, group.routes if group else ())
+        elif kind == store.DOCUMENT:
+            document = self._configuration.document(name)
+            self._table.replace(name, document.routes if document else ())
+            self._limits = document.limits if document else None
+            self._splitters.clear()
         elif kind == store.WORKSPACE_SHARD:
             self._take_workspaces(name)
 
@@ -104,9 +119,34 @@
         """The route of a request, or None."""
         return self._table.match(host, path, workspace)
 
-    def timeout(self, service: str) -> datetime.timedelta:
-        """The deadline of a request that brings none."""
-        found = self._configuration.service(service) or objects.Service()
+    def service_of(self, route: objects.Route) -> str:
+        """The service that takes the next request of a route."""
+        if not route.split:
+            return route.service
+        splitter = self._splitters.get(route)
+        if splitter is None:
+            parts = [
+                splitting.Part(share.service, share.weight)
+                for share in route.split
+            ]
+            splitter = splitting.Splitter(parts, self._rng)
+            self._splitters[route] = splitter
+        return splitter.next()
+
+    def limits(self) -> objects.CallerLimits | None:
+        """What callers are held to by the configuration, if it says so."""
+        return self._limits
+
+    def timeout(self, route: objects.Route) -> datetime.timedelta | None:
+        """How long a route lets its callers wait, if it says so."""
+        if not route.timeout_ms:
+            return None
+        return datetime.timedelta(milliseconds=route.timeout_ms)
+
+    def default_timeout(self, route: objects.Route) -> datetime.timedelta:
+        """The deadline of a request that brings none on such a route."""
+        name = route.service or route.split[0].service
+        found = self._configuration.service(name) or objects.Service()
         return datetime.timedelta(milliseconds=found.timeout_ms)
 
     async def serve(
@@ -123,18 +163,18 @@
         call = _Call(
             route, head, body, self._clock.monotonic() + head.remaining
         )
-        budget = self._budget(route.service)
-        budget.request()
+        budget = self._budget(head.service)
+        budget.request(self._clock.monotonic())
         last = await self._first(call)
-        while call.tries < MAX_PLACINGS and _may_place_again(call, last):
+        while call.may_go_on and _may_place_again(call, last):
             if self._crashes.refusal(head, body) is not None:
                 break
             record = self._moved(call, last)
             if record is None and _was_cheap(last):
                 last = await self._again(call, last)
                 continue
-            if record is None and budget.take():
-                record = self._placement.choose(route.service, call.demand())
+            if record is None and budget.take(self._clock.monotonic()):
+                record = self._placement.choose(head.service, call.demand())
             if record is None:
                 break
             self._placement.started(record, len(body.held))
@@ -167,13 +207,14 @@
         weight = owner.weight if owner else 1
         placed = await self._waiting.place(
             waiting.Claim(
-                call.route.service,
+                call.head.service,
                 call.demand(),
                 waiting.waiter(
                     call.head.workspace,
                     weight,
                     call.route.priority,
                     call.deadline,
+                    call.route.rank,
                 ),
                 len(call.body.held),
             )
@@ -199,15 +240,26 @@
         )
 
     def _budget(self, service: str) -> retries.RetryBudget:
-        """The retry budget of a service, with its share in force."""
+        """The retry budget of a service, with its limits in force."""
         found = self._configuration.service(service) or objects.Service()
+        limits = self._retry_limits(found)
         known = self._budgets.get(service)
         if known is None:
-            known = retries.RetryBudget(found.retry_percent)
-            self._budgets[service] = known
-        known.configure(found.retry_percent)
+            known = self._budgets[service] = retries.RetryBudget(limits)
+        known.configure(limits)
         return known
 
+    def _retry_limits(self, service: objects.Service) -> retries.RetryLimits:
+        """This node's part of what all nodes together may retry."""
+        reserve = retries.RESERVE
+        if service.retry_reserve:
+            reserve = service.retry_reserve / max(1, len(self._fleet.nodes))
+        return retries.RetryLimits(
+            service.retry_percent / 100,
+            reserve,
+            datetime.timedelta(milliseconds=service.retry_window_ms),
+        )
+
     async def _attempt(
         self, call: "_Call", record: records.TargetRecord
     ) -> AnswerResult:
@@ -215,7 +267,7 @@
         call.tries += 1
         call.tried.add(record.id)
         call.record = record
-        self._counts.placed(call.route.service, call.tries)
+        self._counts.placed(call.head.service, call.tries)
         started = self._clock.monotonic()
         head = call.head.for_attempt(call.tries, call.deadline - started)
         result: AnswerResult | None = None
@@ -230,7 +282,9 @@
         finally:
             latency = self._clock.monotonic() - started
             self._placement.ended(record, result, latency)
-            self._waiting.ended(call.route.service)
+            self._waiting.ended(call.head.service)
+        if not _was_cheap(result):
+            call.sent += 1
         if not _is_not_run(result):
             call.reached = result
             self._crashes.ended(head, call.body, record, result)
@@ -268,6 +322,7 @@
     body: exchange.RequestBody
     deadline: datetime.timedelta
     tries: int = 0
+    sent: int = 0
     given_up: bool = False
     record: records.TargetRecord | None = None
     reached: AnswerResult | None = None
@@ -280,6 +335,12 @@
             return False
         return may_repeat(self.route, self.head.method)
 
+    @property
+    def may_go_on(self) -> bool:
+        """Whether it may be placed once more."""
+        attempts = self.route.attempts or MAX_ATTEMPTS
+        return self.sent < attempts and self.tries < MAX_PLACINGS
+
     def demand(self) -> placing.Demand:
         """Where it may be placed now."""
         return placing.Demand(self.repeatable, self.tried)
--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import datetime
 import logging
 import os
@@ -28,17 +29,6 @@
 _MAX_ID = 128
 _READ_BYTES = 65_536
 _ID_BYTES = 16
-_REQUEST_ID = headers.REQUEST_ID.encode()
-# As bytes in lower case: they are compared with every header of a request.
-_DROPPED = frozenset(
-    name.encode()
-    for name in (
-        *headers.HOP_BY_HOP,
-        "host",
-        "expect",
-        headers.REQUEST_ID.lower(),
-    )
-)
 # What only the system may say to a caller.
 _OWN_FIELDS = (headers.OUTCOME, headers.REASON)
 # A caller that is answered before its body ends gets this long to read the
@@ -49,6 +39,23 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dialect:
+    """How callers speak to this node.
+
+    Attributes:
+      names: the headers that they use.
+      caller_service: the service on this VM, which targets are told; empty
+        where there is none.
+      tickets: whether work that must not repeat needs a ticket; else the id
+        of each request names it.
+    """
+
+    names: headers.Names = headers.OWN
+    caller_service: str = ""
+    tickets: bool = True
+
+
 class Listener:
     """Turns HTTP requests into exchanges and answers them."""
 
@@ -58,6 +65,7 @@
         ticketed: ticketing.Ticketing,
         limits: settings.Limits,
         not_ready: collections.abc.Callable[[], str | None],
+        dialect: Dialect | None = None,
     ) -> None:
         """Serves nothing before server() is started.
 
@@ -66,11 +74,13 @@
           ticketed: runs work that must not repeat.
           limits: bounds of this process.
           not_ready: what the node still lacks; None once it has all.
+          dialect: how callers speak; None for the project's own way.
         """
         self._gateway = served
         self._tickets = ticketed
         self._limits = limits
         self._not_ready = not_ready
+        self.speak(dialect or Dialect())
         self._counts = served.counts
         self._leaving = False
         self._in_flight = 0
@@ -82,6 +92,11 @@
         """Requests being served now."""
         return self._in_flight
 
+    def speak(self, dialect: Dialect) -> None:
+        """Takes how callers speak from the next request on."""
+        self._dialect = dialect
+        self._fields = _RequestFields.from_dialect(dialect)
+
     async def drained(self) -> None:
         """Waits until no request is being served."""
         await self._idle.wait()
@@ -90,13 +105,24 @@
         """The HTTP server; a caller that leaves cancels its request."""
         return _Server(
             self.handle,
+            self._connection_options,
             access_log=None,
-            max_line_size=self._limits.header_bytes,
-            max_field_size=self._limits.header_bytes,
             auto_decompress=False,
             lingering_time=LINGER.total_seconds(),
         )
 
+    def _connection_options(self) -> dict[str, Any]:
+        """What a new connection is held to, by the limits in force."""
+        limits = self._gateway.limits()
+        if limits is None:
+            size = self._limits.header_bytes
+            return {"max_line_size": size, "max_field_size": size}
+        return {
+            "max_line_size": limits.header_bytes,
+            "max_field_size": limits.header_bytes,
+            "keepalive_timeout": limits.idle_timeout_ms / 1000,
+        }
+
     def refuse_new(self) -> None:
         """Refuses work from now on; sends of tickets may still be answered."""
         self._leaving = True
@@ -106,7 +132,7 @@
         self._in_flight += 1
         self._idle.clear()
         started = self._counts.started()
-        call = _Call(request)
+        call = _Call(request, self._dialect)
         result: gateway.AnswerResult | None = None
         try:
             result = await self._serve(call)
@@ -129,13 +155,15 @@
             request_id=call.request_id,
             method=call.request.method,
             path=call.path,
-            headers=_headers_in(call.request.raw_headers, call.request_id),
-            service=route.service,
+            headers=self._fields.forwarded(
+                call.request.raw_headers, call.request_id
+            ),
+            service=call.service,
             workspace=call.workspace,
             remaining=call.remaining(),
-            ticket=call.ticket if call.once else "",
+            ticket=call.work_name if call.once else "",
         )
-        if call.once:
+        if call.ticketed:
             return await self._tickets.serve(route, head, call.body)
         return await self._gateway.serve(route, head, call.body)
 
@@ -155,19 +183,20 @@
         if route is None:
             return call.refuse(exchange.Reason.NO_ROUTE, f"no route for {host}")
         call.route = route
-        call.service = route.service
+        call.service = self._gateway.service_of(route)
         call.once = not gateway.may_repeat(route, call.request.method)
-        keyed = call.once and bool(call.ticket)
+        keyed = call.ticketed and bool(call.ticket)
         if self._leaving and not keyed:
             return call.refuse(
                 exchange.Reason.STOPPING, "the node is leaving", LEAVING_RETRY
             )
-        if call.once and not call.ticket:
+        if call.ticketed and not call.ticket:
             detail = "send again with the Idempotency-Key of this answer"
             return call.refuse(exchange.Reason.TICKET_REQUIRED, detail)
         remaining = self._remaining(call.request, route)
         if remaining is None:
-            detail = f"{headers.TIMEOUT_MS} must be a whole number from 1"
+            name = self._dialect.names.timeout_ms
+            detail = f"{name} must be a whole number from 1"
             return call.refuse(exchange.Reason.BAD_REQUEST, detail)
         call.deadline = _now() + remaining
         return None
@@ -175,12 +204,14 @@
     def _remaining(
         self, request: web.BaseRequest, route: objects.Route
     ) -> datetime.timedelta | None:
-        given = request.headers.get(headers.TIMEOUT_MS)
+        limit = self._gateway.timeout(route)
+        given = request.headers.get(self._dialect.names.timeout_ms)
         if given is None:
-            return self._gateway.timeout(route.service)
+            return limit or self._gateway.default_timeout(route)
         if not (given.isascii() and given.isdigit() and int(given) > 0):
             return None
-        return min(datetime.timedelta(milliseconds=int(given)), MAX_TIMEOUT)
+        asked = datetime.timedelta(milliseconds=int(given))
+        return min(asked, limit or MAX_TIMEOUT, MAX_TIMEOUT)
 
     def _body_limit(self, call: "_Call") -> int:
         """Most bytes of a body; one that must not repeat is held whole.
@@ -188,9 +219,13 @@
         A resend is recognised by its body, so none of it may be passed on
         before all of it is here.
         """
-        if call.once:
+        if call.ticketed:
             return self._limits.ticketed_body_bytes
-        return self._limits.body_bytes
+        return self._body_bytes()
+
+    def _body_bytes(self) -> int:
+        limits = self._gateway.limits()
+        return limits.body_bytes if limits else self._limits.body_bytes
 
     async def _read_body(self, call: "_Call") -> exchange.Refusal | None:
         """Reads the body, whole where it is small or must not repeat."""
@@ -207,7 +242,7 @@
         small = length is not None and (
             length <= self._limits.buffered_body_bytes
         )
-        if not small and not call.once:
+        if not small and not call.ticketed:
             call.body = exchange.RequestBody(b"", self._chunks(request))
             return None
         return await self._hold(call, limit)
@@ -235,8 +270,8 @@
         try:
             async for data in request.content.iter_chunked(_READ_BYTES):
                 total += len(data)
-                if total > self._limits.body_bytes:
-                    limit = f"over {self._limits.body_bytes} bytes"
+                if total > self._body_bytes():
+                    limit = f"over {self._body_bytes()} bytes"
                     raise exchange.TruncatedBodyError(limit)
                 yield data
         except (OSError, web.RequestPayloadError) as error:
@@ -247,7 +282,9 @@
     ) -> web.Response:
         response = web.Response(
             status=problems.status(refusal),
-            headers=problems.header_fields(refusal, call.request_id),
+            headers=problems.header_fields(
+                refusal, call.request_id, self._dialect.names.request_id
+            ),
             body=problems.body(refusal, call.request_id),
         )
         self._add_ticket(call, response)
@@ -258,14 +295,14 @@
 
     def _add_ticket(self, call: "_Call", response: web.StreamResponse) -> None:
         """Gives the caller a ticket for its next operation."""
-        if call.once and not self._leaving:
+        if call.ticketed and not self._leaving:
             ticket = self._tickets.issue(call.workspace)
             response.headers[headers.IDEMPOTENCY_KEY] = ticket
 
     async def _respond(
         self, call: "_Call", answer: exchange.Answer
     ) -> web.StreamResponse:
-        fields = _headers_out(answer, call)
+        fields = _headers_out(answer, call, self._dialect.names)
         if answer.rest is None:
             if call.request.method != "HEAD":
                 fields.popall("Content-Length", None)
@@ -297,9 +334,10 @@
 class _Call:
     """One request of a caller, and what is known of it so far."""
 
-    def __init__(self, request: web.BaseRequest) -> None:
+    def __init__(self, request: web.BaseRequest, dialect: Dialect) -> None:
         self.request = request
-        self.request_id = _request_id(request)
+        self._dialect = dialect
+        self.request_id = _request_id(request, dialect.names)
         self.workspace = request.headers.get(headers.WORKSPACE, "")
         self.ticket = request.headers.get(headers.IDEMPOTENCY_KEY, "")
         self.once = False
@@ -308,6 +346,16 @@
         self.body = exchange.RequestBody()
         self.deadline = datetime.timedelta()
 
+    @property
+    def ticketed(self) -> bool:
+        """Whether it must not repeat and needs a ticket."""
+        return self.once and self._dialect.tickets
+
+    @property
+    def work_name(self) -> str:
+        """What names its work at the homes, if it must not repeat."""
+        return self.ticket if self._dialect.tickets else self.request_id
+
     @property
     def path(self) -> str:
         """Path and query as sent, without scheme and host."""
@@ -328,7 +376,7 @@
     ) -> exchange.Refusal:
         """A refusal of this send by the entry."""
         refusal = exchange.not_run(reason, detail, retry_after)
-        if tickets.parse(self.ticket) is not None:
+        if self._dialect.tickets and tickets.parse(self.ticket) is not None:
             refusal = ticketing.unconfirmed(refusal)
         return refusal
 
@@ -341,16 +389,17 @@
         handler: collections.abc.Callable[
             [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
         ],
+        connection_options: collections.abc.Callable[[], dict[str, Any]],
         **options: Any,
     ) -> None:
         super().__init__(handler, handler_cancellation=True, **options)
+        self._connection_options = connection_options
         self._options = options
 
     def __call__(self) -> web.RequestHandler:
         """The handler of one connection."""
-        return _Connection(
-            self, loop=asyncio.get_running_loop(), **self._options
-        )
+        options = {**self._options, **self._connection_options()}
+        return _Connection(self, loop=asyncio.get_running_loop(), **options)
 
 
 class _Connection(web.RequestHandler):
@@ -436,8 +485,8 @@
     return host if colon else field
 
 
-def _request_id(request: web.BaseRequest) -> str:
-    given = request.headers.get(headers.REQUEST_ID, "")
+def _request_id(request: web.BaseRequest, names: headers.Names) -> str:
+    given = request.headers.get(names.request_id, "")
     usable = 0 < len(given) <= _MAX_ID and given.isascii()
     return given if usable and given.isprintable() else _new_request_id()
 
@@ -446,23 +495,55 @@
     return os.urandom(_ID_BYTES).hex()
 
 
-def _headers_in(
-    raw: exchange.HeaderList, request_id: str
-) -> exchange.HeaderList:
-    named = [
-        token.strip().lower()
-        for name, value in raw
-        if name.lower() == b"connection"
-        for token in value.split(b",")
-    ]
-    dropped = _DROPPED.union(named) if named else _DROPPED
-    kept = [item for item in raw if item[0].lower() not in dropped]
-    kept.append((_REQUEST_ID, request_id.encode()))
-    return tuple(kept)
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RequestFields:
+    """Which headers of a request go on to a target.
+
+    Attributes:
+      dropped: as bytes in lower case, since every header is compared.
+      request_id: name of the request's id.
+      added: what the system itself says to every target.
+    """
+
+    dropped: frozenset[bytes]
+    request_id: bytes
+    added: exchange.HeaderList
+
+    @classmethod
+    def from_dialect(cls, dialect: Dialect) -> "_RequestFields":
+        """The fields for callers that speak so."""
+        names = dialect.names
+        own = (names.request_id, names.caller_service, names.expected_target)
+        dropped = frozenset(
+            name.lower().encode()
+            for name in (*headers.HOP_BY_HOP, "expect", *own)
+            if name
+        )
+        added: exchange.HeaderList = ()
+        if names.caller_service and dialect.caller_service:
+            name = names.caller_service.encode()
+            added = ((name, dialect.caller_service.encode()),)
+        return cls(dropped, names.request_id.encode(), added)
+
+    def forwarded(
+        self, raw: exchange.HeaderList, request_id: str
+    ) -> exchange.HeaderList:
+        """The headers that a target gets."""
+        named = [
+            token.strip().lower()
+            for name, value in raw
+            if name.lower() == b"connection"
+            for token in value.split(b",")
+        ]
+        dropped = self.dropped.union(named) if named else self.dropped
+        kept = [item for item in raw if item[0].lower() not in dropped]
+        kept.append((self.request_id, request_id.encode()))
+        kept.extend(self.added)
+        return tuple(kept)
 
 
 def _headers_out(
-    answer: exchange.Answer, call: _Call
+    answer: exchange.Answer, call: _Call, names: headers.Names
 ) -> multidict.CIMultiDict[str]:
     fields = multidict.CIMultiDict(
         [
@@ -472,5 +553,5 @@
     )
     for name in _OWN_FIELDS:
         fields.popall(name, None)
-    fields[headers.REQUEST_ID] = call.request_id
+    fields[names.request_id] = call.request_id
     return fields
--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -21,6 +21,8 @@
     exchange.Reason.HOME_LOST: 502,
     exchange.Reason.HOME_UNREACHABLE: 502,
     exchange.Reason.STALE_HOME: 503,
+    exchange.Reason.TARGET_FULL: 503,
+    exchange.Reason.WRONG_TARGET: 503,
     exchange.Reason.STOPPING: 503,
     exchange.Reason.TICKET_REQUIRED: 428,
     exchange.Reason.TICKET_INVALID: 400,
@@ -30,22 +32,41 @@
     exchange.Reason.ANSWER_NOT_KEPT: 409,
     exchange.Reason.SEALED: 409,
     exchange.Reason.RATE_LIMITED: 429,
-    exchange.Reason.POISON: 422,
+    exchange.Reason.POISON: 503,
     exchange.Reason.INTERNAL: 500,
 }
 
 
+# Statuses by which HTTP clients take it that a request has not run.
+_NOT_RUN_STATUS = frozenset({408, 421, 429, 503})
+# Statuses that leave open whether it has.
+_OPEN_STATUS = frozenset({502, 504})
+
+
 def status(refusal: exchange.Refusal) -> int:
-    """The HTTP status of a refusal."""
-    return _STATUS[refusal.reason]
+    """The HTTP status of a refusal.
+
+    Failure: a home that has lost its record says "busy" of work that may have
+    run. Symptom: the caller reads 503, sends a payout again, and it is paid
+    twice. So the outcome decides between the statuses that say "not run" and
+    those that leave it open, whatever the reason.
+    """
+    found = _STATUS[refusal.reason]
+    if refusal.outcome is exchange.Outcome.NOT_RUN:
+        return 503 if found in _OPEN_STATUS else found
+    return 502 if found in _NOT_RUN_STATUS else found
 
 
-def header_fields(refusal: exchange.Refusal, request_id: str) -> dict[str, str]:
-    """The headers that go with a refusal."""
+def header_fields(
+    refusal: exchange.Refusal,
+    request_id: str,
+    id_field: str = headers.REQUEST_ID,
+) -> dict[str, str]:
+    """The headers that go with a refusal; the id's is named by id_field."""
     fields = {
         headers.OUTCOME: refusal.outcome.value,
         headers.REASON: refusal.reason.value,
-        headers.REQUEST_ID: request_id,
+        id_field: request_id,
         "Content-Type": CONTENT_TYPE,
     }
     if refusal.retry_after is not None:
--- a/endivewind/callers/routing.py
+++ b/endivewind/callers/routing.py
@@ -78,15 +78,26 @@
 
 
 def _normal(prefix: str) -> str:
-    return prefix.rstrip("/")
+    """The prefix as it is looked up; "/" matches every path, as "" does."""
+    return "" if prefix == "/" else prefix
 
 
 def _longest(group: _ByPrefix, path: str) -> objects.Route | None:
-    candidate = _normal(path)
-    while True:
+    """Looks for the path itself, then for each part of it that is left.
+
+    Both spellings of a part are tried, the longer one first: "/a/" stands
+    for what is below "/a", and "/a" for the same and for itself.
+    """
+    candidate = path
+    while candidate:
         found = group.get(candidate)
         if found:
             return found[0]
-        if not candidate:
-            return None
-        candidate = candidate.rpartition("/")[0]
+        if candidate.endswith("/"):
+            candidate = candidate[:-1]
+        else:
+            candidate = candidate.rpartition("/")[0] + "/"
+            if candidate == "/":
+                break
+    found = group.get("")
+    return found[0] if found else None
--- a/endivewind/callers/waiting.py
+++ b/endivewind/callers/waiting.py
@@ -27,6 +27,8 @@
     objects.Priority.NORMAL: 1,
     objects.Priority.HIGH: 2,
 }
+# More than the ranks that a priority may have.
+_RANKS = 1_001
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -53,9 +55,11 @@
     weight: int,
     priority: objects.Priority,
     deadline: datetime.timedelta,
+    rank: int = 0,
 ) -> admission.Waiter:
-    """A place in a queue for a route's priority."""
-    return admission.Waiter(workspace, weight, _PRIORITIES[priority], deadline)
+    """A place in a queue for a route's priority and rank."""
+    level = _PRIORITIES[priority] * _RANKS - rank
+    return admission.Waiter(workspace, weight, level, deadline)
 
 
 class WaitingRoom:
--- a/endivewind/commands/audit.py
+++ b/endivewind/commands/audit.py
@@ -12,7 +12,7 @@
 from endivewind.commands import running
 from endivewind.commands import submissions
 from endivewind.commands import tables
-from endivewind.platform import audit
+from endivewind.durable import audit
 from endivewind.platform import client
 
 USAGE = "audit --platform=URL [--subject=KIND/NAME] [--operation=ID]"
--- a/endivewind/commands/node.py
+++ b/endivewind/commands/node.py
@@ -59,3 +59,7 @@
     await member.stop()
     log.info("stopped")
     return 0
+
+
+if __name__ == "__main__":
+    run()
--- a/endivewind/commands/submissions.py
+++ b/endivewind/commands/submissions.py
@@ -14,9 +14,9 @@
 from endivewind.commands import options
 from endivewind.config import planning
 from endivewind.config import store
+from endivewind.durable import retries
 from endivewind.platform import client
 from endivewind.platform import messages
-from endivewind.platform import retries
 
 BASE = flags.DEFINE_string(
     "base", "", "File that was edited, as it was before."
@@ -50,13 +50,21 @@
     platform: client.PlatformClient,
 ) -> dict[store.Key, planning.Current]:
     """Every configuration object of the platform."""
-    listing = await read(
-        lambda: platform.list(store.KINDS), "the platform's configuration"
+    held: dict[store.Key, planning.Current] = {}
+    for kind in store.KINDS:
+        listing = await listed(platform, kind)
+        for item in listing.objects:
+            held[store.Key(item.kind, item.name)] = current_of(item)
+    return held
+
+
+async def listed(
+    platform: client.PlatformClient, kind: str
+) -> messages.Listing:
+    """Every object of one kind of the configuration."""
+    return await read(
+        lambda: platform.list(kind), "the platform's configuration"
     )
-    return {
-        store.Key(item.kind, item.name): current_of(item)
-        for item in listing.objects
-    }
 
 
 def current_of(stored: messages.StoredObject) -> planning.Current:
--- a/endivewind/commands/submit.py
+++ b/endivewind/commands/submit.py
@@ -30,12 +30,12 @@
 from endivewind.commands import submissions
 from endivewind.config import planning
 from endivewind.config import store
+from endivewind.durable import audit
+from endivewind.durable import membership
+from endivewind.durable import retries
+from endivewind.durable import writing
 from endivewind.operators import configuration as operators
-from endivewind.platform import audit
 from endivewind.platform import client
-from endivewind.platform import membership
-from endivewind.platform import retries
-from endivewind.platform import writing
 
 USAGE = (
     "submit FILE|- --platform=URL [--base=FILE] [--remove=KIND/NAME,...]"
@@ -289,7 +289,7 @@
     """Asks until all known nodes have the versions, or the time is up."""
     start = time.monotonic()
     listing = await submissions.read(
-        lambda: platform.list((membership.NODE,)), "the platform's nodes"
+        lambda: platform.list(membership.NODE), "the platform's nodes"
     )
     listed = {item.name for item in listing.objects}
     async with aiohttp.ClientSession(timeout=_ASK_TIMEOUT) as session:
--- a/endivewind/commands/watch.py
+++ b/endivewind/commands/watch.py
@@ -4,6 +4,7 @@
 each object written, until interrupted or --count changes were seen.
 """
 
+import asyncio
 import json
 
 from absl import flags
@@ -24,8 +25,6 @@
 flags.declare_key_flag("platform")
 flags.declare_key_flag("format")
 
-_AGAIN = (messages.Failure.COMPACTED, messages.Failure.STALE)
-
 
 def main(arguments: list[str]) -> int:
     """Prints changes."""
@@ -35,29 +34,55 @@
 
 
 async def _watch(platform: client.PlatformClient) -> int:
-    revision = await _start(platform)
-    seen = 0
-    while not _COUNT.value or seen < _COUNT.value:
-        found = await platform.watch(store.KINDS, revision)
+    """Follows every kind in a task of its own until enough was seen."""
+    enough = asyncio.Event()
+    left = _Left(_COUNT.value, enough)
+    follows = [
+        asyncio.create_task(_follow(platform, kind, left))
+        for kind in store.KINDS
+    ]
+    tasks = [asyncio.create_task(enough.wait()), *follows]
+    ended, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+    for task in ended:
+        task.result()
+    return 0
+
+
+class _Left:
+    """Counts down the changes that are still to be shown."""
+
+    def __init__(self, count: int, enough: asyncio.Event) -> None:
+        self._count = count
+        self._enough = enough
+
+    def show(self, item: messages.StoredObject) -> None:
+        """Prints one change, unless enough were printed."""
+        if self._enough.is_set():
+            return
+        _show(item)
+        self._count -= 1
+        if not self._count:
+            self._enough.set()
+
+
+async def _follow(
+    platform: client.PlatformClient, kind: str, left: _Left
+) -> None:
+    revision = (await submissions.listed(platform, kind)).revision
+    while True:
+        found = await platform.watch(kind, revision)
         if found.is_ok():
             for item in found.ok.objects:
-                _show(item)
-            seen += len(found.ok.objects)
+                left.show(item)
             revision = found.ok.revision
-        elif found.error.failure in _AGAIN:
+            continue
+        # A listing waits and tries again, as long as the platform is away.
+        listing = await submissions.listed(platform, kind)
+        if found.error.failure is messages.Failure.COMPACTED:
             print("# changes may be missing here", flush=True)
-            revision = await _start(platform)
-        else:
-            # A listing waits and tries again; the revision stays.
-            await _start(platform)
-    return 0
-
-
-async def _start(platform: client.PlatformClient) -> int:
-    listing = await submissions.read(
-        lambda: platform.list(store.KINDS), "the platform's configuration"
-    )
-    return listing.revision
+            revision = listing.revision
 
 
 def _show(item: messages.StoredObject) -> None:
--- a/endivewind/config/joining.py
+++ b/endivewind/config/joining.py
@@ -1,53 +1,52 @@
 """When a starting node's configuration is whole enough to take callers."""
 
-import datetime
+import collections.abc
 
 from endivewind.config import spreading
 
 # One peer may itself have missed a change; three that agree to the last
 # version rarely all have.
 JOIN_PEERS = 3
-# A platform that has lost its store lists nothing. Peers get this long to
-# say what is in force before the listing alone is believed.
-JOIN_LIMIT = datetime.timedelta(seconds=2)
 
 
 class Joining:
     """Decides once when a node is ready; no input or output.
 
-    Load: a node replaced while the platform is away, or back with an empty
-    store. Harm: it would refuse callers for routes that are in force
-    everywhere else. Several peers that agree with it are enough, since one
-    change reaches all of them within seconds.
+    Load: a node replaced while the platform is away. Harm: it would refuse
+    callers for routes that are in force everywhere else. What the platform
+    lists is enough, since it loses nothing that it has acknowledged. Without
+    it several peers that agree with this node are, since one change reaches
+    all of them within seconds.
     """
 
-    def __init__(self, spreader: spreading.Spreader) -> None:
+    def __init__(
+        self,
+        spreader: spreading.Spreader,
+        kinds: collections.abc.Iterable[str],
+    ) -> None:
+        """Starts with nothing.
+
+        Args:
+          spreader: knows which peers agree.
+          kinds: what has to be listed.
+        """
         self._spreader = spreader
-        self._listed_at: datetime.timedelta | None = None
+        self._unlisted = set(kinds)
 
-    def listed(self, now: datetime.timedelta) -> None:
-        """Takes that a whole listing of the platform has been applied."""
-        if self._listed_at is None:
-            self._listed_at = now
+    def listed(self, kind: str) -> None:
+        """Takes that a whole listing of one kind has been applied."""
+        self._unlisted.discard(kind)
 
-    def missing(self, known_peers: int, now: datetime.timedelta) -> str | None:
+    def missing(self, known_peers: int) -> str | None:
         """None when ready, else what is still missing."""
         if self._spreader.ready:
             return None
         agreed = len(self._spreader.agreed)
-        if self._enough(agreed, known_peers, now):
+        wanted = min(JOIN_PEERS, max(1, known_peers))
+        if not self._unlisted or agreed >= wanted:
             self._spreader.ready = True
             return None
-        if self._listed_at is None:
-            return (
-                "no configuration yet: the platform has not answered, and "
-                f"{agreed} of {max(1, min(JOIN_PEERS, known_peers))} peers agree"
-            )
-        return "no peer has confirmed the platform's configuration yet"
-
-    def _enough(
-        self, agreed: int, known_peers: int, now: datetime.timedelta
-    ) -> bool:
-        if self._listed_at is not None:
-            return agreed > 0 or now - self._listed_at >= JOIN_LIMIT
-        return agreed >= min(JOIN_PEERS, max(1, known_peers))
+        return (
+            "no configuration yet: the platform has not answered, and "
+            f"{agreed} of {wanted} peers agree"
+        )
--- a/endivewind/config/objects.py
+++ b/endivewind/config/objects.py
@@ -3,6 +3,7 @@
 import collections.abc
 import enum
 from typing import Annotated
+from typing import Literal
 
 import pydantic
 
@@ -48,10 +49,18 @@
       slots: slots of a target that declares none when it announces.
       expected_targets: targets that a region should have; 0 is unknown. Only
         `endivewind validate` uses it, to warn of a floor out of reach.
+      floor_percent: share of a region's announced slots that ejection may
+        never go below, where that is more than floor_slots.
       retry_percent: retries allowed, as a share of recent requests.
+      retry_reserve: retries that the whole fleet may make besides, in each
+        retry_window_ms.
+      retry_window_ms: span in which retries are counted.
+      health_path: where its targets answer health checks; empty if nowhere.
+      max_connections: connections that one target takes; 0 is unknown.
     """
 
     floor_slots: pydantic.StrictInt = pydantic.Field(default=0, ge=0)
+    floor_percent: pydantic.StrictInt = pydantic.Field(default=0, ge=0, le=100)
     profile: Profile = Profile.DETECTION
     queue_limit: pydantic.StrictInt = pydantic.Field(
         default=64, ge=0, le=10_000
@@ -64,6 +73,28 @@
         default=0, ge=0, le=100_000
     )
     retry_percent: pydantic.StrictInt = pydantic.Field(default=10, ge=0, le=100)
+    retry_reserve: pydantic.StrictInt = pydantic.Field(
+        default=0, ge=0, le=1_000_000
+    )
+    retry_window_ms: pydantic.StrictInt = pydantic.Field(
+        default=10_000, ge=100, le=600_000
+    )
+    health_path: str = pydantic.Field(default="", max_length=512)
+    max_connections: pydantic.StrictInt = pydantic.Field(
+        default=0, ge=0, le=1_000_000
+    )
+
+
+class Share(base.Model):
+    """One service's part of a route's requests.
+
+    Attributes:
+      service: name of the service.
+      weight: its part, relative to the others.
+    """
+
+    service: Name
+    weight: pydantic.StrictInt = pydantic.Field(default=1, ge=0, le=1_000_000)
 
 
 class Route(base.Model):
@@ -71,19 +102,63 @@
 
     Attributes:
       host: the request's Host without port; "*" matches any.
-      prefix: path prefix, matched at segment borders.
-      service: name of the service.
+      prefix: path prefix, matched at segment borders; one that ends with a
+        slash matches only what is below it.
+      service: name of the service; empty where the route has a split.
+      split: services that share the requests, by weight.
       workspace: only this workspace; empty matches all.
       repeat: which requests may run more than once.
       priority: refused last (high) or first (low).
+      rank: order within the priority; 0 is served first and refused last.
+      timeout_ms: longest time that a caller is kept waiting; 0 leaves it to
+        the service.
+      aim_ms: time within which an answer is worth most to its caller; 0 is
+        unknown.
+      attempts: most targets that one request may be sent to; 0 leaves it to
+        the node.
     """
 
-    service: Name
+    service: Name | Literal[""] = ""
+    split: tuple[Share, ...] = ()
     host: str = pydantic.Field(default="*", min_length=1, max_length=253)
     prefix: str = pydantic.Field(default="/", pattern=r"^/", max_length=512)
     workspace: str = ""
     repeat: Repeat = Repeat.SAFE_METHODS
     priority: Priority = Priority.NORMAL
+    rank: pydantic.StrictInt = pydantic.Field(default=0, ge=0, le=1_000)
+    timeout_ms: pydantic.StrictInt = pydantic.Field(default=0, ge=0, le=600_000)
+    aim_ms: pydantic.StrictInt = pydantic.Field(default=0, ge=0, le=600_000)
+    attempts: pydantic.StrictInt = pydantic.Field(default=0, ge=0, le=100)
+
+    @pydantic.model_validator(mode="after")
+    def _leads_somewhere(self) -> "Route":
+        if self.service and self.split:
+            raise ValueError("needs either a service or a split, not both")
+        if self.split and not any(share.weight for share in self.split):
+            raise ValueError("a split needs a weight above 0")
+        return self
+
+
+class CallerLimits(base.Model):
+    """What callers may send, and how long they may take.
+
+    Attributes:
+      header_bytes: most bytes of a request's headers.
+      body_bytes: most bytes of a request's body.
+      header_timeout_ms: longest time that a request's headers may take.
+      idle_timeout_ms: how long a connection may stay open without a request.
+    """
+
+    header_bytes: pydantic.StrictInt = pydantic.Field(
+        default=16_384, ge=1024, le=1_048_576
+    )
+    body_bytes: pydantic.StrictInt = pydantic.Field(default=16_777_216, ge=0)
+    header_timeout_ms: pydantic.StrictInt = pydantic.Field(
+        default=10_000, ge=100, le=600_000
+    )
+    idle_timeout_ms: pydantic.StrictInt = pydantic.Field(
+        default=75_000, ge=100, le=3_600_000
+    )
 
 
 class Workspace(base.Model):
@@ -122,6 +197,20 @@
     workspaces: dict[Name, Workspace] = {}
 
 
+class Document(base.Model):
+    """A whole configuration that is kept and replaced as one object.
+
+    Attributes:
+      services: the services.
+      routes: the routes, in any order.
+      limits: what callers may send; absent leaves the node's settings.
+    """
+
+    services: dict[Name, Service] = {}
+    routes: tuple[Route, ...] = ()
+    limits: CallerLimits | None = None
+
+
 class Configuration(base.Model):
     """A whole file of configuration, as `endivewind submit` takes it.
 
--- a/endivewind/config/reference.py
+++ b/endivewind/config/reference.py
@@ -28,10 +28,12 @@
     ("`services.NAME`", objects.Service),
     ("`route_groups.NAME`", objects.RouteGroup),
     ("`route_groups.NAME.routes[]`", objects.Route),
+    ("`route_groups.NAME.routes[].split[]`", objects.Share),
     ("`workspace_shards.NAME`", objects.WorkspaceShard),
     ("`workspace_shards.NAME.workspaces.NAME`", objects.Workspace),
     ("Settings of a node", settings.NodeSettings),
     ("`limits` of the settings", settings.Limits),
+    ("`beside` of the settings", settings.Beside),
     ("`callers_tls` and `nodes_tls` of the settings", settings.Tls),
 )
 _BOUNDS = {
--- a/endivewind/config/references.py
+++ b/endivewind/config/references.py
@@ -24,35 +24,58 @@
         return (
             str(self.values.get("host", "*")).lower(),
             str(self.values.get("workspace", "")),
-            str(self.values.get("prefix", "/")).rstrip("/"),
+            str(self.values.get("prefix", "/")),
         )
 
+    def services(self) -> collections.abc.Iterator[tuple[base.Location, str]]:
+        """Every service that the route names, with its place."""
+        name = self.values.get("service")
+        if isinstance(name, str) and name:
+            yield (*self.location, "service"), name
+        split = self.values.get("split")
+        for index, share in enumerate(split if isinstance(split, list) else ()):
+            name = _mapping(share).get("service")
+            if isinstance(name, str):
+                yield (*self.location, "split", index, "service"), name
+
 
 def problems(data: object) -> collections.abc.Iterator[base.Problem]:
     """Every problem between the parts of a configuration."""
     services = _mapping(_mapping(data).get("services"))
     routes = list(_routes(data))
+    yield from _leading_nowhere(routes)
     yield from _unknown_services(services, routes)
     yield from _shadowed_routes(routes)
     yield from _floors(services)
     yield from _shared_workspaces(data)
 
 
+def _leading_nowhere(
+    routes: list[_Route],
+) -> collections.abc.Iterator[base.Problem]:
+    for route in routes:
+        if "service" not in route.values and "split" not in route.values:
+            yield base.Problem(
+                (*route.location, "service"),
+                "a route needs a service, or a split between services",
+            )
+
+
 def _unknown_services(
     services: dict[Any, Any], routes: list[_Route]
 ) -> collections.abc.Iterator[base.Problem]:
     known = [name for name in services if isinstance(name, str)]
     for route in routes:
-        name = route.values.get("service")
-        if not isinstance(name, str) or name in known:
-            continue
-        hint = names.hint(name, known)
-        allowed = ", ".join(sorted(known)) or "none is defined"
-        yield base.Problem(
-            (*route.location, "service"),
-            f"no such service in this file{hint} Allowed: {allowed}",
-            name,
-        )
+        for location, name in route.services():
+            if name in known:
+                continue
+            hint = names.hint(name, known)
+            allowed = ", ".join(sorted(known)) or "none is defined"
+            yield base.Problem(
+                location,
+                f"no such service in this file{hint} Allowed: {allowed}",
+                name,
+            )
 
 
 def _shadowed_routes(
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -1,10 +1,12 @@
 """Settings of one process, read from a YAML file at start."""
 
+import enum
 from typing import Annotated
 
 import pydantic
 
 from endivewind.config import base
+from endivewind.config import objects
 
 Address = Annotated[
     str, pydantic.Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")
@@ -30,6 +32,48 @@
     authority: str = ""
 
 
+class Interface(enum.StrEnum):
+    """Whose names and formats callers, targets and operators use."""
+
+    OWN = "own"
+    PLATFORM = "platform"
+
+
+class Once(enum.StrEnum):
+    """What names work that must not repeat.
+
+    TICKET: a key that this system issues; the caller may send it again to
+    any node. REQUEST_ID: the id of each send, which arrives once, at one
+    node; sending again is new work.
+    """
+
+    TICKET = "ticket"
+    REQUEST_ID = "request-id"
+
+
+class Trail(enum.StrEnum):
+    """Where a node records its verdicts, drains and membership."""
+
+    PLATFORM = "platform"
+    LOG = "log"
+
+
+class Beside(base.Model):
+    """The one target on the node's own VM, where every target has a node.
+
+    Attributes:
+      service: the service that runs on this VM.
+      address: host and port where the target takes requests.
+      heartbeat_seconds: how often the target announces itself.
+    """
+
+    service: str = pydantic.Field(min_length=1, max_length=63)
+    address: Address
+    heartbeat_seconds: pydantic.StrictFloat = pydantic.Field(
+        default=1, gt=0, le=15
+    )
+
+
 class Limits(base.Model):
     """Bounds of one process.
 
@@ -42,6 +86,8 @@
       ticketed_body_bytes: most bytes of the body of a request that must not
         repeat; it is held whole.
       stop_seconds: how long a planned stop waits for work in flight.
+      notice_seconds: how long a stopping node still takes new work of callers
+        who have not heard of it.
     """
 
     header_bytes: pydantic.StrictInt = pydantic.Field(
@@ -60,6 +106,9 @@
     stop_seconds: pydantic.StrictFloat = pydantic.Field(
         default=30, gt=0, le=600
     )
+    notice_seconds: pydantic.StrictFloat = pydantic.Field(
+        default=1, ge=0, le=60
+    )
 
 
 class NodeSettings(base.Model):
@@ -75,6 +124,14 @@
       nodes_advertised: address that other nodes are told to use, where it
         is not the one that is bound.
       operators: address of health, metrics and status; loopback unless set.
+      readiness: address that answers only whether the node is ready, for the
+        platform's checks; none unless set.
+      interface: whose names and formats callers, targets and operators use.
+      once: what names work that must not repeat.
+      beside: the target on this VM, where each has a node of its own.
+      audit: where the node records what it does; its log has it in any case.
+      service_defaults: what a service gets where the platform's operators
+        have no word for it; only for the platform's interface.
       platform: URL of the platform's object API.
       seeds: nodes to join by when the platform can't be asked.
       gossip_key: signs the datagrams between nodes; the same at every node.
@@ -93,6 +150,12 @@
     nodes: Address = "127.0.0.1:0"
     nodes_advertised: Address | None = None
     operators: Address = "127.0.0.1:0"
+    readiness: Address | None = None
+    interface: Interface = Interface.OWN
+    once: Once = Once.TICKET
+    beside: Beside | None = None
+    audit: Trail = Trail.PLATFORM
+    service_defaults: objects.Service = objects.Service()
     seeds: tuple[Address, ...] = ()
     gossip_key: str = pydantic.Field(default="", repr=False)
     callers_tls: Tls | None = None
--- a/endivewind/config/store.py
+++ b/endivewind/config/store.py
@@ -24,6 +24,8 @@
 SERVICE = "service"
 ROUTE_GROUP = "route-group"
 WORKSPACE_SHARD = "workspace-shard"
+# A whole configuration in one object, where a platform keeps it so.
+DOCUMENT = "document"
 KINDS = (SERVICE, ROUTE_GROUP, WORKSPACE_SHARD)
 
 # The platform holds values up to a megabyte; nothing longer is genuine.
@@ -38,6 +40,7 @@
     SERVICE: objects.Service,
     ROUTE_GROUP: objects.RouteGroup,
     WORKSPACE_SHARD: objects.WorkspaceShard,
+    DOCUMENT: objects.Document,
 }
 
 
@@ -226,8 +229,22 @@
     def service(self, name: str) -> objects.Service | None:
         """A service in force."""
         item = self._objects.get(Key(SERVICE, name))
+        if item is not None:
+            return item.model
+        for document in self.documents():
+            if name in document.services:
+                return document.services[name]
+        return None
+
+    def document(self, name: str) -> objects.Document | None:
+        """A whole configuration in force."""
+        item = self._objects.get(Key(DOCUMENT, name))
         return item.model if item else None
 
+    def documents(self) -> list[objects.Document]:
+        """All whole configurations in force."""
+        return self._models(DOCUMENT)
+
     def route_group(self, name: str) -> objects.RouteGroup | None:
         """A route group in force."""
         item = self._objects.get(Key(ROUTE_GROUP, name))
--- a/endivewind/decisions/retries.py
+++ b/endivewind/decisions/retries.py
@@ -1,38 +1,89 @@
 """A budget for retries: a share of the recent requests of a service."""
 
-# What a service with little traffic may retry at any time; without it one
+import collections
+import dataclasses
+import datetime
+
+# What a service with little traffic may retry in each window; without it one
 # failed request in a quiet minute could not be tried again.
 RESERVE = 3.0
-# What a quiet hour may save up; more would let a storm start.
-MOST = 20.0
+WINDOW = datetime.timedelta(seconds=10)
+# The window slides by this part of itself, so that no span of its length can
+# hold more than a twentieth above the bound.
+_STEPS = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryLimits:
+    """What may be retried.
+
+    Attributes:
+      share: retries for each request in the window.
+      reserve: retries in each window besides, at this node.
+      window: the span in which both are counted.
+    """
+
+    share: float
+    reserve: float = RESERVE
+    window: datetime.timedelta = WINDOW
+
+
+@dataclasses.dataclass(slots=True)
+class _Step:
+    number: int
+    requests: int = 0
+    retries: int = 0
 
 
 class RetryBudget:
-    """Tokens that requests bring in and retries take out.
+    """Bounds retries in every window to a share of its requests.
 
     Load: every target of a service fails, or most are full. Harm: with three
     tries for each request the service gets three times the load just when it
     can take least, and stays down. The budget bounds the extra work to its
-    share of the requests, whatever fails, and hedges take from it too.
+    share of the requests, whatever fails, and hedges take from it too. Every
+    node keeps its own bound, so the sum over all nodes keeps it as well; a
+    budget saved up in quiet times would break it in the first window of a
+    storm, so nothing is saved for longer than the window.
     """
 
-    __slots__ = ("_share", "_tokens")
+    def __init__(self, limits: RetryLimits) -> None:
+        self._limits = limits
+        self._steps: collections.deque[_Step] = collections.deque()
+        self._requests = 0
+        self._retries = 0
 
-    def __init__(self, percent: int) -> None:
-        self._share = percent / 100
-        self._tokens = RESERVE
+    def configure(self, limits: RetryLimits) -> None:
+        """Takes other limits; what was counted stays counted."""
+        if limits.window != self._limits.window:
+            self._steps.clear()
+            self._requests = 0
+            self._retries = 0
+        self._limits = limits
 
-    def configure(self, percent: int) -> None:
-        """Takes another share."""
-        self._share = percent / 100
-
-    def request(self) -> None:
+    def request(self, now: datetime.timedelta) -> None:
         """Takes note of a request of a caller."""
-        self._tokens = min(MOST, self._tokens + self._share)
+        self._step(now).requests += 1
+        self._requests += 1
 
-    def take(self) -> bool:
+    def take(self, now: datetime.timedelta) -> bool:
         """Whether one more try is allowed; takes it from the budget."""
-        if not self._share or self._tokens < 1:
+        step = self._step(now)
+        limits = self._limits
+        allowed = limits.share * self._requests + limits.reserve
+        if not limits.share or self._retries + 1 > allowed:
             return False
-        self._tokens -= 1
+        step.retries += 1
+        self._retries += 1
         return True
+
+    def _step(self, now: datetime.timedelta) -> _Step:
+        """The present step of the window, without those that have left it."""
+        number = now // (self._limits.window / _STEPS)
+        while self._steps and self._steps[0].number <= number - _STEPS:
+            gone = self._steps.popleft()
+            self._requests -= gone.requests
+            self._retries -= gone.retries
+        if not self._steps or self._steps[-1].number != number:
+            self._steps.append(_Step(number))
+        return self._steps[-1]
--- a/endivewind/platform/audit.py
+++ b/endivewind/durable/audit.py
@@ -15,9 +15,9 @@
 import expression
 import pydantic
 
+from endivewind.durable import retries
 from endivewind.platform import client
 from endivewind.platform import messages
-from endivewind.platform import retries
 
 AUDIT = "audit"
 SHARDS = 32
@@ -131,7 +131,7 @@
     platform: client.PlatformClient,
 ) -> expression.Result[list[Record], messages.PlatformError]:
     """The whole trail, oldest first, one record for each change."""
-    found = await platform.list((AUDIT,))
+    found = await platform.list(AUDIT)
     if found.is_error():
         return expression.Error(found.error)
     latest: dict[tuple[str, str], Record] = {}
--- a/endivewind/platform/auditor.py
+++ b/endivewind/durable/auditor.py
@@ -9,9 +9,10 @@
 import random
 
 from endivewind import clock as clocks
-from endivewind.platform import audit
+from endivewind import logs
+from endivewind.durable import audit
+from endivewind.durable import retries
 from endivewind.platform import client
-from endivewind.platform import retries
 from endivewind.targets import records
 
 log = logging.getLogger(__name__)
@@ -34,7 +35,21 @@
         platform: client.PlatformClient,
         clock: clocks.Clock,
         rng: random.Random,
+        *,
+        to_platform: bool = True,
     ) -> None:
+        """Starts with nothing to write.
+
+        Args:
+          node: the node's name.
+          incarnation: this start of it.
+          platform: where records are kept.
+          clock: dates the records.
+          rng: spreads the writes of a fleet.
+          to_platform: whether records are written there; each write is a call
+            that is paid for. They are logged in any case.
+        """
+        self._to_platform = to_platform
         self._node = node
         self._incarnation = incarnation
         self._platform = platform
@@ -100,6 +115,9 @@
             operation=f"{self._incarnation:x}-{next(self._numbers)}",
             detail=detail[:300],
         )
+        log.info("audit", extra=logs.fields(**record.model_dump(mode="json")))
+        if not self._to_platform:
+            return
         self._waiting.append(record)
         self._wake.set()
 
--- a/endivewind/platform/membership.py
+++ b/endivewind/durable/membership.py
@@ -1,5 +1,7 @@
 """This node's object in the platform: written at start, removed on leaving."""
 
+import asyncio
+import datetime
 import logging
 
 import expression
@@ -7,10 +9,43 @@
 from endivewind.nodes import view
 from endivewind.platform import client
 from endivewind.platform import messages
+from endivewind.platform import names
 
 log = logging.getLogger(__name__)
 
-NODE = "node"
+NODE = names.NODE_KIND
+
+
+# A start may wait for the platform no longer than this to learn of earlier
+# starts of its name; an answer takes 60 ms from the farthest region.
+EARLIER_TIMEOUT = datetime.timedelta(milliseconds=500)
+
+
+async def earlier_incarnation(
+    platform: client.PlatformClient, name: str
+) -> int:
+    """Incarnation of the latest start of a node that the platform knows.
+
+    Failure: a VM's clock goes back and its node is restarted. Symptom: the
+    new start has a lower incarnation than the old one, and the fleet takes
+    it for dead for ever. A start that counts on from what is registered is
+    later than it, whatever the clock says.
+
+    Returns:
+      0 if there is none, or if the platform does not answer in time.
+    """
+    try:
+        async with asyncio.timeout(EARLIER_TIMEOUT.total_seconds()):
+            found = await platform.get(NODE, name)
+    except TimeoutError:
+        log.warning("can't tell of earlier starts: no answer in time")
+        return 0
+    if found.is_error():
+        if found.error.failure is not messages.Failure.NOT_FOUND:
+            log.warning("can't tell of earlier starts: %s", found.error)
+        return 0
+    known = record_of(found.ok)
+    return known.incarnation if known else 0
 
 
 async def register(
@@ -46,7 +81,7 @@
     platform: client.PlatformClient,
 ) -> expression.Result[list[str], messages.PlatformError]:
     """Addresses of all nodes that have an object, the dead included."""
-    listed = await platform.list((NODE,))
+    listed = await platform.list(NODE)
     if listed.is_error():
         return expression.Error(listed.error)
     found = [record_of(item) for item in listed.ok.objects]
--- a/endivewind/platform/retries.py
+++ b/endivewind/durable/retries.py
@@ -52,7 +52,8 @@
     LEAST_CALLS_PER_SECOND = 0.2
     MOST_CALLS_PER_SECOND = 20.0
     BURST_CALLS = 20.0
-    MAX_AT_ONCE = 4
+    # Three watches that wait, and a few calls beside them.
+    MAX_AT_ONCE = 8
 
     def __init__(self) -> None:
         self._nodes = 1
--- a/endivewind/platform/watcher.py
+++ b/endivewind/durable/watcher.py
@@ -1,4 +1,4 @@
-"""Follows objects of some kinds in the platform: a listing, then watches."""
+"""Follows the objects of one kind in the platform: a listing, then watches."""
 
 import asyncio
 import collections.abc
@@ -8,9 +8,9 @@
 
 import expression
 
+from endivewind.durable import retries
 from endivewind.platform import client
 from endivewind.platform import messages
-from endivewind.platform import retries
 
 log = logging.getLogger(__name__)
 
@@ -21,11 +21,7 @@
 ROLE_PERIOD = datetime.timedelta(seconds=1)
 
 
-# A store that has gone back, or forgotten the revision, is listed anew.
-_LIST_AGAIN = (messages.Failure.COMPACTED, messages.Failure.STALE)
-
-
-def _ignore(listing: messages.Listing) -> None:
+def _ignore(kind: str) -> None:
     """Takes no notice of listings."""
 
 
@@ -40,14 +36,14 @@
     def __init__(
         self,
         platform: client.PlatformClient,
-        kinds: tuple[str, ...],
+        kind: str,
         seen: collections.abc.Callable[[messages.StoredObject], None],
         rng: random.Random,
-        listed: collections.abc.Callable[[messages.Listing], None] = _ignore,
+        listed: collections.abc.Callable[[str], None] = _ignore,
         watching: collections.abc.Callable[[], bool] = _always,
     ) -> None:
         self._platform = platform
-        self._kinds = kinds
+        self._kind = kind
         self._seen = seen
         self._take_listing = listed
         self._watching = watching
@@ -70,7 +66,7 @@
                 self._take(result.ok)
                 await self._rest()
                 continue
-            if result.error.failure in _LIST_AGAIN:
+            if result.error.failure is messages.Failure.COMPACTED:
                 self._revision = None
             log.warning("platform: %s", result.error)
             await asyncio.sleep(self._backoff.next_seconds(result.error))
@@ -79,15 +75,15 @@
         self,
     ) -> expression.Result[messages.Listing, messages.PlatformError]:
         if self._revision is None:
-            return await self._platform.list(self._kinds)
+            return await self._platform.list(self._kind)
         wait = client.WATCH_WAIT if self._watching() else datetime.timedelta()
-        return await self._platform.watch(self._kinds, self._revision, wait)
+        return await self._platform.watch(self._kind, self._revision, wait)
 
     def _take(self, listing: messages.Listing) -> None:
         for item in listing.objects:
             self._seen(item)
         if self._revision is None:
-            self._take_listing(listing)
+            self._take_listing(self._kind)
         self._revision = listing.revision
         self._listed.set()
 
--- a/endivewind/platform/writing.py
+++ b/endivewind/durable/writing.py
@@ -6,9 +6,9 @@
 import enum
 from typing import Any
 
+from endivewind.durable import retries
 from endivewind.platform import client
 from endivewind.platform import messages
-from endivewind.platform import retries
 
 ATTEMPTS = 6
 
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -26,6 +26,8 @@
     NOT_READY = "not-ready"
     NO_TARGET = "no-target"
     BUSY = "busy"
+    TARGET_FULL = "target-full"
+    WRONG_TARGET = "wrong-target"
     DEADLINE = "deadline"
     UNREACHABLE = "unreachable"
     TARGET_LOST = "target-lost"
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -12,6 +12,7 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind import headers
 from endivewind import logs
 from endivewind import metrics
 from endivewind import tls
@@ -24,6 +25,10 @@
 from endivewind.config import objects
 from endivewind.config import settings
 from endivewind.config import store
+from endivewind.durable import audit
+from endivewind.durable import auditor
+from endivewind.durable import membership
+from endivewind.durable import watcher
 from endivewind.nodes import configuration
 from endivewind.nodes import leaving
 from endivewind.nodes import link_server
@@ -32,15 +37,16 @@
 from endivewind.nodes import view
 from endivewind.operators import configuration as operators
 from endivewind.operators import http
-from endivewind.platform import audit
-from endivewind.platform import auditor
 from endivewind.platform import client
-from endivewind.platform import membership
-from endivewind.platform import restoring
-from endivewind.platform import watcher
+from endivewind.platform import configuration as operator_configuration
+from endivewind.platform import heartbeats
+from endivewind.platform import messages
+from endivewind.platform import names
+from endivewind.platform import readiness
 from endivewind.targets import api
 from endivewind.targets import dispatch
 from endivewind.targets import judge
+from endivewind.targets import registration
 from endivewind.targets import registry
 
 log = logging.getLogger(__name__)
@@ -70,21 +76,16 @@
         self._settings = config
         self._clock = clock
         self._rng = rng
-        self._incarnation = int(clock.now().timestamp() * 1_000_000)
         self._configuration = store.ConfigurationStore()
         self._fleet = view.FleetView()
-        identity = registry.HomeIdentity(
-            config.name, self._incarnation, config.region, config.zone
-        )
-        self._targets = registry.TargetRegistry(
-            identity, clock, self._fleet.claim
-        )
         self._pool = links.LinkPool(clock, tls.link_context(config.nodes_tls))
         self._link_server = link_server.LinkServer(self)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
-        # Set by start(), which needs the running loop.
+        # Set by start(), which needs the running loop and the platform.
+        self._incarnation: int
+        self._targets: registry.TargetRegistry
         self._judge: judge.Judge
         self._dispatcher: dispatch.Dispatcher
         self._gateway: gateway.Gateway
@@ -92,8 +93,7 @@
         self._ticketing: ticketing.Ticketing
         self._platform: client.PlatformClient
         self._session: aiohttp.ClientSession
-        self._watcher: watcher.Watcher
-        self._restorer: restoring.Restorer
+        self._watchers: list[watcher.Watcher]
         self._auditor: auditor.Auditor
         self._configuration_peer: configuration.ConfigurationPeer
         self._self_record: view.NodeRecord
@@ -119,6 +119,7 @@
         self._platform = client.PlatformClient(
             self._settings.platform, self._session
         )
+        await self._build_identity()
         self._build_requests()
         self._build_configuration()
         nodes = await self._bind_links()
@@ -127,8 +128,7 @@
         addresses = await self._bind(nodes)
         await self._link_server.serve()
         for work in (
-            self._watcher.run(),
-            self._restorer.run(),
+            *(item.run() for item in self._watchers),
             self._auditor.run(),
             self._configuration_peer.run(),
             self._register(),
@@ -138,6 +138,21 @@
             self._tasks.append(asyncio.create_task(work))
         return addresses
 
+    async def _build_identity(self) -> None:
+        """This start's incarnation, and the targets that it is home to."""
+        config = self._settings
+        earlier = await membership.earlier_incarnation(
+            self._platform, config.name
+        )
+        started = int(self._clock.now().timestamp() * 1_000_000)
+        self._incarnation = max(started, earlier + 1)
+        identity = registry.HomeIdentity(
+            config.name, self._incarnation, config.region, config.zone
+        )
+        self._targets = registry.TargetRegistry(
+            identity, self._clock, self._fleet.claim
+        )
+
     def _build_requests(self) -> None:
         """What serves requests: from the listener to this home's targets."""
         config = self._settings
@@ -148,7 +163,7 @@
             self._targets_changed,
         )
         self._dispatcher = dispatch.Dispatcher.from_registry(
-            self._targets, self._clock, self._judge
+            self._targets, self._clock, self._judge, self._header_names
         )
         place = placement.Place(config.name, config.region, config.zone)
         self._gateway = gateway.Gateway(
@@ -162,6 +177,7 @@
             self._pool,
             self._clock,
             self._judge.witnessed,
+            self._rng,
         )
         kept = config.limits.kept_answer_bytes
         self._ticketing = ticketing.Ticketing(
@@ -174,7 +190,11 @@
             kept,
         )
         self._listener = listener.Listener(
-            self._gateway, self._ticketing, config.limits, self._not_ready
+            self._gateway,
+            self._ticketing,
+            config.limits,
+            self._not_ready,
+            self._dialect(),
         )
 
     def _build_configuration(self) -> None:
@@ -186,32 +206,76 @@
             self._platform,
             self._clock,
             self._rng,
-        )
-        self._restorer = restoring.Restorer(
-            self._configuration, self._platform, self._rng
+            to_platform=config.audit is settings.Trail.PLATFORM,
         )
         self._configuration_peer = configuration.ConfigurationPeer(
             view.NodeRecord(
                 config.name, self._incarnation, "", config.region, config.zone
             ),
             self._configuration,
+            self._configuration_kinds,
             self._fleet,
             self._pool,
-            self._restorer,
             self._platform.budget,
             self._in_force,
             self._clock,
             self._rng,
         )
-        self._watcher = watcher.Watcher(
+        self._watchers = [
+            self._watcher(kind) for kind in self._configuration_kinds
+        ]
+
+    def _watcher(self, kind: str) -> watcher.Watcher:
+        seen, listed = self._configuration_peer.seen, None
+        if kind == names.CONFIGURATION_KIND:
+            seen, listed = self._operator_wrote, _not_by_listing
+        return watcher.Watcher(
             self._platform,
-            store.KINDS,
-            self._configuration_peer.seen,
+            kind,
+            seen,
             self._rng,
-            self._configuration_peer.listed,
+            listed or self._configuration_peer.listed,
             lambda: self._configuration_peer.is_watcher,
         )
 
+    def _operator_wrote(self, stored: messages.StoredObject) -> None:
+        """Takes the configuration that the platform's operator has written."""
+        if stored.name != names.CONFIGURATION_NAME or not stored.value:
+            return
+        decoded = operator_configuration.decode(
+            stored, self._settings.service_defaults
+        )
+        if decoded.is_error():
+            fields = logs.fields(revision=stored.version, problem=decoded.error)
+            log.error("configuration that can't be read", extra=fields)
+            return
+        self._configuration_peer.seen(decoded.ok)
+        # The first one is written some time after the nodes have started;
+        # a listing without it says nothing.
+        self._configuration_peer.listed(stored.kind)
+
+    @property
+    def _on_platform(self) -> bool:
+        return self._settings.interface is settings.Interface.PLATFORM
+
+    @property
+    def _configuration_kinds(self) -> tuple[str, ...]:
+        if self._on_platform:
+            return (names.CONFIGURATION_KIND,)
+        return store.KINDS
+
+    @property
+    def _header_names(self) -> headers.Names:
+        return names.HEADERS if self._on_platform else headers.OWN
+
+    def _dialect(self) -> listener.Dialect:
+        beside = self._settings.beside
+        return listener.Dialect(
+            self._header_names,
+            beside.service if beside else "",
+            self._settings.once is settings.Once.TICKET,
+        )
+
     def _build_membership(self, nodes: str) -> None:
         """This node's record and its part in gossip.
 
@@ -310,13 +374,15 @@
             config.callers,
             tls.server_context(config.callers_tls),
         )
-        target_api = api.TargetApi(
-            self._targets, self._default_slots, self._targets_changed
-        )
         targets = await self._serve(
-            web.AppRunner(target_api.application(), access_log=None),
+            web.AppRunner(self._target_application(), access_log=None),
             config.targets,
         )
+        if config.readiness is not None:
+            application = readiness.application(self._not_ready)
+            await self._serve(
+                web.AppRunner(application, access_log=None), config.readiness
+            )
         sources = http.Sources(
             self._not_ready,
             self._status,
@@ -329,6 +395,38 @@
         )
         return Addresses(callers, targets, nodes, operators_address)
 
+    def _target_application(self) -> web.Application:
+        taken = registration.Registration(
+            self._targets,
+            self._default_slots,
+            self._targets_changed,
+            self._not_genuine,
+        )
+        if not self._on_platform:
+            return api.TargetApi(taken).application()
+        return heartbeats.HeartbeatApi(taken, self._heartbeat_ms).application()
+
+    def _heartbeat_ms(self) -> int:
+        beside = self._settings.beside
+        return round(1000 * beside.heartbeat_seconds) if beside else 1000
+
+    def _not_genuine(self, announcement: registry.Announcement) -> str:
+        """Why an announcement can't be that of the target beside this node.
+
+        Failure: something else sends announcements, with a service that does
+        not exist or another address. Symptom: taken, it would replace the
+        target's own record until the next one, or lead its work astray.
+        """
+        beside = self._settings.beside
+        if beside is None:
+            return ""
+        if announcement.address != f"http://{beside.address}":
+            return "no target of this node has that address"
+        known = self._configuration.service(announcement.service)
+        if known is None and announcement.service != beside.service:
+            return "no such service"
+        return ""
+
     def _operator_application(self, sources: http.Sources) -> web.Application:
         application = http.OperatorApi(sources).application()
         operators.add_route(application, self._configuration_peer.asking)
@@ -430,6 +528,10 @@
         }
 
 
+def _not_by_listing(kind: str) -> None:
+    """A listing alone does not make this kind whole."""
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
--- a/endivewind/nodes/configuration.py
+++ b/endivewind/nodes/configuration.py
@@ -14,13 +14,12 @@
 from endivewind.config import spreading
 from endivewind.config import store
 from endivewind.config import watchers
+from endivewind.durable import retries
 from endivewind.nodes import asking
 from endivewind.nodes import codec
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.platform import messages
-from endivewind.platform import restoring
-from endivewind.platform import retries
 
 log = logging.getLogger(__name__)
 
@@ -38,9 +37,9 @@
         self,
         place: view.NodeRecord,
         configuration: store.ConfigurationStore,
+        kinds: collections.abc.Iterable[str],
         fleet: view.FleetView,
         pool: links.LinkPool,
-        restorer: restoring.Restorer,
         budget: retries.CallBudget,
         in_force: InForce,
         clock: clocks.Clock,
@@ -50,7 +49,6 @@
         self._store = configuration
         self._fleet = fleet
         self._pool = pool
-        self._restorer = restorer
         self._budget = budget
         self._in_force = in_force
         self._clock = clock
@@ -58,7 +56,7 @@
         self._spreader = spreading.Spreader(
             place.name, place.region, configuration, self._peers, rng
         )
-        self._joining = joining.Joining(self._spreader)
+        self._joining = joining.Joining(self._spreader, kinds)
         self._asking = asking.Asking(place.name, configuration, fleet, pool)
         self._sending: set[asyncio.Task[None]] = set()
 
@@ -76,8 +74,7 @@
 
     def missing(self) -> str | None:
         """None when the configuration is whole, else what is missing."""
-        now = self._clock.monotonic()
-        return self._joining.missing(len(self._peers()), now)
+        return self._joining.missing(len(self._peers()))
 
     def seen(self, stored: messages.StoredObject) -> None:
         """Takes an object of the platform."""
@@ -92,12 +89,10 @@
         if self._store.stamp(key) != before:
             self._spreader.taken(key)
             self._send(self._spreader.tick(self._clock.monotonic()))
-        self._restorer.seen(key, stored)
 
-    def listed(self, listing: messages.Listing) -> None:
-        """Takes that all objects of a listing have been seen."""
-        self._restorer.listed(listing)
-        self._joining.listed(self._clock.monotonic())
+    def listed(self, kind: str) -> None:
+        """Takes that all objects of a kind have been seen."""
+        self._joining.listed(kind)
 
     def frame(self, frame: Any) -> None:
         """Takes a peer's frame."""
--- a/endivewind/nodes/service.py
+++ b/endivewind/nodes/service.py
@@ -11,6 +11,7 @@
 from endivewind import clock as clocks
 from endivewind import logs
 from endivewind.config import settings
+from endivewind.durable import membership as objects
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
 from endivewind.nodes import gossip
@@ -19,7 +20,6 @@
 from endivewind.nodes import states
 from endivewind.nodes import view
 from endivewind.platform import client
-from endivewind.platform import membership as objects
 from endivewind.targets import registry
 
 log = logging.getLogger(__name__)
--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -1,28 +1,34 @@
-"""Client of the platform's object API: get, list, put, watch."""
+"""Client of the platform's store: get, list, put, delete, watch."""
 
 import asyncio
+import collections.abc
 import datetime
 import logging
 from typing import Any
 from typing import TypeVar
+import urllib.parse
 
 import aiohttp
 import expression
 import pydantic
 
 from endivewind import clock as clocks
-from endivewind.platform import freshness
+from endivewind.durable import retries
 from endivewind.platform import messages
-from endivewind.platform import retries
+from endivewind.platform import names
+from endivewind.platform import wire
 
 log = logging.getLogger(__name__)
 
+# The store answers in some milliseconds; a region's round trip is 60 ms.
 CALL_TIMEOUT = datetime.timedelta(seconds=3)
+# The store holds a watch for 30 s at most.
 WATCH_WAIT = datetime.timedelta(seconds=20)
-# A listing of the full configuration is 3 MB; no genuine answer is longer.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# An answer of the store is about 1 MB at most; no genuine one is longer.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
-ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+AnswerT = TypeVar("AnswerT")
+Decode = collections.abc.Callable[[bytes], AnswerT]
 
 _FAILURES = {
     404: messages.Failure.NOT_FOUND,
@@ -33,10 +39,9 @@
 
 
 class PlatformClient:
-    """Calls the object API; every failure is a value, none is raised.
+    """Calls the store; every failure is a value, none is raised.
 
-    Calls keep to a budget, a waiting watch counting as one. An answer that
-    is older than one seen before is refused as STALE.
+    Calls keep to a budget, a waiting watch counting as one.
     """
 
     def __init__(
@@ -49,7 +54,6 @@
         self._session = session
         self._clock = clock or clocks.SystemClock()
         self._budget = retries.CallBudget()
-        self._marks = freshness.Marks()
 
     @property
     def budget(self) -> retries.CallBudget:
@@ -60,17 +64,36 @@
         self, kind: str, name: str
     ) -> expression.Result[messages.StoredObject, messages.PlatformError]:
         """Reads one object."""
-        path = f"/v1/objects/{kind}/{name}"
-        found = await self._call("GET", path, messages.StoredObject)
-        return _named(found, kind, name).bind(self._marks.check_object)
+        found = await self._call(
+            "GET", _object(kind, name), lambda body: wire.object_in(kind, body)
+        )
+        return _named(found, kind, name)
 
     async def list(
-        self, kinds: tuple[str, ...]
+        self, kind: str
     ) -> expression.Result[messages.Listing, messages.PlatformError]:
-        """Reads all objects of some kinds at one revision."""
-        path = "/v1/objects?kinds=" + ",".join(kinds)
-        found = await self._call("GET", path, messages.Listing)
-        return _of_kinds(found, kinds).bind(self._marks.check_listing)
+        """Reads all objects of a kind.
+
+        The revision is that of the first part read, so that a watch from it
+        tells every change that a later part may have missed.
+        """
+        objects: list[messages.StoredObject] = []
+        revision: int | None = None
+        path = _kind(kind)
+        while True:
+            found = await self._call(
+                "GET", path, lambda body: wire.page_in(kind, body)
+            )
+            if found.is_error():
+                return expression.Error(found.error)
+            page = found.ok
+            objects.extend(page.objects)
+            revision = page.revision if revision is None else revision
+            if not page.has_more or not page.objects:
+                break
+            path = _kind(kind, after=page.objects[-1].name)
+        listing = messages.Listing(revision=revision, objects=tuple(objects))
+        return expression.Ok(listing)
 
     async def put(
         self, kind: str, name: str, value: dict[str, Any], expected: int
@@ -87,69 +110,63 @@
           The object as written. UNAVAILABLE and INVALID leave open whether
           it was; writing.write() resolves that.
         """
-        path = f"/v1/objects/{kind}/{name}"
+        method, path = "PUT", _object(kind, name)
+        if not expected:
+            method, path = "POST", _kind(kind)
         written = await self._call(
-            "PUT", path, messages.StoredObject, value, expected
+            method,
+            path,
+            lambda body: wire.object_in(kind, body),
+            wire.object_out(name, value, expected or None),
         )
         written = _named(written, kind, name)
-        if written.is_ok():
-            if written.ok.value != value:
-                return _error(messages.Failure.INVALID, "another value")
-            self._marks.wrote(written.ok)
+        if written.is_ok() and written.ok.value != value:
+            return _error(messages.Failure.INVALID, "another value")
         return written
 
     async def delete(
         self, kind: str, name: str, expected: int
-    ) -> expression.Result[messages.StoredObject, messages.PlatformError]:
+    ) -> expression.Result[None, messages.PlatformError]:
         """Deletes one object if its version is still the expected one."""
-        path = f"/v1/objects/{kind}/{name}"
-        return await self._call(
-            "DELETE", path, messages.StoredObject, None, expected
-        )
+        path = _object(kind, name, revision=expected)
+        return await self._call("DELETE", path, lambda body: None)
 
     async def watch(
         self,
-        kinds: tuple[str, ...],
+        kind: str,
         revision: int,
         wait: datetime.timedelta = WATCH_WAIT,
     ) -> expression.Result[messages.Listing, messages.PlatformError]:
-        """Waits for objects of some kinds written after a revision.
+        """Waits for changes of a kind's objects after a revision.
 
         Returns:
-          What was written, empty when the wait ran out. COMPACTED and STALE
-          ask for a new listing.
+          What has changed, empty when the wait ran out; a removed object has
+          an empty value. COMPACTED asks for a new listing.
         """
-        wait_ms = int(wait.total_seconds() * 1000)
-        path = (
-            f"/v1/watch?kinds={','.join(kinds)}"
-            f"&revision={revision}&wait_ms={wait_ms}"
-        )
-        found = await self._call(
-            "GET", path, messages.Listing, timeout=wait + CALL_TIMEOUT
+        wait_ms = wait // datetime.timedelta(milliseconds=1)
+        return await self._call(
+            "GET",
+            _kind(kind, watch=revision, wait_ms=wait_ms),
+            lambda body: wire.events_in(kind, body),
+            timeout=wait + CALL_TIMEOUT,
         )
-        found = _of_kinds(found, kinds)
-        if found.is_ok() and found.ok.revision < revision:
-            return _error(messages.Failure.STALE, "an earlier revision")
-        return found
 
     async def _call(
         self,
         method: str,
         path: str,
-        model: type[ModelT],
+        decode: Decode[AnswerT],
         value: dict[str, Any] | None = None,
-        expected: int | None = None,
         timeout: datetime.timedelta = CALL_TIMEOUT,
-    ) -> expression.Result[ModelT, messages.PlatformError]:
+    ) -> expression.Result[AnswerT, messages.PlatformError]:
         if not await self._admitted():
             return _error(messages.Failure.THROTTLED, "call budget used up")
-        headers = {} if expected is None else {"If-Match": str(expected)}
         try:
             async with self._session.request(
                 method,
                 self._url + path,
-                json=value,
-                headers=headers,
+                data=None if value is None else wire.bytes_out(value),
+                headers={"Content-Type": "application/json"},
                 timeout=aiohttp.ClientTimeout(total=timeout.total_seconds()),
             ) as response:
                 body = await _bounded(response)
@@ -161,9 +178,9 @@
         if body is None:
             return _error(messages.Failure.INVALID, "the answer is too long")
         if response.status >= 400:
-            return _refused(response, body)
+            return _refused(response, path, body)
         try:
-            return expression.Ok(model.model_validate_json(body))
+            return expression.Ok(decode(body))
         except pydantic.ValidationError as error:
             return _error(messages.Failure.INVALID, _first_line(error))
 
@@ -180,6 +197,17 @@
         return False
 
 
+def _kind(kind: str, **query: Any) -> str:
+    path = names.OBJECTS_PATH.format(kind=kind)
+    return path + ("?" + urllib.parse.urlencode(query) if query else "")
+
+
+def _object(kind: str, name: str, **query: Any) -> str:
+    quoted = urllib.parse.quote(name, safe="")
+    path = names.OBJECT_PATH.format(kind=kind, name=quoted)
+    return path + ("?" + urllib.parse.urlencode(query) if query else "")
+
+
 async def _bounded(response: aiohttp.ClientResponse) -> bytes | None:
     """The whole body; None if it is longer than any genuine one."""
     parts: list[bytes] = []
@@ -210,26 +238,14 @@
     name: str,
 ) -> expression.Result[messages.StoredObject, messages.PlatformError]:
     """Refuses the answer to another call, as crossed connections give it."""
-    if found.is_ok() and (found.ok.kind, found.ok.name) != (kind, name):
-        seen = f"{found.ok.kind}/{found.ok.name}"
+    if found.is_ok() and found.ok.name != name:
+        seen = f"{kind}/{found.ok.name}"
         return _error(messages.Failure.INVALID, f"asked otherwise, got {seen}")
     return found
 
 
-def _of_kinds(
-    found: expression.Result[messages.Listing, messages.PlatformError],
-    kinds: tuple[str, ...],
-) -> expression.Result[messages.Listing, messages.PlatformError]:
-    if found.is_ok():
-        for item in found.ok.objects:
-            if item.kind not in kinds:
-                detail = f"asked otherwise, got {item.kind}/{item.name}"
-                return _error(messages.Failure.INVALID, detail)
-    return found
-
-
 def _refused(
-    response: aiohttp.ClientResponse, body: bytes
+    response: aiohttp.ClientResponse, path: str, body: bytes
 ) -> expression.Result[Any, messages.PlatformError]:
     failure = _FAILURES.get(response.status)
     detail = f"status {response.status}"
@@ -243,9 +259,9 @@
     current = None
     if failure is messages.Failure.CONFLICT:
         try:
-            current = messages.StoredObject.model_validate_json(body)
-        except pydantic.ValidationError:
-            current = None
+            current = wire.object_in(path.split("/")[2], body)
+        except pydantic.ValidationError as error:
+            log.debug("a conflict without its object: %s", _first_line(error))
     return _error(failure, detail, current, _retry_after(response))
 
 
--- /dev/null
+++ b/endivewind/platform/configuration.py
@@ -0,0 +1,191 @@
+"""Decodes the operator's configuration into the project's own document."""
+
+from typing import Annotated
+from typing import Any
+from typing import Literal
+
+import expression
+import pydantic
+
+from endivewind.config import objects
+from endivewind.config import store
+from endivewind.platform import messages
+from endivewind.platform import names
+
+_HEX = 16
+_REPEAT = {"safe": objects.Repeat.ALWAYS}
+
+
+class _Metadata(pydantic.BaseModel):
+    name: str = ""
+
+
+class _Share(pydantic.BaseModel):
+    service: str
+    weight: int = 1
+
+
+class _RouteSpec(pydantic.BaseModel):
+    """A route as the operator writes it.
+
+    Attributes:
+      route_type: "safe" for work that may run more than once; all else may
+        run at most once.
+      timeout_s: longest time that a caller is kept waiting.
+      target_latency_s: time within which an answer earns most.
+      priority: 0 is the most important.
+    """
+
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_s: float = 0
+    target_latency_s: float = 0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Share] = []
+    max_attempts: int = 0
+
+
+class _ServiceSpec(pydantic.BaseModel):
+    health_path: str = ""
+    max_connections: int = 0
+
+
+class _LimitsSpec(pydantic.BaseModel):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class _Route(pydantic.BaseModel):
+    resource_type: Literal["routes"]
+    metadata: _Metadata = _Metadata()
+    spec: _RouteSpec
+
+
+class _Service(pydantic.BaseModel):
+    resource_type: Literal["services"]
+    metadata: _Metadata
+    spec: _ServiceSpec
+
+
+class _Limits(pydantic.BaseModel):
+    resource_type: Literal["limits"]
+    spec: _LimitsSpec
+
+
+class _Unknown(pydantic.BaseModel):
+    """A resource of a later release; it is passed over."""
+
+
+_Resource = Annotated[
+    _Route | _Service | _Limits | _Unknown,
+    pydantic.Field(union_mode="left_to_right"),
+]
+
+
+class _Configuration(pydantic.BaseModel):
+    version: str = pydantic.Field(pattern=r"^[0-9a-fA-F]{1,15}$")
+    resources: list[_Resource] = []
+
+
+def decode(
+    stored: messages.StoredObject, defaults: objects.Service
+) -> expression.Result[messages.StoredObject, str]:
+    """The project's own object for the operator's.
+
+    Args:
+      stored: the object as the platform keeps it.
+      defaults: what a service gets where the operator says nothing.
+
+    Returns:
+      The document under the operator's version, or why it can't be read.
+    """
+    try:
+        given = _Configuration.model_validate(stored.value)
+        document = _document(given.resources, defaults)
+        nowhere = [item for item in document.routes if not _leads(item)]
+        if nowhere:
+            return expression.Error(f"{nowhere[0].prefix} leads nowhere")
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        place = ".".join(str(part) for part in first["loc"])
+        return expression.Error(f"{place}: {first['msg']}")
+    envelope = store.Envelope(
+        spec=document.model_dump(mode="json", exclude_defaults=True),
+        operation=given.version,
+        version=int(given.version, _HEX),
+    )
+    return expression.Ok(
+        messages.StoredObject(
+            kind=store.DOCUMENT,
+            name=names.CONFIGURATION_NAME,
+            version=stored.version,
+            value=envelope.model_dump(mode="json", exclude_defaults=True),
+        )
+    )
+
+
+def _document(
+    resources: list[Any], defaults: objects.Service
+) -> objects.Document:
+    services: dict[str, objects.Service] = {}
+    routes: list[objects.Route] = []
+    limits: objects.CallerLimits | None = None
+    for item in resources:
+        match item:
+            case _Service():
+                services[item.metadata.name] = _service(item.spec, defaults)
+            case _Route():
+                routes.append(_route(item.spec))
+            case _Limits():
+                limits = _limits(item.spec)
+    return objects.Document(
+        services=services, routes=tuple(routes), limits=limits
+    )
+
+
+def _leads(route: objects.Route) -> bool:
+    return bool(route.service or route.split)
+
+
+def _service(spec: _ServiceSpec, defaults: objects.Service) -> objects.Service:
+    return defaults.model_copy(
+        update={
+            "health_path": spec.health_path,
+            "max_connections": spec.max_connections,
+        }
+    )
+
+
+def _route(spec: _RouteSpec) -> objects.Route:
+    split = tuple(
+        objects.Share(service=item.service, weight=item.weight)
+        for item in spec.traffic_split
+    )
+    return objects.Route(
+        host=spec.host,
+        prefix=spec.path_prefix,
+        service="" if split else spec.service,
+        split=split,
+        repeat=_REPEAT.get(spec.route_type, objects.Repeat.NEVER),
+        rank=spec.priority,
+        timeout_ms=_milliseconds(spec.timeout_s),
+        aim_ms=_milliseconds(spec.target_latency_s),
+        attempts=spec.max_attempts,
+    )
+
+
+def _limits(spec: _LimitsSpec) -> objects.CallerLimits:
+    return objects.CallerLimits(
+        header_bytes=spec.max_header_bytes,
+        body_bytes=spec.max_body_bytes,
+        header_timeout_ms=_milliseconds(spec.header_timeout_s),
+        idle_timeout_ms=_milliseconds(spec.idle_timeout_s),
+    )
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/endivewind/platform/messages.py
+++ b/endivewind/platform/messages.py
@@ -1,4 +1,4 @@
-"""What the platform's object API sends and takes."""
+"""What the rest of the project sees of the platform's store."""
 
 import dataclasses
 import datetime
@@ -17,7 +17,6 @@
     THROTTLED = "throttled"
     COMPACTED = "compacted"
     INVALID = "invalid"
-    STALE = "stale"
 
 
 class StoredObject(pydantic.BaseModel):
@@ -39,12 +38,27 @@
 
 
 class Listing(pydantic.BaseModel):
-    """Objects of some kinds, as they were at a revision of the store."""
+    """Objects of one kind, as they were at a revision of the store."""
 
     revision: int = pydantic.Field(ge=0)
     objects: tuple[StoredObject, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """One part of a listing.
+
+    Attributes:
+      revision: the store's revision when it was read.
+      objects: ordered by name.
+      has_more: whether objects after the last one were left out.
+    """
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+    has_more: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformError:
     """A call that failed.
--- /dev/null
+++ b/endivewind/platform/names.py
@@ -0,0 +1,27 @@
+"""Names of the platform: paths, kinds of objects, and HTTP headers."""
+
+from endivewind import headers
+
+# Kind and name of the object that holds the whole configuration.
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+# Objects of this project's own, one for each node.
+NODE_KIND = "node"
+
+READY_PATH = "/ready"
+HEARTBEAT_PATH = "/Instances.Heartbeat/{id}"
+DEREGISTER_PATH = "/Instances.Deregister/{id}"
+
+OBJECTS_PATH = "/objects/{kind}"
+OBJECT_PATH = "/objects/{kind}/{name}"
+
+# What callers and targets of the platform say in HTTP headers, by the
+# project's own names of these things.
+HEADERS = headers.Names(
+    request_id="X-Attempt-Id",
+    timeout_ms="X-Deadline-Ms",
+    caller_service="X-Caller-Service",
+    expected_target="X-Expect-Instance",
+    not_run="X-Not-Executed",
+    answer_mark="X-Response-Stamp",
+)
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -34,6 +34,7 @@
 WHOLE_ANSWER_BYTES = 65_536
 _HOP_BY_HOP = frozenset(name.encode() for name in headers.HOP_BY_HOP)
 _READ_BYTES = 65_536
+_MISDIRECTED = 421
 
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
@@ -80,6 +81,7 @@
         clock: clocks.Clock,
         observer: evidence.Observer,
         ledger: handover.HandOverLedger,
+        names: headers.Names = headers.OWN,
     ) -> None:
         """Builds a dispatcher.
 
@@ -90,7 +92,9 @@
           clock: for latencies and the age of attempts.
           observer: hears how each hand-over ended.
           ledger: attempts that must not be handed over again.
+          names: the headers that targets know.
         """
+        self._names = names
         self._targets = targets
         self._pooled = pooled
         self._fresh = fresh
@@ -106,6 +110,7 @@
         targets: registry.TargetRegistry,
         clock: clocks.Clock | None = None,
         observer: evidence.Observer | None = None,
+        names: headers.Names = headers.OWN,
     ) -> "Dispatcher":
         """Builds a dispatcher with connections of its own."""
         pooled = aiohttp.TCPConnector(
@@ -119,6 +124,7 @@
             clock or clocks.SystemClock(),
             observer or Unobserved(),
             handover.HandOverLedger(),
+            names,
         )
 
     async def close(self) -> None:
@@ -266,14 +272,40 @@
         response = await session.request(
             head.method,
             yarl.URL(hand_over.item.address + head.path, encoded=True),
-            headers=_headers_out(head),
+            headers=_headers_out(head, hand_over.item.record.id, self._names),
             data=_body_out(body, progress),
             allow_redirects=False,
             trace_request_ctx=progress,
         )
+        self._check_answer(head, response)
+        refused = _not_run_by_target(response, self._names)
+        if refused is not None:
+            hand_over.answered(response.status)
+            hand_over.kind = evidence.Kind.SHED
+            await _read_away(response)
+            return expression.Error(refused)
         hand_over.answered(response.status)
         return await _answer(hand_over, response)
 
+    def _check_answer(
+        self, head: exchange.RequestHead, response: aiohttp.ClientResponse
+    ) -> None:
+        """Refuses the answer to another request.
+
+        Failure: a target answers one request twice, the second time after the
+        connection went back to the pool. Symptom: the next caller gets a
+        stranger's answer. Answers that bear a mark also bear the id of their
+        request; one with another id, or a success without, is not ours.
+        """
+        if not self._names.answer_mark:
+            return
+        told = response.headers.get(self._names.request_id)
+        succeeded = 200 <= response.status < 300
+        if told == head.request_id or (told is None and not succeeded):
+            return
+        response.close()
+        raise HandOverLostError("the answer is to another request")
+
 
 class _HandOver:
     """One request at one target: its slot, and what is learnt from it."""
@@ -389,16 +421,70 @@
     hand_over: _HandOver, response: aiohttp.ClientResponse
 ) -> AnswerResult:
     pairs = _headers_in(response.raw_headers)
+    try:
+        held, ended = await _first_bytes(response)
+    except BaseException:
+        response.close()
+        raise
+    if ended:
+        return expression.Ok(exchange.Answer(response.status, pairs, held))
+    rest = _TargetStream(hand_over, response)
+    return expression.Ok(exchange.Answer(response.status, pairs, held, rest))
+
+
+async def _first_bytes(
+    response: aiohttp.ClientResponse,
+) -> tuple[bytes, bool]:
+    """The whole of a small answer, or nothing of one that is known to be long.
+
+    An answer that is held whole can still be replaced if it breaks off; of
+    one that has begun to go to the caller only the connection can be cut.
+
+    Returns:
+      The bytes read, and whether they are all.
+    """
     length = response.content_length
     if length is not None and length <= WHOLE_ANSWER_BYTES:
-        try:
-            whole = await response.read()
-        except BaseException:
-            response.close()
-            raise
-        return expression.Ok(exchange.Answer(response.status, pairs, whole))
-    rest = _TargetStream(hand_over, response)
-    return expression.Ok(exchange.Answer(response.status, pairs, b"", rest))
+        return await response.read(), True
+    if length is not None or "chunked" in _coding(response):
+        # What comes in parts may be meant to be seen as it comes.
+        return b"", False
+    held = bytearray()
+    while len(held) <= WHOLE_ANSWER_BYTES:
+        async with asyncio.timeout(PROGRESS_LIMIT.total_seconds()):
+            data = await response.content.read(_READ_BYTES)
+        if not data:
+            return bytes(held), True
+        held += data
+    return bytes(held), False
+
+
+def _coding(response: aiohttp.ClientResponse) -> str:
+    return response.headers.get("Transfer-Encoding", "").lower()
+
+
+async def _read_away(response: aiohttp.ClientResponse) -> None:
+    """Reads the rest of an answer whose connection is worth keeping."""
+    try:
+        await response.read()
+    except (aiohttp.ClientError, OSError) as error:
+        log.debug("a refusal broke off: %s", error)
+        response.close()
+
+
+def _not_run_by_target(
+    response: aiohttp.ClientResponse, names: headers.Names
+) -> exchange.Refusal | None:
+    """The refusal of a target that says it has not run the request."""
+    if names.expected_target and response.status == _MISDIRECTED:
+        return exchange.not_run(
+            exchange.Reason.WRONG_TARGET, "another target has the address"
+        )
+    if names.not_run and names.not_run in response.headers:
+        return exchange.not_run(
+            exchange.Reason.TARGET_FULL, f"the target says {response.status}"
+        )
+    return None
 
 
 def _session(connector: aiohttp.BaseConnector) -> aiohttp.ClientSession:
@@ -523,7 +609,9 @@
         raise
 
 
-def _headers_out(head: exchange.RequestHead) -> multidict.CIMultiDict[str]:
+def _headers_out(
+    head: exchange.RequestHead, target: str, names: headers.Names
+) -> multidict.CIMultiDict[str]:
     fields = multidict.CIMultiDict(
         [
             (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
@@ -531,7 +619,9 @@
         ]
     )
     remaining = head.remaining // datetime.timedelta(milliseconds=1)
-    fields[headers.TIMEOUT_MS] = str(max(1, remaining))
+    fields[names.timeout_ms] = str(max(1, remaining))
+    if names.expected_target:
+        fields[names.expected_target] = target
     return fields
 
 
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -22,6 +22,9 @@
 # it. Targets renew within a third of their lease, so one refused renewal
 # costs less than a lease taken from a target that has moved.
 RESUME_GRACE = datetime.timedelta(milliseconds=500)
+# Targets that have left, so that a late announcement of theirs brings none
+# back; a home has had few in the seconds that one may be late.
+MAX_DEPARTED = 64
 
 
 class Announcement(base.Model):
@@ -37,6 +40,9 @@
       slots: requests it takes at once; 0 leaves it to the service.
       weight: share of work relative to other targets.
       state: cold, ready or draining.
+      sequence: grows with each announcement of one start; an announcement
+        with a lower number than one taken is late. 0 where it is not counted.
+      cold_ms: how much longer the target stays slow after its start.
       lease_ms: how long the announcement holds without renewal.
     """
 
@@ -47,6 +53,8 @@
     slots: int = pydantic.Field(default=0, ge=0, le=10_000)
     weight: int = pydantic.Field(default=1, ge=1, le=1000)
     state: records.State = records.State.READY
+    sequence: int = pydantic.Field(default=0, ge=0)
+    cold_ms: int = pydantic.Field(default=0, ge=0)
     lease_ms: int = pydantic.Field(default=3_000, ge=500, le=60_000)
 
 
@@ -58,12 +66,14 @@
       record: what the fleet hears of it.
       address: URL at which it takes requests.
       expires: end of its lease on this node's monotonic clock.
+      announced: number of the latest announcement of its present start.
       in_use: slots in use.
     """
 
     record: records.TargetRecord
     address: str
     expires: datetime.timedelta
+    announced: int = 0
     in_use: int = 0
 
 
@@ -84,6 +94,7 @@
     MOVED = "a later announcement at another home is known"
     RESUMING = "this home was paused; announce again"
     STOPPING = "this home is stopping; announce elsewhere"
+    LEFT = "this start of the target has left"
 
 
 Rival = collections.abc.Callable[[str], records.TargetRecord | None]
@@ -120,6 +131,7 @@
         self._resumed: datetime.timedelta | None = None
         self._stopping = False
         self._moved: dict[str, str] = {}
+        self._departed: dict[str, int] = {}
 
     @property
     def incarnation(self) -> int:
@@ -175,18 +187,36 @@
         expires = self._clock.monotonic() + max(lease, MIN_LEASE)
         if known is None:
             self._moved.pop(target, None)
+            self._end_earlier_starts(announcement)
             self._targets[target] = HomeTarget(
-                fresh, announcement.address, expires
+                fresh, announcement.address, expires, announcement.sequence
             )
             self._changed(target)
             return expression.Ok(None)
+        if _is_late(known, announcement):
+            return expression.Ok(None)
         known.address = announcement.address
         known.expires = expires
+        known.announced = announcement.sequence
         if _differs(known.record, fresh):
             known.record = fresh
             self._changed(target)
         return expression.Ok(None)
 
+    def depart(self, target: str, incarnation: int = 0) -> bool:
+        """Takes a target's own leave; False if it is not known.
+
+        Its later announcements are refused: one that was held up on the way
+        arrives after the leave, and would bring back a target that is gone.
+        """
+        item = self._targets.get(target)
+        if item is None or item.record.target_incarnation > incarnation > 0:
+            return False
+        self._departed[target] = item.record.target_incarnation
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+        return self.withdraw(target)
+
     def withdraw(self, target: str) -> bool:
         """Removes a target; False if it is not known."""
         item = self._targets.pop(target, None)
@@ -257,8 +287,42 @@
         known = self._targets.get(target)
         if known and known.record.target_incarnation > announcement.incarnation:
             return Refused.OLDER_START
+        left = self._departed.get(target)
+        if left is not None and announcement.incarnation <= left:
+            # Starts that are not numbered can't be told apart: such a target
+            # may announce itself again after it has left.
+            if announcement.incarnation:
+                return Refused.LEFT
+            del self._departed[target]
+        if self._has_successor(target, announcement):
+            return Refused.OLDER_START
         return self._beaten(target, announcement)
 
+    def _has_successor(self, target: str, announcement: Announcement) -> bool:
+        """Whether a later start at the same address is known.
+
+        Failure: an announcement is held up until its sender has crashed and
+        another target has started in its place. Symptom: work goes to an id
+        that nobody answers to. The starts' own order tells which is gone.
+        """
+        return any(
+            name != target
+            and item.address == announcement.address
+            and item.record.target_incarnation > announcement.incarnation
+            for name, item in self._targets.items()
+        )
+
+    def _end_earlier_starts(self, announcement: Announcement) -> None:
+        """Withdraws the targets whose address an announcement has taken."""
+        gone = [
+            name
+            for name, item in self._targets.items()
+            if item.address == announcement.address
+            and item.record.target_incarnation < announcement.incarnation
+        ]
+        for name in gone:
+            self.withdraw(name)
+
     def _beaten(
         self, target: str, announcement: Announcement
     ) -> Refused | None:
@@ -302,6 +366,12 @@
         self._changes.append(records.TargetChange(item.record))
 
 
+def _is_late(known: HomeTarget, announcement: Announcement) -> bool:
+    """Whether a later announcement of the same start was taken."""
+    same_start = known.record.target_incarnation == announcement.incarnation
+    return same_start and announcement.sequence < known.announced
+
+
 def _differs(known: records.TargetRecord, fresh: records.TargetRecord) -> bool:
     return dataclasses.replace(known, sequence=0) != dataclasses.replace(
         fresh, sequence=0
--- a/endivewind/tests/callers/gateway_retries_tests.py
+++ b/endivewind/tests/callers/gateway_retries_tests.py
@@ -111,7 +111,8 @@
         the try that ran, or that it may have run.
         """
         for first in (FAILED, LOST):
-            result, met = await self.ask([first, BUSY, BUSY])
+            with mock.patch.object(gateway, "MAX_PLACINGS", 3):
+                result, met = await self.ask([first, BUSY, BUSY])
 
             self.assertEqual((first, 3), (result, len(met)))
 
--- /dev/null
+++ b/endivewind/tests/durable/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of endivewind.durable."""
--- a/endivewind/tests/platform/auditor_tests.py
+++ b/endivewind/tests/durable/auditor_tests.py
@@ -5,8 +5,8 @@
 import unittest
 import unittest.mock
 
-from endivewind.platform import audit
-from endivewind.platform import auditor
+from endivewind.durable import audit
+from endivewind.durable import auditor
 from endivewind.standins import faults
 from endivewind.targets import records
 from endivewind.tests.platform import platforms
--- a/endivewind/tests/platform/platforms.py
+++ b/endivewind/tests/platform/platforms.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from endivewind import clock as clocks
+from endivewind.durable import retries
 from endivewind.platform import client
-from endivewind.platform import retries
 from endivewind.standins import platform
 
 
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -23,6 +23,7 @@
 
     status = 200
     raw_headers = ()
+    headers = {"Transfer-Encoding": "chunked"}
 
     def __init__(self, length=0) -> None:
         self.content_length = length
