--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -51,7 +51,7 @@
 # When a whole fleet restarts, nobody has a state to hand on. Pulls must end
 # then as well, or every node would ask every other for ever, and callers
 # would wait for a fleet of which every node waits for the others.
-JOIN_LIMIT = datetime.timedelta(seconds=2)
+JOIN_LIMIT = datetime.timedelta(seconds=1)
 HOMES_PER_FRAME = 16
 
 # Node, its incarnation, then sequence and 1 or refutation and state.
