Part the dispatcher by job: hand-over, answers, connections

Cause: targets/dispatch.py had grown to 727 lines with four jobs in it. Change: working.py has one request at one target and what it says of it, answers.py reads answers, connections.py holds sessions, their traces and the rule against aiohttp's own resend; dispatch.py keeps 416 lines. Nothing else has changed; the mutants name the new places.

--- a/endivewind/standins/world.py
+++ b/endivewind/standins/world.py
@@ -30,6 +30,7 @@
 from endivewind.nodes import links
 from endivewind.nodes import view
 from endivewind.standins import virtual
+from endivewind.targets import connections
 from endivewind.targets import dispatch
 from endivewind.targets import handover
 from endivewind.targets import records
@@ -484,7 +485,7 @@
         work = headers["work"]
         match self._world.fault(Step.TARGET_REQUEST):
             case Fault.DROP | Fault.TRUNCATE | Fault.CRASH | Fault.CROSS:
-                raise dispatch.HandOverLostError("closed")
+                raise connections.HandOverLostError("closed")
             case Fault.SILENCE | Fault.PARTITION:
                 await asyncio.sleep(SETTLED.total_seconds())
             case Fault.PAUSE:
@@ -498,7 +499,7 @@
         await asyncio.sleep(WORK_SECONDS)
         match self._world.fault(Step.TARGET_ANSWER):
             case Fault.DROP | Fault.TRUNCATE | Fault.CRASH | Fault.CROSS:
-                raise dispatch.HandOverLostError("closed")
+                raise connections.HandOverLostError("closed")
             case Fault.SILENCE | Fault.PARTITION | Fault.PAUSE:
                 await asyncio.sleep(SETTLED.total_seconds())
             case Fault.DELAY:
@@ -512,7 +513,7 @@
             case Fault.DROP | Fault.CRASH | Fault.TRUNCATE:
                 raise aiohttp.ClientConnectionError("refused")
             case Fault.SILENCE | Fault.PARTITION | Fault.PAUSE:
-                await asyncio.sleep(dispatch.CONNECT_LIMIT.total_seconds())
+                await asyncio.sleep(connections.CONNECT_LIMIT.total_seconds())
                 raise aiohttp.ServerTimeoutError("connect")
             case Fault.DELAY:
                 await asyncio.sleep(DELAY_SECONDS)
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -5,7 +5,6 @@
 import dataclasses
 import datetime
 import logging
-import types
 
 import aiohttp
 import expression
@@ -15,8 +14,7 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import headers
-from endivewind import logs
-from endivewind.decisions import suspicion
+from endivewind.targets import answers
 from endivewind.targets import connections
 from endivewind.targets import doubts
 from endivewind.targets import evidence
@@ -24,56 +22,15 @@
 from endivewind.targets import records
 from endivewind.targets import registry
 from endivewind.targets import slots
+from endivewind.targets import working
 
 log = logging.getLogger(__name__)
 
 BUSY_RETRY = datetime.timedelta(milliseconds=200)
-CONNECT_LIMIT = datetime.timedelta(seconds=1)
-# An answer that has begun and then moves no byte for this long is cut.
-PROGRESS_LIMIT = datetime.timedelta(seconds=30)
-WHOLE_ANSWER_BYTES = 65_536
-_HOP_BY_HOP = frozenset(name.encode() for name in headers.HOP_BY_HOP)
-_READ_BYTES = 65_536
-_MISDIRECTED = 421
 _LEAST_TIME = datetime.timedelta(milliseconds=1)
-# Most answers come well within their aim; at this part of it one in thirty is
-# still out at a well target, by the spread and the tail of work.
-OVERDUE_SHARE = 0.7
-# Where no aim is known, or a very short one: above a stall of the process.
-LEAST_OVERDUE = datetime.timedelta(milliseconds=300)
-_SIGNALS = {
-    evidence.Kind.SUCCESS: suspicion.Signal.GOOD,
-    evidence.Kind.ERROR: suspicion.Signal.FAILED,
-    evidence.Kind.LOST: suspicion.Signal.FAILED,
-    evidence.Kind.REFUSED_CONNECTION: suspicion.Signal.FAILED,
-    evidence.Kind.TIMEOUT: suspicion.Signal.OVERDUE,
-    evidence.Kind.SHED: suspicion.Signal.SHED,
-    evidence.Kind.CANCELLED: None,
-}
-
 AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
 
 
-class HandOverLostError(Exception):
-    """The connection failed after bytes of the request may have been sent."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """How far one hand-over has come.
-
-    Attributes:
-      connected: a connection was obtained, so that from now on bytes may
-        have been sent.
-      reused: the connection had served a request before.
-      broken_body: how the caller's body broke off, if it did.
-    """
-
-    connected: bool = False
-    reused: bool = False
-    broken_body: exchange.TruncatedBodyError | None = None
-
-
 class Unobserved:
     """An observer that keeps nothing."""
 
@@ -132,8 +89,8 @@
         fresh = connections.Connector(reuse=False)
         return cls(
             targets,
-            _session(pooled),
-            _session(fresh),
+            connections.session(pooled),
+            connections.session(fresh),
             clock or clocks.SystemClock(),
             observer or Unobserved(),
             handover.HandOverLedger(),
@@ -252,7 +209,7 @@
         body: exchange.RequestBody,
     ) -> AnswerResult:
         """Hands one request over; its slot is taken already."""
-        hand_over = _HandOver(
+        hand_over = working.HandOver(
             item, head, self._clock, self._observer, self._doubts
         )
         try:
@@ -297,7 +254,7 @@
 
     async def _send(
         self,
-        hand_over: "_HandOver",
+        hand_over: working.HandOver,
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
@@ -320,7 +277,7 @@
         except TimeoutError:
             return _timed_out(hand_over)
         except (
-            HandOverLostError,
+            connections.HandOverLostError,
             aiohttp.ClientError,
             OSError,
             exchange.TruncatedAnswerError,
@@ -330,11 +287,11 @@
     async def _request(
         self,
         session: aiohttp.ClientSession,
-        hand_over: "_HandOver",
+        hand_over: working.HandOver,
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> AnswerResult:
-        progress = _Progress()
+        progress = connections.Progress()
         hand_over.progress = progress
         response = await session.request(
             head.method,
@@ -345,14 +302,14 @@
             trace_request_ctx=progress,
         )
         self._check_answer(head, response)
-        refused = _not_run_by_target(response, self._names)
+        refused = answers.not_run_by_target(response, self._names)
         if refused is not None:
             hand_over.answered(response.status)
             hand_over.kind = evidence.Kind.SHED
-            await _read_away(response)
+            await answers.read_away(response)
             return expression.Error(refused)
         hand_over.answered(response.status)
-        return await _answer(hand_over, response)
+        return await answers.read(hand_over, response)
 
     def _check_answer(
         self, head: exchange.RequestHead, response: aiohttp.ClientResponse
@@ -371,274 +328,10 @@
         if told == head.request_id or (told is None and not succeeded):
             return
         response.close()
-        raise HandOverLostError("the answer is to another request")
-
-
-class _HandOver:
-    """One request at one target: its slot, and what is learnt from it."""
-
-    def __init__(
-        self,
-        item: registry.HomeTarget,
-        head: exchange.RequestHead,
-        clock: clocks.Clock,
-        observer: evidence.Observer,
-        connections: doubts.ConnectionDoubts,
-    ) -> None:
-        self.item = item
-        self.progress = _Progress()
-        self.kind = evidence.Kind.LOST
-        self._head = head
-        self._clock = clock
-        self._observer = observer
-        self._connections = connections
-        self._started = clock.monotonic()
-        self._latency: datetime.timedelta | None = None
-        self._ended = False
-        self._overdue = False
-        item.pending[self] = None
-        self._number = observer.started(item.record.id, item.record.service)
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether the target may have seen a byte; else it surely has not."""
-        return self.progress.connected
-
-    def answered(self, status: int) -> None:
-        """Notes the answer's head."""
-        self.kind = evidence.kind_of_status(status)
-        self._latency = self._clock.monotonic() - self._started
-
-    def cancelled(self) -> None:
-        """Ends it for its caller, who has left or waited out the deadline."""
-        waited = self._clock.monotonic() - self._started
-        late = waited >= self._head.remaining and self._latency is None
-        if late:
-            self.timed_out()
-        else:
-            self.kind = evidence.Kind.CANCELLED
-        self.end()
-
-    def timed_out(self) -> None:
-        """Blames the target for a deadline that passed, or its connection."""
-        self.kind = evidence.Kind.TIMEOUT
-        target = self.item.record.id
-        now = self._clock.monotonic()
-        if self.progress.reused and self._connections.stalled(target, now):
-            log.warning("connection in doubt", extra=logs.fields(target=target))
-            self.kind = evidence.Kind.CANCELLED
-
-    def look(self, now: datetime.timedelta) -> None:
-        """Tells once that the answer is overdue."""
-        limit = max(OVERDUE_SHARE * self._head.aim, LEAST_OVERDUE)
-        if self._latency is None and now - self._started > limit:
-            self._tell(suspicion.Signal.OVERDUE)
-
-    def _signal(self, kind: evidence.Kind) -> suspicion.Signal | None:
-        """What an end says of the target.
-
-        A kept connection that breaks may only have been idle for too long.
-        """
-        if kind is evidence.Kind.LOST and self.progress.reused:
-            return suspicion.Signal.OVERDUE
-        return _SIGNALS[kind]
-
-    def _tell(self, signal: suspicion.Signal | None) -> None:
-        """Tells what speaks for or against the target, once if it is late.
-
-        The same silence must not count twice, nor the late answer for it.
-        """
-        if signal is None or self._overdue:
-            return
-        self._overdue = signal is suspicion.Signal.OVERDUE
-        self.item.suspicion.take(signal, self._clock.monotonic())
-
-    def end(self, kind: evidence.Kind | None = None) -> None:
-        """Frees the slot and reports, once."""
-        if self._ended:
-            return
-        self._ended = True
-        self.item.pending.pop(self, None)
-        self.item.slots.free(self.item.record.slots)
-        self._tell(self._signal(kind or self.kind))
-        latency = self._latency
-        if latency is None:
-            latency = self._clock.monotonic() - self._started
-        self._observer.finished(
-            evidence.Sample(
-                target=self.item.record.id,
-                service=self.item.record.service,
-                workspace=self._head.workspace,
-                kind=kind or self.kind,
-                latency=latency,
-                number=self._number,
-            )
-        )
-
-
-class _TargetStream:
-    """The rest of a target's answer; holds the slot until it ends."""
-
-    def __init__(
-        self, hand_over: _HandOver, response: aiohttp.ClientResponse
-    ) -> None:
-        self._hand_over = hand_over
-        self._response = response
-
-    def __aiter__(self) -> "_TargetStream":
-        return self
-
-    async def __anext__(self) -> bytes:
-        try:
-            async with asyncio.timeout(PROGRESS_LIMIT.total_seconds()):
-                data = await self._response.content.read(_READ_BYTES)
-        except (aiohttp.ClientError, OSError) as error:
-            self._close(evidence.Kind.LOST)
-            detail = str(error) or "the answer stood still"
-            raise exchange.TruncatedAnswerError(detail) from error
-        if data:
-            return data
-        self._close(None)
-        raise StopAsyncIteration
-
-    async def aclose(self) -> None:
-        """Gives the answer up: the target sees its connection closed."""
-        self._close(evidence.Kind.CANCELLED)
-
-    def _close(self, kind: evidence.Kind | None) -> None:
-        # A connection left in the middle of an answer is never used again.
-        self._response.close()
-        self._hand_over.end(kind)
-
-
-async def _answer(
-    hand_over: _HandOver, response: aiohttp.ClientResponse
-) -> AnswerResult:
-    pairs = _headers_in(response.raw_headers)
-    try:
-        held, ended = await _first_bytes(response)
-    except BaseException:
-        response.close()
-        raise
-    if ended:
-        return expression.Ok(exchange.Answer(response.status, pairs, held))
-    rest = _TargetStream(hand_over, response)
-    return expression.Ok(exchange.Answer(response.status, pairs, held, rest))
-
-
-async def _first_bytes(
-    response: aiohttp.ClientResponse,
-) -> tuple[bytes, bool]:
-    """The whole of a small answer, or nothing of one that is known to be long.
-
-    An answer that is held whole can still be replaced if it breaks off; of
-    one that has begun to go to the caller only the connection can be cut.
-
-    Returns:
-      The bytes read, and whether they are all.
-    """
-    length = response.content_length
-    if length is not None and length <= WHOLE_ANSWER_BYTES:
-        return await response.read(), True
-    if length is not None or "chunked" in _coding(response):
-        # What comes in parts may be meant to be seen as it comes.
-        return b"", False
-    held = bytearray()
-    while len(held) <= WHOLE_ANSWER_BYTES:
-        async with asyncio.timeout(PROGRESS_LIMIT.total_seconds()):
-            data = await response.content.read(_READ_BYTES)
-        if not data:
-            return bytes(held), True
-        held += data
-    return bytes(held), False
-
-
-def _coding(response: aiohttp.ClientResponse) -> str:
-    return response.headers.get("Transfer-Encoding", "").lower()
-
-
-async def _read_away(response: aiohttp.ClientResponse) -> None:
-    """Reads the rest of an answer whose connection is worth keeping."""
-    try:
-        await response.read()
-    except (aiohttp.ClientError, OSError) as error:
-        log.debug("a refusal broke off: %s", error)
-        response.close()
-
-
-def _not_run_by_target(
-    response: aiohttp.ClientResponse, names: headers.Names
-) -> exchange.Refusal | None:
-    """The refusal of a target that says it has not run the request."""
-    if names.expected_target and response.status == _MISDIRECTED:
-        return exchange.not_run(
-            exchange.Reason.WRONG_TARGET, "another target has the address"
-        )
-    if names.not_run and names.not_run in response.headers:
-        return exchange.not_run(
-            exchange.Reason.TARGET_FULL, f"the target says {response.status}"
-        )
-    return None
-
-
-def _session(connector: aiohttp.BaseConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(
-            sock_connect=CONNECT_LIMIT.total_seconds()
-        ),
-        skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
-        middlewares=(_never_resend,),
-        trace_configs=[_progress_traces()],
-    )
-
-
-async def _never_resend(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keeps aiohttp from sending a request again by itself.
-
-    Failure: a target crashes on a PUT or DELETE. Symptom: aiohttp, which
-    takes these for repeatable, sends it a second time and the work runs
-    twice. It does so for its own connection errors only, so another type of
-    error ends the request.
-    """
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        detail = str(error) or type(error).__name__
-        raise HandOverLostError(detail) from error
+        raise connections.HandOverLostError("the answer is to another request")
 
 
-def _progress_traces() -> aiohttp.TraceConfig:
-    config = aiohttp.TraceConfig()
-    config.on_connection_create_end.append(_created)
-    config.on_connection_reuseconn.append(_reused)
-    return config
-
-
-async def _created(
-    session: aiohttp.ClientSession,
-    context: types.SimpleNamespace,
-    params: aiohttp.TraceConnectionCreateEndParams,
-) -> None:
-    context.trace_request_ctx.connected = True
-
-
-async def _reused(
-    session: aiohttp.ClientSession,
-    context: types.SimpleNamespace,
-    params: aiohttp.TraceConnectionReuseconnParams,
-) -> None:
-    context.trace_request_ctx.connected = True
-    context.trace_request_ctx.reused = True
-
-
-def _timed_out(hand_over: _HandOver) -> AnswerResult:
+def _timed_out(hand_over: working.HandOver) -> AnswerResult:
     if not hand_over.may_have_run:
         return _unreachable(hand_over, "connect timed out")
     hand_over.timed_out()
@@ -646,7 +339,7 @@
     return expression.Error(exchange.unknown(exchange.Reason.DEADLINE, detail))
 
 
-def _lost(hand_over: _HandOver, error: Exception) -> AnswerResult:
+def _lost(hand_over: working.HandOver, error: Exception) -> AnswerResult:
     detail = str(error) or type(error).__name__
     if not hand_over.may_have_run:
         return _unreachable(hand_over, detail)
@@ -661,7 +354,7 @@
     )
 
 
-def _unreachable(hand_over: _HandOver, detail: str) -> AnswerResult:
+def _unreachable(hand_over: working.HandOver, detail: str) -> AnswerResult:
     hand_over.kind = evidence.Kind.REFUSED_CONNECTION
     return _refuse(exchange.Reason.UNREACHABLE, detail)
 
@@ -685,7 +378,7 @@
 
 
 def _body_out(
-    body: exchange.RequestBody, progress: _Progress
+    body: exchange.RequestBody, progress: connections.Progress
 ) -> bytes | collections.abc.AsyncIterator[bytes] | None:
     if body.rest is None:
         return body.held or None
@@ -695,7 +388,7 @@
 async def _joined(
     held: bytes,
     rest: collections.abc.AsyncIterator[bytes],
-    progress: _Progress,
+    progress: connections.Progress,
 ) -> collections.abc.AsyncGenerator[bytes, None]:
     if held:
         yield held
@@ -721,7 +414,3 @@
     if names.expected_target:
         fields[names.expected_target] = target
     return fields
-
-
-def _headers_in(pairs: exchange.HeaderList) -> exchange.HeaderList:
-    return tuple([item for item in pairs if item[0].lower() not in _HOP_BY_HOP])
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -121,7 +121,7 @@
     ),
     Mutant(
         "the HTTP client sends PUT and DELETE again by itself",
-        "targets/dispatch.py",
+        "targets/connections.py",
         "        middlewares=(_never_resend,),\n",
         "",
         _ONCE,
@@ -135,7 +135,7 @@
     ),
     Mutant(
         "an end in the middle passes for the end of an answer",
-        "targets/dispatch.py",
+        "targets/answers.py",
         "            raise exchange.TruncatedAnswerError(detail) from error\n",
         "            raise StopAsyncIteration from error\n",
         _WHOLE,
