--- a/endivewind/standins/faults.py
+++ b/endivewind/standins/faults.py
@@ -11,7 +11,6 @@
 
     OUTAGE closes the connection before anything is done. SLOW answers late.
     ANSWER_LOST does the write and closes the connection without an answer.
-    STALE answers reads with the store as it was when the fault was set.
     PARTIAL cuts the answer in the middle; GARBAGE answers 200 with no JSON.
     RATE_LIMIT answers 429 above a rate. ERROR answers 500, BUSY 503 with
     nothing done. SILENT never answers. LATE does a write delay_ms after it
@@ -21,7 +20,6 @@
     OUTAGE = "outage"
     SLOW = "slow"
     ANSWER_LOST = "answer-lost"
-    STALE = "stale"
     PARTIAL = "partial"
     GARBAGE = "garbage"
     RATE_LIMIT = "rate-limit"
--- a/endivewind/standins/platform.py
+++ b/endivewind/standins/platform.py
@@ -42,7 +42,7 @@
         return self._changed
 
     def copy(self) -> "ObjectStore":
-        """The store as it is now, for stale reads and for backups."""
+        """The store as it is now, for backups."""
         other = ObjectStore()
         other.restore(self)
         return other
@@ -135,7 +135,6 @@
     def __init__(self, store: ObjectStore) -> None:
         self._store = store
         self._faults = faults.Faults()
-        self._stale: ObjectStore | None = None
         self._backup = store.copy()
 
     @property
@@ -151,7 +150,6 @@
     def set_faults(self, *wanted: faults.Fault) -> None:
         """Switches faults on in place of those before; none clears them."""
         self._faults.set(faults.FaultList(faults=wanted))
-        self._stale = self._store.copy()
 
     def application(self) -> web.Application:
         """The routes of the object API and of the control path."""
@@ -184,7 +182,6 @@
         for mode in (faults.Mode.SLOW, faults.Mode.LATE):
             if mode in hits:
                 await asyncio.sleep(hits[mode].delay_ms / 1000)
-        request["stale"] = faults.Mode.STALE in hits
         answer: web.Response = await handler(request)
         if faults.Mode.ANSWER_LOST in hits or faults.Mode.LATE in hits:
             return _cut(request)
@@ -217,18 +214,14 @@
     async def _calls(self, request: web.Request) -> web.Response:
         return web.json_response(self.calls)
 
-    def _read_store(self, request: web.Request) -> ObjectStore:
-        stale = request.get("stale") and self._stale
-        return self._stale if stale and self._stale else self._store
-
     async def _get(self, request: web.Request) -> web.Response:
-        found = self._read_store(request).get(*_key(request))
+        found = self._store.get(*_key(request))
         return _object(found) if found else web.Response(status=404)
 
     async def _list(self, request: web.Request) -> web.Response:
         if "watch" in request.query:
             return await self._watch(request)
-        store = self._read_store(request)
+        store = self._store
         after = request.query.get("after", "")
         found = sorted(
             (
@@ -287,7 +280,7 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
-        store = self._read_store(request)
+        store = self._store
         try:
             revision = int(request.query["watch"])
             wait = int(request.query.get("wait_ms", "0")) / 1000
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -38,6 +38,7 @@
 _LINKS = "nodes.links_tests"
 _DISPATCH = "targets.dispatch_tests"
 _TICKETS = "callers.tickets_tests"
+_BEATS = "platform.heartbeats_tests"
 
 MUTANTS = (
     Mutant(
@@ -115,7 +116,7 @@
     Mutant(
         "the end of a planned stop waits for nothing",
         "node.py",
-        "        await departure.run(datetime.timedelta(seconds=limit))\n",
+        "        await departure.run(self._stop_limit())\n",
         "",
         "proofs.stop_tests",
     ),
@@ -154,6 +155,43 @@
         "        progress.broken_body = error\n",
         _WHOLE,
     ),
+    Mutant(
+        "a reset passes for the end of an answer",
+        "targets/connections.py",
+        "        if exc is not None and payload is not None and not "
+        "payload.is_eof():\n",
+        "        if payload is None and exc is not None:\n",
+        "targets.connections_tests",
+    ),
+    Mutant(
+        "a home takes what must not repeat for a target in doubt",
+        "targets/dispatch.py",
+        "        if head.ticket and glance.suspicion > head.risk:\n",
+        "        if head.ticket and glance.suspicion > 1:\n",
+        _DISPATCH,
+    ),
+    Mutant(
+        "a link is not asked before what must not repeat",
+        "nodes/links.py",
+        "        if not once:\n            return link",
+        "        if link or not once:\n            return link",
+        _LINKS,
+    ),
+    Mutant(
+        "a late announcement undoes a draining",
+        "targets/registry.py",
+        "        if _is_late(known, announcement):\n",
+        "        if announcement.sequence < 0:\n",
+        _BEATS,
+    ),
+    Mutant(
+        "a target that has left comes back by a late announcement",
+        "targets/registry.py",
+        "            if announcement.incarnation:\n"
+        "                return Refused.LEFT\n",
+        "",
+        _BEATS,
+    ),
     Mutant(
         "a home does not hear that the caller left",
         "nodes/link_server.py",
