Take the retry budget and the floor from the deployment's bounds

Cause: the template of the settings held the retry reserve of a small fleet (30 in ten seconds for all nodes). Change: fleet_limits in the settings holds what all nodes together promise, filled in from the platform's bounds; six tenths of the retries are the nodes' own, the rest is for the calls that repeated work makes.

--- a/endivewind/config/reference.py
+++ b/endivewind/config/reference.py
@@ -32,6 +32,7 @@
     ("`workspace_shards.NAME`", objects.WorkspaceShard),
     ("`workspace_shards.NAME.workspaces.NAME`", objects.Workspace),
     ("Settings of a node", settings.NodeSettings),
+    ("`fleet_limits` of the settings", settings.FleetLimits),
     ("`limits` of the settings", settings.Limits),
     ("`beside` of the settings", settings.Beside),
     ("`callers_tls` and `nodes_tls` of the settings", settings.Tls),
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -1,6 +1,7 @@
 """Settings of one process, read from a YAML file at start."""
 
 import enum
+import math
 from typing import Annotated
 
 import pydantic
@@ -116,9 +117,49 @@
     )
 
 
+# The part of the fleet's retries that nodes take by themselves. A repeat may
+# call other services, and these calls count as repeats there; with as many
+# calls as repeats the sum still keeps the bound.
+OWN_RETRIES = 0.6
+
+
+class FleetLimits(base.Model):
+    """What all nodes together promise to each service.
+
+    Attributes:
+      retry_share: retries in a window, as a share of the requests in it.
+      retry_reserve: retries in each window besides.
+      retry_window_seconds: the window in which both are counted.
+      floor_share: share of a region's slots that stays in use.
+    """
+
+    retry_share: pydantic.StrictFloat = pydantic.Field(ge=0, le=1)
+    retry_reserve: pydantic.StrictFloat = pydantic.Field(ge=0, le=1_000_000)
+    retry_window_seconds: pydantic.StrictFloat = pydantic.Field(gt=0, le=600)
+    floor_share: pydantic.StrictFloat = pydantic.Field(ge=0, le=1)
+
+    def applied_to(self, service: objects.Service) -> objects.Service:
+        """The service's defaults within these limits."""
+        return service.model_copy(
+            update={
+                "retry_percent": int(100 * OWN_RETRIES * self.retry_share),
+                "retry_reserve": int(OWN_RETRIES * self.retry_reserve),
+                "retry_window_ms": int(1000 * self.retry_window_seconds),
+                "floor_percent": math.ceil(100 * self.floor_share),
+            }
+        )
+
+
 # What a running node takes from a changed file; all else is bound at start.
 RELOADED = frozenset(
-    {"platform", "beside", "service_defaults", "limits", "log_level"}
+    {
+        "platform",
+        "beside",
+        "service_defaults",
+        "fleet_limits",
+        "limits",
+        "log_level",
+    }
 )
 
 
@@ -143,6 +184,8 @@
       audit: where the node records what it does; its log has it in any case.
       service_defaults: what a service gets where the platform's operators
         have no word for it; only for the platform's interface.
+      fleet_limits: what all nodes together promise; goes before
+        service_defaults.
       platform: URL of the platform's object API.
       seeds: nodes to join by when the platform can't be asked.
       gossip_key: signs the datagrams between nodes; the same at every node.
@@ -167,6 +210,7 @@
     beside: Beside | None = None
     audit: Trail = Trail.PLATFORM
     service_defaults: objects.Service = objects.Service()
+    fleet_limits: FleetLimits | None = None
     seeds: tuple[Address, ...] = ()
     gossip_key: str = pydantic.Field(default="", repr=False)
     callers_tls: Tls | None = None
@@ -176,6 +220,13 @@
         default="info", pattern="^(debug|info|warning|error)$"
     )
 
+    @property
+    def defaults(self) -> objects.Service:
+        """What a service gets that the platform's operators leave open."""
+        if self.fleet_limits is None:
+            return self.service_defaults
+        return self.fleet_limits.applied_to(self.service_defaults)
+
     @pydantic.field_validator("nodes_tls")
     @classmethod
     def _names_an_authority(cls, value: Tls | None) -> Tls | None:
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -255,9 +255,7 @@
         """Takes the configuration that the platform's operator has written."""
         if stored.name != names.CONFIGURATION_NAME or not stored.value:
             return
-        decoded = operator_configuration.decode(
-            stored, self._settings.service_defaults
-        )
+        decoded = operator_configuration.decode(stored, self._settings.defaults)
         if decoded.is_error():
             fields = logs.fields(revision=stored.version, problem=decoded.error)
             log.error("configuration that can't be read", extra=fields)
--- a/endivewind/tests/deploy_tests.py
+++ b/endivewind/tests/deploy_tests.py
@@ -26,7 +26,13 @@
     "service": "riders",
     "app_addr": "10.1.0.38:8145",
     "heartbeat_s": 1.5,
-    "bounds": {"grace_s": 6},
+    "bounds": {
+        "grace_s": 6,
+        "retry_budget_ratio": 0.2,
+        "budget_min_retries": 204.5,
+        "budget_window_s": 10,
+        "floor_share": 0.7,
+    },
 }
 
 
@@ -59,6 +65,21 @@
         self.assertEqual("10.1.0.38:7380", found.nodes)
         self.assertEqual("riders", found.beside.service)
 
+    def test_retries_and_the_floor_follow_the_deployment(self):
+        """A larger fleet may retry more, and its nodes with it.
+
+        At the bound of a small fleet each would have one retry in a window.
+        """
+        text = (style.ROOT / "deploy/settings.yaml").read_text()
+        loaded = base.load_text(_filled(text), "f", settings.NodeSettings)
+
+        defaults = loaded.ok.model.defaults
+
+        self.assertEqual(12, defaults.retry_percent)
+        self.assertEqual(122, defaults.retry_reserve)
+        self.assertEqual(10_000, defaults.retry_window_ms)
+        self.assertEqual(70, defaults.floor_percent)
+
     def test_every_role_runs_a_module_of_the_project(self):
         deploy = tomllib.loads((style.ROOT / "deploy/system.toml").read_text())
         for role in deploy["roles"].values():
