Let a change cross zones a few times only

Cause: each node passed on a change to other zones and regions at a fixed share, so that the copies which cross grew with the nodes: 721 KB between the zones of a region and 171 KB between regions when 96 nodes announce their targets at once. Change: a change comes into each zone, and into each region, about six times; the rest of the pushes stays in the zone, where they are free.

--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -31,10 +31,13 @@
 # two dozen a tenth of its bytes.
 EXTRA_TRANSMITS = 3
 MAX_TRANSMITS = 16
-# Traffic between regions is paid for; one tick in four crosses. So is traffic
-# between zones: two in three of the others stay in the own zone.
-CROSSING_SHARE = 0.25
-ZONE_SHARE = 2 / 3
+# Traffic between regions and between zones is paid for. A change comes into
+# each zone about so many times from others, and as often into each region:
+# one in 400 then gets into a zone by repair only, some seconds later. Within
+# the zone it is passed on for free.
+INBOUND = 6
+# The rest stays near, also where a zone has a node or two only.
+MOST_CROSSING = 1 / 2
 MAX_QUEUED = 4096
 BUCKETS = 128
 # A node repairs with one other at a time, and leaves news time to spread: what
@@ -128,6 +131,12 @@
     message: Datagram | FleetState | Pull
 
 
+def transmits_of(nodes: int) -> int:
+    """How often each of so many nodes passes on a change."""
+    wanted = math.ceil(math.log(nodes + 1)) + EXTRA_TRANSMITS
+    return min(wanted, MAX_TRANSMITS)
+
+
 class ChangeQueue:
     """Changes to pass on, the least often sent first."""
 
@@ -160,9 +169,7 @@
           room: bytes that they may take.
           nodes: how many nodes are to hear of them.
         """
-        transmits = min(
-            math.ceil(math.log(nodes + 1)) + EXTRA_TRANSMITS, MAX_TRANSMITS
-        )
+        transmits = transmits_of(nodes)
         taken: list[tuple[int, _Key, bytes]] = []
         for level, items in enumerate(self._levels):
             for key, payload in items.items():
@@ -552,13 +559,24 @@
                 region.append(item)
             else:
                 far.append(item)
-        crossing = 1 if self._rng.random() < CROSSING_SHARE else 0
-        here = sum(
-            self._rng.random() < ZONE_SHARE for _ in range(FAN_OUT - crossing)
-        )
-        chosen = self._some(zone, here)
-        chosen += self._some(region, FAN_OUT - crossing - len(chosen))
-        return chosen + self._some(far, FAN_OUT - len(chosen))
+        pushes = transmits_of(len(zone) + len(region) + len(far) + 1)
+        zones = len({item.node.zone for item in region}) + 1
+        sent_here = (len(zone) + len(region) + 1) * pushes
+        to_far = INBOUND / sent_here if far else 0
+        to_region = INBOUND * zones / sent_here if region else 0
+        crossing = self._count(FAN_OUT, min(to_far, MOST_CROSSING))
+        beside = self._count(FAN_OUT - crossing, min(to_region, MOST_CROSSING))
+        if not zone:
+            beside = min(FAN_OUT - crossing, len(region))
+        return [
+            *self._some(zone, FAN_OUT - crossing - beside),
+            *self._some(region, beside),
+            *self._some(far, crossing),
+        ]
+
+    def _count(self, draws: int, share: float) -> int:
+        """How many of some draws hit, each with the same chance."""
+        return sum(self._rng.random() < share for _ in range(draws))
 
     def _some(
         self, members: list[membership.MemberRecord], count: int
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -103,6 +103,40 @@
         self.assertEqual({13 * 16}, known)
 
 
+def _place(name):
+    """One of six zones in three regions, as a users' fleet has."""
+    number = int(name[1:]) % 6
+    return f"r{number // 2}", f"z{number}"
+
+
+class CrossingTest(unittest.TestCase):
+    """Ninety-six nodes in six zones; bytes that leave a zone are paid for."""
+
+    def test_news_gets_everywhere_with_few_bytes_between_zones(self):
+        """Each zone hears a change a few times, and passes it on itself.
+
+        A change whose copies cross for every node would cost the fleet more
+        between zones than its requests do, when all nodes start at once.
+        """
+        names = [f"n{number}" for number in range(96)]
+        net = network.Network(names, place_of=_place)
+        net.run(8)
+        self.assertTrue(net.agreed())
+        before = net.sent_bytes, net.beside_bytes, net.far_bytes
+
+        for name in names:
+            net.nodes[name].announce(f"t-{name}", lease_ms=60_000)
+        net.run(1.5)
+
+        known = [len(node.view.all_targets()) for node in net.nodes.values()]
+        self.assertGreater(sum(known) / len(known), 0.95 * len(names))
+        sent = net.sent_bytes - before[0]
+        self.assertLess(net.beside_bytes - before[1], 0.1 * sent)
+        self.assertLess(net.far_bytes - before[2], 0.1 * sent)
+        net.run(10)
+        self.assertTrue(net.agreed())
+
+
 class ChangeQueueTest(unittest.TestCase):
     """What is passed on, and how often."""
 
--- a/endivewind/tests/nodes/network.py
+++ b/endivewind/tests/nodes/network.py
@@ -3,6 +3,7 @@
 Messages pass through the bytes that real nodes send. Time moves by ticks.
 """
 
+import collections.abc
 import dataclasses
 import datetime
 import random
@@ -31,18 +32,15 @@
         clock: clocks.Clock,
         rng: random.Random,
         contacts: tuple[str, ...],
+        place: tuple[str, str] = ("andina", "andina-a"),
     ) -> None:
         self.name = name
         self.paused = False
-        self.record = view.NodeRecord(
-            name, incarnation, f"{name}:1", "andina", "andina-a"
-        )
+        self.record = view.NodeRecord(name, incarnation, f"{name}:1", *place)
         self.view = view.FleetView()
         self.members = membership.Membership(self.record, clock, rng, contacts)
         self.core = gossip.Gossip(self.members, self.view, clock, rng)
-        identity = registry.HomeIdentity(
-            name, incarnation, "andina", "andina-a"
-        )
+        identity = registry.HomeIdentity(name, incarnation, *place)
         self.targets = registry.TargetRegistry(identity, clock, self.view.claim)
 
     def announce(
@@ -79,6 +77,13 @@
         return found.home if found else None
 
 
+PlaceOf = collections.abc.Callable[[str], tuple[str, str]]
+
+
+def _one_zone(name: str) -> tuple[str, str]:
+    return "andina", "andina-a"
+
+
 @dataclasses.dataclass
 class _Message:
     sender: str
@@ -90,7 +95,12 @@
 class Network:
     """A fleet whose messages can be lost, doubled, delayed and cut."""
 
-    def __init__(self, names: list[str], seed: int = 1) -> None:
+    def __init__(
+        self, names: list[str], seed: int = 1, place_of: PlaceOf = _one_zone
+    ) -> None:
+        self._place_of = place_of
+        self.far_bytes = 0
+        self.beside_bytes = 0
         self.clock = clocks.ManualClock()
         self.rng = random.Random(seed)
         self.nodes: dict[str, Member] = {}
@@ -117,6 +127,7 @@
             self.clock,
             self.rng,
             self._contacts if contacts is None else contacts,
+            self._place_of(name),
         )
         node.core.join()
         self.nodes[name] = node
@@ -161,12 +172,20 @@
                 link = True
                 self.link_frames += 1
             self.sent_bytes += len(payload)
+            self._count_crossing(sender, receiver, len(payload))
             message = _Message(sender, receiver, payload, link)
             copies = 2 if self.rng.random() < self.doubled else 1
             if not link and self.rng.random() < self.loss:
                 copies = 0
             self._waiting.extend([message] * copies)
 
+    def _count_crossing(self, sender: str, receiver: str, size: int) -> None:
+        here, there = self._place_of(sender), self._place_of(receiver)
+        if here[0] != there[0]:
+            self.far_bytes += size
+        elif here != there:
+            self.beside_bytes += size
+
     def _deliver(self) -> None:
         waiting, self._waiting = self._waiting, []
         self.rng.shuffle(waiting)
