Let a target rest whose home no longer hands over to it

Change: STALE_HOME and STOPPING let it rest for 250 ms like one that is full, unless the answer names the later home. Test: a placement test that failed before; a mutant of it is caught.

--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -30,6 +30,16 @@
 # would draw the work of all.
 SHED_REST = datetime.timedelta(milliseconds=250)
 _SHED_STATUS = frozenset({429, 503})
+# So does a home that no longer hands over to its target, until the news of it
+# has come here: each of these answers took a hop and one of the placings that
+# a request has.
+_REST_LONGER = frozenset(
+    {
+        exchange.Reason.TARGET_FULL,
+        exchange.Reason.STALE_HOME,
+        exchange.Reason.STOPPING,
+    }
+)
 _PATH_FAILURES = (exchange.Reason.HOME_LOST, exchange.Reason.HOME_UNREACHABLE)
 # A region pair shares 4 Gbit/s each way; an entry's part of it where each
 # region has some 250 nodes.
@@ -60,7 +70,7 @@
 ) -> datetime.timedelta | None:
     if result.is_ok():
         return SHED_REST if result.ok.status in _SHED_STATUS else None
-    if result.error.reason is exchange.Reason.TARGET_FULL:
+    if result.error.reason in _REST_LONGER and not result.error.moved_to:
         return SHED_REST
     if result.error.reason is exchange.Reason.BUSY:
         return REST
--- a/endivewind/tests/callers/placement_tests.py
+++ b/endivewind/tests/callers/placement_tests.py
@@ -6,7 +6,10 @@
 import random
 import unittest
 
+import expression
+
 from endivewind import clock as clocks
+from endivewind import exchange
 from endivewind.callers import placement
 from endivewind.decisions import placing
 from endivewind.decisions import ramp
@@ -67,6 +70,50 @@
         self.assertEqual((1, 3), (first["riders-0"], first["riders-1"]))
         self.assertEqual({"riders-0": 2}, later)
 
+    def test_a_target_that_its_home_no_longer_holds_rests(self):
+        """A home restarts; its targets are known there until news comes.
+
+        It refuses at once and so looks idle. Each request would ask it again
+        and again until its placings are used up, with a healthy target next
+        to it.
+        """
+        items = [_record(number) for number in range(2)]
+        self.put(items)
+        for reason in (exchange.Reason.STALE_HOME, exchange.Reason.STOPPING):
+            with self.subTest(reason):
+                refused = expression.Error(exchange.not_run(reason))
+                self.placement.started(items[0])
+                self.placement.ended(items[0], refused, datetime.timedelta())
+
+                chosen = {self.choose() for _ in range(20)}
+                self.clock.advance(placement.SHED_REST)
+                later = {self.choose() for _ in range(20)}
+
+                self.assertEqual({"riders-1"}, chosen)
+                self.assertEqual({"riders-0", "riders-1"}, later)
+
+    def test_a_target_that_has_moved_is_asked_at_its_new_home(self):
+        """The old home names the new one: a rest would only cost time."""
+        items = [_record(number) for number in range(2)]
+        self.put(items)
+        moved = exchange.Refusal(
+            exchange.Outcome.NOT_RUN,
+            exchange.Reason.STALE_HOME,
+            moved_to="node-b",
+        )
+        self.placement.started(items[0])
+        self.placement.ended(
+            items[0], expression.Error(moved), datetime.timedelta()
+        )
+
+        chosen = {self.choose() for _ in range(20)}
+
+        self.assertIn("riders-0", chosen)
+
+    def choose(self):
+        """The id of the target that a request would go to."""
+        return self.placement.choose(SERVICE, placing.Demand(False)).id
+
     def test_what_the_floor_brings_back_has_all_its_slots(self):
         """Half of the targets are ejected at once; the floor needs some.
 
