--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -378,7 +378,7 @@
             self._waiting.ended(call.head.service)
         if not _was_unseen(result):
             call.sent += 1
-        if not _is_not_run(result):
+        if result.is_ok() or not result.error.is_not_run:
             call.reached = result
             self._crashes.ended(head, call.body, record, result)
         if self._witness is not None and record.home != self._node:
@@ -505,8 +505,7 @@
         return failed and call.repeatable and result.ok.rest is None
     if result.error.reason is exchange.Reason.DEADLINE:
         return False
-    not_run = result.error.outcome is exchange.Outcome.NOT_RUN
-    return call.repeatable or not_run
+    return call.repeatable or result.error.is_not_run
 
 
 def _word(result: AnswerResult | None) -> str:
@@ -522,20 +521,14 @@
     return span // datetime.timedelta(milliseconds=1)
 
 
-def _is_not_run(result: AnswerResult) -> bool:
-    return (
-        result.is_error() and result.error.outcome is exchange.Outcome.NOT_RUN
-    )
-
-
 def _told(call: _Call, last: AnswerResult) -> AnswerResult:
     """What the caller hears: never "not run" of work that a target had.
 
     A first try may have run and failed while a later one found no slot.
     """
-    if call.reached is not None and _is_not_run(last):
-        return call.reached
-    return last
+    if call.reached is None or last.is_ok() or not last.error.is_not_run:
+        return last
+    return call.reached
 
 
 def _was_unseen(result: AnswerResult) -> bool:
--- a/endivewind/config/objects.py
+++ b/endivewind/config/objects.py
@@ -52,7 +52,7 @@
       expected_targets: targets that a region should have; 0 is unknown. Only
         `endivewind validate` uses it, to warn of a floor out of reach.
       floor_percent: share of a region's announced slots that ejection may
-        never go below, where that is more than floor_slots.
+        never go below, where floor_slots is 0; 0 stands for half of them.
       retry_percent: retries allowed, as a share of recent requests.
       retry_reserve: retries that the whole fleet may make besides, in each
         retry_window_ms.
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -159,6 +159,11 @@
     moved_to: str = ""
     glance: Glance | None = None
 
+    @property
+    def is_not_run(self) -> bool:
+        """Whether no target has run it."""
+        return self.outcome is Outcome.NOT_RUN
+
 
 class ByteStream(Protocol):
     """The rest of an answer.
@@ -209,9 +214,10 @@
     reason: Reason,
     detail: str = "",
     retry_after: datetime.timedelta | None = None,
+    glance: Glance | None = None,
 ) -> Refusal:
     """A refusal of work that no target has seen."""
-    return Refusal(Outcome.NOT_RUN, reason, detail, retry_after)
+    return Refusal(Outcome.NOT_RUN, reason, detail, retry_after, glance=glance)
 
 
 def broken_body(error: TruncatedBodyError) -> Refusal:
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -144,7 +144,7 @@
         if refused is not None:
             return expression.Error(refused)
         result = await self._run(target, head, body)
-        if _is_not_run(result):
+        if result.is_error() and result.error.is_not_run:
             self._ledger.seal(head.ticket, head.attempt)
         return result
 
@@ -359,22 +359,15 @@
     return _refuse(exchange.Reason.UNREACHABLE, detail)
 
 
-def _is_not_run(result: AnswerResult) -> bool:
-    return (
-        result.is_error() and result.error.outcome is exchange.Outcome.NOT_RUN
-    )
-
-
 def _refuse(
     reason: exchange.Reason,
     detail: str,
     retry_after: datetime.timedelta | None = None,
     glance: exchange.Glance | None = None,
 ) -> AnswerResult:
-    refusal = exchange.not_run(reason, detail, retry_after)
-    if glance is not None:
-        refusal = dataclasses.replace(refusal, glance=glance)
-    return expression.Error(refusal)
+    return expression.Error(
+        exchange.not_run(reason, detail, retry_after, glance)
+    )
 
 
 def _body_out(
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -56,9 +56,9 @@
     ),
     Mutant(
         "work is placed again without a sealed not-run",
-        "callers/gateway.py",
-        "    not_run = result.error.outcome is exchange.Outcome.NOT_RUN\n",
-        "    not_run = result.error.outcome is not exchange.Outcome.RAN\n",
+        "exchange.py",
+        "        return self.outcome is Outcome.NOT_RUN\n",
+        "        return self.outcome is not Outcome.RAN\n",
         _FUZZ,
     ),
     Mutant(
@@ -192,6 +192,36 @@
         "",
         _BEATS,
     ),
+    Mutant(
+        "a doubt that was refuted long ago gets no answer",
+        "nodes/gossip.py",
+        "        if stranger or refuted or asked:\n",
+        "        if stranger or refuted:\n",
+        "nodes.membership_tests",
+    ),
+    Mutant(
+        "a target is chosen again at a home that has it no more",
+        "callers/placement.py",
+        "        exchange.Reason.STALE_HOME,\n",
+        "",
+        "callers.placement_tests",
+    ),
+    Mutant(
+        "retries that neighbours have used are used again",
+        "decisions/retries.py",
+        "        return self._pool() - self._retries - used\n",
+        "        return self._pool() - self._retries\n",
+        "decisions.retries_tests",
+    ),
+    Mutant(
+        "a late leave removes the object of a later start",
+        "platform/client.py",
+        "        path = _object(kind, name, revision=expected)\n"
+        '        return await self._call("DELETE", path, lambda body: None)\n',
+        "        path = _object(kind, name)\n"
+        '        return await self._call("DELETE", path, lambda body: None)\n',
+        "durable.membership_tests",
+    ),
     Mutant(
         "a home does not hear that the caller left",
         "nodes/link_server.py",
