--- a/endivewind/commands/main.py
+++ b/endivewind/commands/main.py
@@ -10,6 +10,7 @@
     "watch",
     "audit",
     "status",
+    "explain",
     "demo",
 )
 
