Soak real processes under faults drawn from seeds

endivewind-bench soak plays four nodes, six targets, a platform stand-in and six callers, with overlapping faults from outside: signals, a relay before each node's address (TCP and UDP, both directions), the platform's faults, racing operators. What callers were told is checked against what targets ran. The relay moves from the tests to the stand-ins; it brings answers by UDP back now, delays and drips. Not in it: clocks that jump, the platform's interface, the floor, readiness, hundreds of processes (docs/dev-guide/soak.md).

--- a/endivewind/callers/client.py
+++ b/endivewind/callers/client.py
@@ -79,9 +79,17 @@
         path: str,
         body: bytes = b"",
         timeout: datetime.timedelta = datetime.timedelta(seconds=30),
+        fields: collections.abc.Mapping[str, str] | None = None,
     ) -> Reply:
         """Runs an operation at most once.
 
+        Args:
+          method: the HTTP method.
+          path: path and query.
+          body: the whole body.
+          timeout: for all sends together.
+          fields: further headers.
+
         Returns:
           The target's answer, or the last refusal: "not-run" is true and
           final, "unknown" means that time ran out or the key's node is gone.
@@ -92,7 +100,9 @@
         wait = FIRST_WAIT
         while True:
             asked = not key
-            reply = await self._send(method, path, body, key, until)
+            reply = await self._send(
+                method, path, body, key, until, fields or {}
+            )
             if asked and self._spare:
                 key = self._take_spare()
                 continue
@@ -105,9 +115,17 @@
             wait *= 2
 
     async def _send(
-        self, method: str, path: str, body: bytes, key: str, until: float
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        key: str,
+        until: float,
+        given: collections.abc.Mapping[str, str],
     ) -> Reply:
-        fields = {headers.WORKSPACE: self._workspace} if self._workspace else {}
+        fields = dict(given)
+        if self._workspace:
+            fields[headers.WORKSPACE] = self._workspace
         if key:
             fields[headers.IDEMPOTENCY_KEY] = key
         try:
--- a/endivewind/commands/children.py
+++ b/endivewind/commands/children.py
@@ -48,7 +48,30 @@
 
     def ignore_output(self) -> None:
         """Reads on, so that the process never waits for its reader."""
-        self._drain = asyncio.create_task(self._read_on())
+        self.follow(lambda line: None)
+
+    def follow(
+        self, take: collections.abc.Callable[[dict[str, Any]], None]
+    ) -> None:
+        """Hands every further log line on until the process has ended."""
+        self._drain = asyncio.create_task(self._read_on(take))
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended yet."""
+        return self._process.returncode is None
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to this process alone; none where it has ended."""
+        if self.running:
+            self._process.send_signal(number)
+
+    async def ended(self) -> int:
+        """Waits for its end; returns the exit code."""
+        code = await self._process.wait()
+        if self._drain is not None:
+            await self._drain
+        return code
 
     async def end(self) -> None:
         """Stops the process as planned and waits for its end."""
@@ -60,11 +83,17 @@
         if self._drain is not None:
             await self._drain
 
-    async def _read_on(self) -> None:
+    async def _read_on(
+        self, take: collections.abc.Callable[[dict[str, Any]], None]
+    ) -> None:
         output = self._process.stdout
         assert output is not None
-        while await output.readline():
-            pass
+        while raw := await output.readline():
+            try:
+                line = json.loads(raw)
+            except ValueError:
+                line = {"message": raw.decode(errors="replace")}
+            take(line)
 
 
 class Children:
@@ -92,10 +121,15 @@
         )
         return child
 
-    async def node(self, settings: dict[str, Any]) -> Child:
-        """Starts a node with settings of its own."""
+    def write_settings(self, settings: dict[str, Any]) -> pathlib.Path:
+        """Writes a node's settings file, or writes it anew."""
         file = self._folder / f"{settings['name']}.yaml"
         file.write_text(yaml.safe_dump(settings))
+        return file
+
+    async def node(self, settings: dict[str, Any]) -> Child:
+        """Starts a node with settings of its own."""
+        file = self.write_settings(settings)
         return await self.start(settings["name"], "node", f"--settings={file}")
 
 
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -213,6 +213,20 @@
         "        return self._pool() - self._retries\n",
         "decisions.retries_tests",
     ),
+    Mutant(
+        "an older configuration is taken",
+        "config/store.py",
+        "        if known and known.stamp >= stamp:\n",
+        "        if known and known.stamp == stamp:\n",
+        "config.store_tests",
+    ),
+    Mutant(
+        "the retry budget never ends",
+        "decisions/retries.py",
+        "        if not (own >= 1 and kept) and not (may_borrow and pool >= 1):\n",
+        "        if not self._limits.share:\n",
+        "decisions.retries_tests",
+    ),
     Mutant(
         "a late leave removes the object of a later start",
         "platform/client.py",
@@ -232,9 +246,23 @@
 )
 
 
+# Mutants that the soak must find; the tests are not run then.
+SOAKED = (
+    "work is placed again without a sealed not-run",
+    "the end of a planned stop waits for nothing",
+    "a deadline that passed is told as not run",
+    "an older configuration is taken",
+    "the retry budget never ends",
+)
+_MOST_SEEDS = 10
+_SOAK_SECONDS = 240
+
+
 def main() -> int:
     """Runs every mutant, or those whose name holds an argument."""
     wanted = sys.argv[1:]
+    if wanted == ["--soak"]:
+        return _soak_all()
     chosen = [
         mutant
         for mutant in MUTANTS
@@ -248,18 +276,66 @@
 def _caught(mutant: Mutant) -> bool:
     with tempfile.TemporaryDirectory() as folder:
         root = pathlib.Path(folder)
-        shutil.copytree(_ROOT / "endivewind", root / "endivewind")
-        file = root / "endivewind" / mutant.file
-        text = file.read_text()
-        if text.count(mutant.old) != 1:
-            print(f"STALE    {mutant.name}: its safeguard is not found once")
+        if not _write(mutant, root):
             return False
-        file.write_text(text.replace(mutant.old, mutant.new))
         caught = _fails(root, f"endivewind.tests.{mutant.tests}")
     print(f"{'caught  ' if caught else 'SURVIVED'} {mutant.name}", flush=True)
     return caught
 
 
+def _soak_all() -> int:
+    """Plays seeds of the soak with each of SOAKED until one is red."""
+    lost = 0
+    for mutant in MUTANTS:
+        if mutant.name not in SOAKED:
+            continue
+        seeds = _seeds_until_red(mutant)
+        lost += seeds is None
+        found = f"found after {seeds} seeds" if seeds else "NOT FOUND"
+        print(f"{found}: {mutant.name}", flush=True)
+    return 1 if lost else 0
+
+
+def _seeds_until_red(mutant: Mutant) -> int | None:
+    with tempfile.TemporaryDirectory() as folder:
+        root = pathlib.Path(folder)
+        if not _write(mutant, root):
+            return None
+        for seed in range(1, _MOST_SEEDS + 1):
+            if _is_red(root, seed):
+                return seed
+    return None
+
+
+def _is_red(root: pathlib.Path, seed: int) -> bool:
+    code = "from endivewind.commands import bench; bench.run()"
+    ran = subprocess.run(
+        [sys.executable, "-c", code, "soak", f"--seeds={seed}-{seed}"],
+        cwd=root,
+        env={**os.environ, "PYTHONPATH": str(root)},
+        capture_output=True,
+        text=True,
+        timeout=_SOAK_SECONDS,
+        check=False,
+    )
+    if ran.returncode == 1 and "red" in ran.stdout:
+        print(ran.stdout.strip(), flush=True)
+        return True
+    return False
+
+
+def _write(mutant: Mutant, root: pathlib.Path) -> bool:
+    """Writes a copy of the code with a mutant; False if it is stale."""
+    shutil.copytree(_ROOT / "endivewind", root / "endivewind")
+    file = root / "endivewind" / mutant.file
+    text = file.read_text()
+    if text.count(mutant.old) != 1:
+        print(f"STALE    {mutant.name}: its safeguard is not found once")
+        return False
+    file.write_text(text.replace(mutant.old, mutant.new))
+    return True
+
+
 def _fails(root: pathlib.Path, tests: str) -> bool:
     """Whether the tests ran and failed; a mutant that can't start is none."""
     environment = {**os.environ, "PYTHONPATH": str(root)}
--- a/endivewind/tests/proofs/partition_tests.py
+++ b/endivewind/tests/proofs/partition_tests.py
@@ -6,9 +6,9 @@
 
 import aiohttp
 
+from endivewind.standins import relay
 from endivewind.standins import target as standin
 from endivewind.tests import processes
-from endivewind.tests import relay
 
 CONFIGURATION = {
     "services": {"riders": {"slots": 3}},
--- /dev/null
+++ b/endivewind/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak: its schedules and its checks."""
--- /dev/null
+++ b/endivewind/tests/soak/runs_tests.py
@@ -0,0 +1,34 @@
+"""One short run of the soak, with real processes."""
+
+import pathlib
+import tempfile
+import unittest
+
+from endivewind.soak import runs
+from endivewind.soak import schedules
+
+Kind = schedules.Kind
+
+
+class RunTest(unittest.IsolatedAsyncioTestCase):
+    """Callers call while a home is killed, another stops, and links break."""
+
+    async def test_a_short_run_keeps_the_promises(self):
+        """What callers heard is true of what targets ran.
+
+        One node is killed and one stops as planned while a third one's link
+        is reset and a target fails; the platform loses answers meanwhile.
+        """
+        faults = (
+            schedules.Fault(Kind.PLATFORM_LOSES_ANSWERS, 0.0, 2.0, 0),
+            schedules.Fault(Kind.TARGET_FAILS, 0.2, 1.5, 2),
+            schedules.Fault(Kind.LINK_RESET, 0.4, 0.1, 2),
+            schedules.Fault(Kind.NODE_KILLED, 0.5, 0.5, 0),
+            schedules.Fault(Kind.NODE_STOPS, 0.8, 0.5, 1),
+        )
+        schedule = schedules.Schedule(1, 2.0, faults)
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = await runs.Run(schedule, pathlib.Path(folder)).play()
+
+        self.assertEqual((), outcome.findings)
+        self.assertGreater(outcome.answered, 10)
