--- a/endivewind/commands/bench_decisions.py
+++ b/endivewind/commands/bench_decisions.py
@@ -16,6 +16,7 @@
 from endivewind import names
 from endivewind.bench import experiment
 from endivewind.bench import scenarios
+from endivewind.commands import bench_options
 from endivewind.commands import options
 from endivewind.commands import tables
 from endivewind.config import objects
@@ -25,6 +26,7 @@
     " [--format=json]"
 )
 
+DEFAULT_SEEDS = "5"
 POLICIES = ("own", "consecutive-errors", "round-robin")
 
 _SCENARIO = flags.DEFINE_list(
@@ -34,9 +36,7 @@
     "profile", objects.Profile.DETECTION, objects.Profile, "Error bounds."
 )
 _SEED = flags.DEFINE_integer("seed", None, "One seed instead of several.")
-_SEEDS = flags.DEFINE_integer(
-    "seeds", 5, "Seeds 1 to N for each scenario.", lower_bound=1
-)
+flags.declare_key_flag("seeds")
 _POLICIES = flags.DEFINE_list("policies", list(POLICIES), "What to compare.")
 
 
@@ -74,7 +74,7 @@
     """Runs the command; returns the exit code."""
     logging.getLogger("endivewind").setLevel(logging.ERROR)
     chosen = _chosen(_SCENARIO.value)
-    seeds = range(1, _SEEDS.value + 1)
+    seeds = bench_options.seeds(DEFAULT_SEEDS)
     if _SEED.value is not None:
         seeds = range(_SEED.value, _SEED.value + 1)
     unknown = sorted(set(_POLICIES.value) - set(POLICIES))
--- a/endivewind/commands/bench_soak.py
+++ b/endivewind/commands/bench_soak.py
@@ -9,22 +9,21 @@
 
 import asyncio
 import pathlib
-import re
 
 from absl import flags
 
 from endivewind import exceptions
+from endivewind.commands import bench_options
 from endivewind.commands import options
 from endivewind.commands import running
 from endivewind.soak import runs
 from endivewind.soak import schedules
 
 USAGE = (
-    "soak --seeds=A-B [--seconds=S] [--at-once=N] [--logs=FOLDER] "
+    "soak --seeds=A-B [--soak_seconds=S] [--at_once=N] [--logs=FOLDER] "
     "| --replay=FILE [--shrink]"
 )
 
-_SEEDS = flags.DEFINE_string("seeds", "", "First and last seed: 1-50.")
 _SOAK_SECONDS = flags.DEFINE_float(
     "soak_seconds", 12, "How long faults begin in each run."
 )
@@ -34,14 +33,13 @@
 _LOGS = flags.DEFINE_string("logs", "soak-logs", "Folder for schedules, logs.")
 _REPLAY = flags.DEFINE_string("replay", "", "A schedule to play again.")
 _SHRINK = flags.DEFINE_boolean("shrink", False, "Drop faults while it is red.")
+flags.declare_key_flag("seeds")
 flags.declare_key_flag("format")
 
-_RANGE = re.compile(r"(\d+)-(\d+)")
-
 
 def main(arguments: list[str]) -> int:
     """Plays the seeds, or one schedule; 1 if a promise was broken."""
-    if arguments or bool(_SEEDS.value) == bool(_REPLAY.value):
+    if arguments or bool(bench_options.SEEDS.value) == bool(_REPLAY.value):
         raise exceptions.UsageError(f"usage: endivewind-bench {USAGE}")
     return running.loop(_soak(_schedule()))
 
@@ -64,7 +62,7 @@
     else:
         gate = asyncio.Semaphore(_AT_ONCE.value)
         outcomes = await asyncio.gather(
-            *(_one(seed, folder, gate) for seed in _seeds())
+            *(_one(seed, folder, gate) for seed in bench_options.seeds(""))
         )
     red = [item for item in outcomes if item.findings]
     requests = sum(item.requests for item in outcomes)
@@ -75,13 +73,6 @@
     return 1 if red else 0
 
 
-def _seeds() -> range:
-    match = _RANGE.fullmatch(_SEEDS.value)
-    if match is None or int(match[1]) > int(match[2]):
-        raise exceptions.UsageError(f"--seeds={_SEEDS.value}: use 1-50")
-    return range(int(match[1]), int(match[2]) + 1)
-
-
 async def _one(
     seed: int, folder: pathlib.Path, gate: asyncio.Semaphore
 ) -> runs.Outcome:
