--- a/endivewind/soak/callers.py
+++ b/endivewind/soak/callers.py
@@ -22,18 +22,18 @@
 SLOW_SHARE = 0.3
 
 
-class _CutError(Exception):
+class CutError(Exception):
     """A connection that broke after the request was sent."""
 
 
-async def _never_resend(request: Any, handler: Any) -> Any:
+async def never_resend(request: Any, handler: Any) -> Any:
     """Shows a cut that aiohttp would hide by sending a GET again."""
     try:
         return await handler(request)
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _CutError from error
+        raise CutError from error
 
 
 class Caller:
@@ -111,7 +111,7 @@
                 session.get(
                     self._nodes[node] + "/look",
                     headers=self._fields(work),
-                    middlewares=(_never_resend,),
+                    middlewares=(never_resend,),
                 ) as response,
             ):
                 body = await response.read()
@@ -120,7 +120,7 @@
         except (TimeoutError, aiohttp.ClientConnectorError):
             # Nothing was cut: no answer in time, or no process there.
             pass
-        except (_CutError, aiohttp.ClientError):
+        except (CutError, aiohttp.ClientError):
             cut = True
         return checks.Told(
             work,
--- a/endivewind/tests/proofs/calls.py
+++ b/endivewind/tests/proofs/calls.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from endivewind import headers
+from endivewind.soak import callers
 from endivewind.standins import target as standin
 from endivewind.tests import processes
 
@@ -48,20 +49,6 @@
         return json.loads(self.body)
 
 
-class _CutError(Exception):
-    """A connection that broke before the answer."""
-
-
-async def _never_resend(request, handler):
-    """Shows a cut that aiohttp would hide by sending a GET again."""
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _CutError from error
-
-
 class Caller:
     """A caller with connections of its own."""
 
@@ -96,14 +83,14 @@
                     url,
                     headers=sent,
                     data=body,
-                    middlewares=(_never_resend,),
+                    middlewares=(callers.never_resend,),
                 ) as response,
             ):
                 read = await response.read()
                 return Reply(response.status, dict(response.headers), read)
         except aiohttp.ClientConnectorError:
             return Reply(0)
-        except (aiohttp.ClientError, _CutError):
+        except (aiohttp.ClientError, callers.CutError):
             return Reply(0, cut=True)
 
     async def key(
