Soak with answers in parts; a relay that loses bytes stays silent

Change: a fifth of the look-ups are answered in parts over two seconds. The relay dropped bytes for 0.6 s and then passed on what followed on the same connection, which TCP never does.

--- a/endivewind/soak/callers.py
+++ b/endivewind/soak/callers.py
@@ -20,6 +20,9 @@
 # Of the work, this part takes half a second at the target, so that faults
 # meet requests that run.
 SLOW_SHARE = 0.3
+# Of the look-ups, this part is answered in parts over two seconds, so that
+# stops and broken links meet answers that are on their way.
+STREAMED_SHARE = 0.2
 
 
 class CutError(Exception):
@@ -104,13 +107,17 @@
     ) -> checks.Told:
         node = self._rng.choice(list(self._nodes))
         start = _since(began)
+        fields = self._fields(work)
+        streamed = self._rng.random() < STREAMED_SHARE
+        if streamed:
+            fields[target.FAULT_HEADER] = target.Fault.SLOW_STREAM.value
         status, outcome, body, cut = 0, "", b"", False
         try:
             async with (
                 asyncio.timeout(LONGEST_WAIT.total_seconds()),
                 session.get(
                     self._nodes[node] + "/look",
-                    headers=self._fields(work),
+                    headers=fields,
                     middlewares=(never_resend,),
                 ) as response,
             ):
@@ -130,8 +137,9 @@
             _since(began),
             status,
             outcome,
-            _named(body),
+            _streamed(body, work) if streamed else _named(body),
             cut,
+            streamed,
         )
 
 
@@ -139,6 +147,12 @@
     return asyncio.get_running_loop().time() - began
 
 
+def _streamed(body: bytes, work: str) -> str:
+    """The work, if the whole stream has come; a stream names none itself."""
+    whole = target.PART_BYTES * target.STREAM_PARTS
+    return work if len(body) == whole else ""
+
+
 def _named(body: bytes) -> str:
     """The work that a target's answer names; empty if it is not whole."""
     try:
--- a/endivewind/soak/checks.py
+++ b/endivewind/soak/checks.py
@@ -48,6 +48,7 @@
       outcome: what the system says; empty for a target's answer.
       named: the work that the answer names; empty where it names none.
       cut: whether the connection broke after the request was sent.
+      streamed: whether the answer came in parts.
     """
 
     work: str
@@ -59,11 +60,24 @@
     outcome: str = ""
     named: str = ""
     cut: bool = False
+    streamed: bool = False
+
+
+# In an outage: whatever node the callers have asked.
+ANY = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outage:
-    """A time in which a node's callers may lose their connections."""
+    """A time in which a node's callers may lose their connections.
+
+    Attributes:
+      node: a node that was killed; ANY where a link, a home or a target
+        failed: an answer that is on its way through them in parts can't be
+        ended as if it were whole, so its entry has to cut it.
+      began: seconds after the run's begin.
+      ended: the same.
+    """
 
     node: str
     began: float
@@ -117,7 +131,7 @@
     if item.ended - item.began < CLOSING_SECONDS:
         return True
     return any(
-        outage.node == item.node
+        outage.node in ((item.node, ANY) if item.streamed else (item.node,))
         and outage.began <= item.ended
         and item.began <= outage.ended
         for outage in outages
--- a/endivewind/soak/runs.py
+++ b/endivewind/soak/runs.py
@@ -27,6 +27,17 @@
 # after ten; then the promises hold again.
 RECOVERY_SECONDS = 25.0
 PROBES = 20
+# A silent link or target is given up after some seconds, also when the fault
+# has ended before.
+NOTICE_SECONDS = 4.0
+_BREAKS_STREAMS = frozenset(
+    {
+        Kind.NODE_KILLED,
+        Kind.NODE_PAUSED,
+        Kind.TARGET_KILLED,
+        Kind.TARGET_PAUSED,
+    }
+)
 # A node asks the others for two seconds before it answers operators.
 _ASK_SECONDS = 4
 _OBJECT = f"service/{fleets.SERVICE}"
@@ -135,6 +146,10 @@
         """Begins one fault in time, waits, and ends it."""
         await self._until(fault.at)
         group = fault.kind.value.partition("-")[0]
+        if group == "link" or fault.kind in _BREAKS_STREAMS:
+            noticed = fault.ends + NOTICE_SECONDS
+            outage = checks.Outage(checks.ANY, fault.at, noticed)
+            self._outages.append(outage)
         match group:
             case "node":
                 await self._node_fault(fault, self._subject(fault, "node"))
--- a/endivewind/standins/relay.py
+++ b/endivewind/standins/relay.py
@@ -35,6 +35,8 @@
         self.upstream = ""
         self.towards = Mode.PASS
         self.back = Mode.PASS
+        # Of connections, in both directions.
+        self.lost_bytes = 0
         self._server: asyncio.Server | None = None
         self._udp: asyncio.DatagramTransport | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -101,9 +103,16 @@
         writer: asyncio.StreamWriter,
         mode: collections.abc.Callable[[], Mode],
     ) -> None:
+        lost = False
         try:
             while data := await reader.read(65_536):
-                await _pass(data, writer, mode)
+                # TCP never delivers what comes after a loss: the connection
+                # stays silent in this direction, also when others pass again.
+                lost = lost or mode() is Mode.DROP
+                if lost:
+                    self.lost_bytes += len(data)
+                else:
+                    await _pass(data, writer, mode)
         except OSError:
             # One end has gone; the other is told by the close below.
             pass
@@ -116,9 +125,7 @@
     writer: asyncio.StreamWriter,
     mode: collections.abc.Callable[[], Mode],
 ) -> None:
-    """Passes bytes on as the mode says while they pass."""
-    if mode() is Mode.DROP:
-        return
+    """Passes bytes on as slowly as the mode says."""
     if mode() is Mode.DELAY:
         await asyncio.sleep(DELAY_SECONDS)
     while data and mode() is Mode.DRIP:
--- a/endivewind/standins/target.py
+++ b/endivewind/standins/target.py
@@ -23,6 +23,7 @@
 HANG = datetime.timedelta(hours=1)
 PART_BYTES = 500
 WHOLE_BYTES = 200_000
+STREAM_PARTS = WHOLE_BYTES // PART_BYTES // 20
 
 _PAUSE = datetime.timedelta(milliseconds=100)
 
@@ -206,7 +207,7 @@
     response = web.StreamResponse()
     response.enable_chunked_encoding()
     await response.prepare(request)
-    for _ in range(WHOLE_BYTES // PART_BYTES // 20):
+    for _ in range(STREAM_PARTS):
         await response.write(b"x" * PART_BYTES)
         await asyncio.sleep(_PAUSE.total_seconds())
     await response.write_eof()
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -261,8 +261,8 @@
 def main() -> int:
     """Runs every mutant, or those whose name holds an argument."""
     wanted = sys.argv[1:]
-    if wanted == ["--soak"]:
-        return _soak_all()
+    if wanted[:1] == ["--soak"]:
+        return _soak_all(wanted[1:])
     chosen = [
         mutant
         for mutant in MUTANTS
@@ -283,11 +283,12 @@
     return caught
 
 
-def _soak_all() -> int:
+def _soak_all(wanted: list[str]) -> int:
     """Plays seeds of the soak with each of SOAKED until one is red."""
     lost = 0
     for mutant in MUTANTS:
-        if mutant.name not in SOAKED:
+        named = not wanted or any(word in mutant.name for word in wanted)
+        if mutant.name not in SOAKED or not named:
             continue
         seeds = _seeds_until_red(mutant)
         lost += seeds is None
--- a/endivewind/tests/soak/checks_tests.py
+++ b/endivewind/tests/soak/checks_tests.py
@@ -64,6 +64,20 @@
         ):
             self.assertEqual([Promise.STOPS], _promises(cut, 1, [outage]))
 
+    def test_a_broken_link_may_cut_a_stream_and_nothing_else(self):
+        """A home's link breaks while an answer comes through it in parts.
+
+        The entry must not end the answer as if it were whole, so it cuts its
+        caller. One that did not come in parts is answered as unknown instead.
+        """
+        broken = checks.Outage(checks.ANY, 1.5, 3.0)
+        cut = dataclasses.replace(GOOD, status=0, named="", cut=True)
+        streamed = dataclasses.replace(cut, streamed=True)
+
+        self.assertEqual([], _promises(streamed, 1, [broken]))
+        self.assertEqual([Promise.STOPS], _promises(cut, 1, [broken]))
+        self.assertEqual([Promise.STOPS], _promises(streamed, 1))
+
 
 class OthersTest(unittest.TestCase):
     def test_a_version_that_falls_is_found(self):
