--- a/endivewind/standins/relay.py
+++ b/endivewind/standins/relay.py
@@ -35,8 +35,8 @@
         self.upstream = ""
         self.towards = Mode.PASS
         self.back = Mode.PASS
-        # Of connections, in both directions.
-        self.lost_bytes = 0
+        # Set once bytes of a connection have been dropped.
+        self.has_lost = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._udp: asyncio.DatagramTransport | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -110,7 +110,7 @@
                 # stays silent in this direction, also when others pass again.
                 lost = lost or mode() is Mode.DROP
                 if lost:
-                    self.lost_bytes += len(data)
+                    self.has_lost.set()
                 else:
                     await _pass(data, writer, mode)
         except OSError:
--- a/endivewind/tests/standins/relay_tests.py
+++ b/endivewind/tests/standins/relay_tests.py
@@ -32,8 +32,7 @@
             between.towards = relay.Mode.DROP
             first.write(b"lost")
             await first.drain()
-            while not between.lost_bytes:
-                await asyncio.sleep(0)
+            await between.has_lost.wait()
             between.towards = relay.Mode.PASS
             first.write(b"late")
             await first.drain()
