Read the first problem of a platform's message in one place

client, configuration and heartbeats each took a validation error apart the same way; wire.first_problem serves all three. What is logged and answered is the same.

--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -186,7 +186,7 @@
         try:
             return expression.Ok(decode(body))
         except pydantic.ValidationError as error:
-            return _error(messages.Failure.INVALID, _first_line(error))
+            return _error(messages.Failure.INVALID, wire.problem_line(error))
 
     async def _admitted(self) -> bool:
         """Waits for the budget, but no longer than a call may take."""
@@ -265,7 +265,9 @@
         try:
             current = wire.object_in(path.split("/")[2], body)
         except pydantic.ValidationError as error:
-            log.debug("a conflict without its object: %s", _first_line(error))
+            log.debug(
+                "a conflict without its object: %s", wire.problem_line(error)
+            )
     return _error(failure, detail, current, _retry_after(response))
 
 
@@ -276,9 +278,3 @@
     if not (given.isascii() and given.isdigit() and len(given) < 5):
         return None
     return datetime.timedelta(seconds=int(given))
-
-
-def _first_line(error: pydantic.ValidationError) -> str:
-    first = error.errors(include_url=False, include_input=False)[0]
-    place = ".".join(str(part) for part in first["loc"])
-    return f"{place}: {first['msg']}"
--- a/endivewind/platform/configuration.py
+++ b/endivewind/platform/configuration.py
@@ -11,6 +11,7 @@
 from endivewind.config import store
 from endivewind.platform import messages
 from endivewind.platform import names
+from endivewind.platform import wire
 
 _HEX = 16
 _REPEAT = {"safe": objects.Repeat.ALWAYS}
@@ -110,9 +111,7 @@
         if nowhere:
             return expression.Error(f"{nowhere[0].prefix} leads nowhere")
     except pydantic.ValidationError as error:
-        first = error.errors(include_url=False, include_input=False)[0]
-        place = ".".join(str(part) for part in first["loc"])
-        return expression.Error(f"{place}: {first['msg']}")
+        return expression.Error(wire.problem_line(error))
     envelope = store.Envelope(
         spec=document.model_dump(mode="json", exclude_defaults=True),
         operation=given.version,
--- a/endivewind/platform/heartbeats.py
+++ b/endivewind/platform/heartbeats.py
@@ -8,6 +8,7 @@
 
 from endivewind import logs
 from endivewind.platform import names
+from endivewind.platform import wire
 from endivewind.targets import records
 from endivewind.targets import registration
 from endivewind.targets import registry
@@ -121,8 +122,7 @@
 
 
 def _bad(target: str, error: pydantic.ValidationError) -> web.Response:
-    first = error.errors(include_url=False, include_input=False)[0]
-    place = ".".join(str(part) for part in first["loc"])
-    fields = logs.fields(target=target, place=place, problem=first["msg"])
+    place, problem = wire.first_problem(error)
+    fields = logs.fields(target=target, place=place, problem=problem)
     log.warning("heartbeat that can't be read", extra=fields)
     return web.json_response({"title": "bad heartbeat"}, status=400)
--- a/endivewind/platform/wire.py
+++ b/endivewind/platform/wire.py
@@ -73,6 +73,17 @@
     return {"metadata": metadata, "spec": value}
 
 
+def first_problem(error: pydantic.ValidationError) -> tuple[str, str]:
+    """Where the first problem of a message is, and what it is."""
+    first = error.errors(include_url=False, include_input=False)[0]
+    return ".".join(str(part) for part in first["loc"]), first["msg"]
+
+
+def problem_line(error: pydantic.ValidationError) -> str:
+    """The first problem of a message with its place, in one line."""
+    return ": ".join(first_problem(error))
+
+
 def bytes_out(value: dict[str, Any]) -> bytes:
     """JSON without spaces: its bytes are paid for between regions."""
     return json.dumps(value, separators=(",", ":")).encode()
