--- a/endivewind/nodes/membership.py
+++ b/endivewind/nodes/membership.py
@@ -377,7 +377,6 @@
             if known.state is State.SUSPECT:
                 if now - since < SUSPICION_TIMEOUT or self.doubtful:
                     continue
-                self._asked.pop(name, None)
                 dead = dataclasses.replace(known, state=State.DEAD)
                 self._put(dead)
                 output.append(Spread(dead))
@@ -477,9 +476,9 @@
     def _put(self, record: MemberRecord) -> None:
         name = record.node.name
         self._members[name] = record
+        self._asked.pop(name, None)
         if record.state is State.ALIVE:
             self._changed_at.pop(name, None)
-            self._asked.pop(name, None)
         else:
             self._changed_at[name] = self._clock.monotonic()
 
