Hold what is told in the types that stand: a glance and a count

A condition repeated the fields of exchange.Glance and a tally those of retries.Count, and both were taken apart and put together again on the way. The threshold of doubt stood twice, for probing and for telling, and must be one: an entry probes what its zone is told of.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -43,8 +43,7 @@
         """Takes what another entry of the zone has used of its part."""
         known = self._budgets.get(tally.service)
         if known is not None:
-            count = retries.Count(tally.requests, tally.retries)
-            known.hear(node, count, self._clock.monotonic())
+            known.hear(node, tally.count, self._clock.monotonic())
 
     def due(self) -> tuple[telling.Tally, ...]:
         """Tallies that the other entries of the zone must hear now.
@@ -61,9 +60,7 @@
             told = self._told.get(service, 0)
             if count.retries != told and budget.is_small(now):
                 self._told[service] = count.retries
-                found.append(
-                    telling.Tally(service, count.requests, count.retries)
-                )
+                found.append(telling.Tally(service, count))
         if found:
             self._last = now
         return tuple(found)
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -225,8 +225,8 @@
 
     def hear(self, condition: telling.Condition) -> None:
         """Takes what a home has told without being asked."""
-        glance = exchange.Glance(condition.load, condition.suspicion)
-        self._of(condition.target).tell(glance, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._of(condition.target).tell(condition.glance, now)
 
     def forget(self, targets: collections.abc.Iterable[str]) -> None:
         """Drops targets that the fleet no longer has, once they are idle."""
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -10,6 +10,7 @@
 
 from endivewind.decisions import ejection
 from endivewind.decisions import floor
+from endivewind.decisions import suspicion
 
 # An entry uses this many targets of a service in each tier. It bounds the
 # work for a request, and the connections, at services of any size.
@@ -29,9 +30,8 @@
 # Between two good ones, this much of a slot's load for a sure sickness.
 DOUBT_ONCE = 3.0
 DOUBT_REPEATABLE = 0.5
-# A target that is likelier sick than one of which nothing is known gets every
-# other repeatable request of its zone, one at a time, until it is clear.
-PROBE_FROM = 0.13
+# A target in doubt gets every other repeatable request of its zone, one at a
+# time, until it is clear.
 PROBE_SHARE = 0.5
 # Seconds between an entry's questions: entries of a zone that all doubt one
 # target would else send at once. Above even odds they grow to one second, a
@@ -286,7 +286,7 @@
         doubt = load.suspicion(item.id)
         sure = max(0.0, doubt - PROBE_AT_ONCE)
         gap = PROBE_GAP + PROBE_GAP_SURE * sure
-        if doubt < PROBE_FROM or load.own(item.id):
+        if doubt < suspicion.DOUBTFUL or load.own(item.id):
             continue
         if load.told_ago(item.id) < gap:
             continue
--- a/endivewind/decisions/suspicion.py
+++ b/endivewind/decisions/suspicion.py
@@ -40,6 +40,9 @@
 _DRIFT = 1 / SICK_FOR.total_seconds() + 1 / WELL_FOR.total_seconds()
 # What is believed of a target that nobody has told anything of.
 UNKNOWN = _USUAL
+# A target that is likelier sick than this is in doubt: just above UNKNOWN. It
+# is asked by what may repeat until it is clear, and told of to its zone.
+DOUBTFUL = 0.13
 
 
 def drifted(probability: float, age: datetime.timedelta) -> float:
--- a/endivewind/decisions/telling.py
+++ b/endivewind/decisions/telling.py
@@ -4,11 +4,10 @@
 import dataclasses
 import datetime
 
+from endivewind import exchange
+from endivewind.decisions import retries
 from endivewind.decisions import suspicion
 
-# A target that is likelier sick than this is worth a message: above what is
-# believed of a target that nobody has told anything of.
-DOUBTFUL = 0.13
 # Between two messages of a home. At most four a second to HEARERS nodes, each
 # of about 90 bytes, stay below 9 KB a second, also while a target is sick for
 # hours.
@@ -24,13 +23,11 @@
 
     Attributes:
       target: the target's id.
-      load: requests that are at the target or wait for it.
-      suspicion: how likely it is sick, from 0 to 1.
+      glance: the same that goes with each answer of it.
     """
 
     target: str
-    load: int
-    suspicion: float
+    glance: exchange.Glance
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,13 +36,11 @@
 
     Attributes:
       service: whose budget.
-      requests: requests in the window.
-      retries: retries in the window.
+      count: of the entry.
     """
 
     service: str
-    requests: int
-    retries: int
+    count: retries.Count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,7 +107,7 @@
         for item in found:
             condition = item.condition
             self._told[condition.target] = _Told(
-                item.signals, condition.suspicion, now
+                item.signals, condition.glance.suspicion, now
             )
         if found:
             self._last = now
@@ -120,14 +115,14 @@
         return tuple(item.condition for item in found)
 
     def _is_news(self, state: State, now: datetime.timedelta) -> bool:
-        condition = state.condition
-        told = self._told.get(condition.target)
+        doubt = state.condition.glance.suspicion
+        told = self._told.get(state.condition.target)
         if told is None:
-            return condition.suspicion >= DOUBTFUL
+            return doubt >= suspicion.DOUBTFUL
         if state.signals == told.signals:
             return False
         believed = suspicion.drifted(told.suspicion, now - told.at)
-        return max(condition.suspicion, believed) >= DOUBTFUL
+        return max(doubt, believed) >= suspicion.DOUBTFUL
 
     def _forget(self, states: list[State]) -> None:
         held = {item.condition.target for item in states}
--- a/endivewind/nodes/datagrams.py
+++ b/endivewind/nodes/datagrams.py
@@ -8,6 +8,8 @@
 from typing import cast
 import zlib
 
+from endivewind import exchange
+from endivewind.decisions import retries
 from endivewind.decisions import telling
 from endivewind.nodes import changes
 from endivewind.nodes import codec
@@ -142,8 +144,8 @@
 def _condition_out(condition: telling.Condition) -> Any:
     return codec.messages.Condition(
         target=condition.target,
-        load=condition.load,
-        suspicion=round(_THOUSAND * condition.suspicion),
+        load=condition.glance.load,
+        suspicion=round(_THOUSAND * condition.glance.suspicion),
     )
 
 
@@ -152,14 +154,15 @@
         raise ValueError("a condition without its target")
     suspicion = min(max(0, condition.suspicion or 0), _THOUSAND)
     load = max(0, condition.load or 0)
-    return telling.Condition(condition.target, load, suspicion / _THOUSAND)
+    glance = exchange.Glance(load, suspicion / _THOUSAND)
+    return telling.Condition(condition.target, glance)
 
 
 def _tally_out(tally: telling.Tally) -> Any:
     return codec.messages.Tally(
         service_name=tally.service,
-        requests=tally.requests,
-        retries=tally.retries,
+        requests=tally.count.requests,
+        retries=tally.count.retries,
     )
 
 
@@ -167,9 +170,8 @@
     if not tally.service_name:
         raise ValueError("a tally without its service")
     requests = max(0, tally.requests or 0)
-    return telling.Tally(
-        tally.service_name, requests, max(0, tally.retries or 0)
-    )
+    count = retries.Count(requests, max(0, tally.retries or 0))
+    return telling.Tally(tally.service_name, count)
 
 
 class DatagramSocket(asyncio.DatagramProtocol):
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -97,11 +97,7 @@
     def state(self, now: datetime.timedelta) -> telling.State:
         """What the entries near by may have to be told of it."""
         return telling.State(
-            telling.Condition(
-                self.record.id,
-                self.slots.load,
-                self.suspicion.probability(now),
-            ),
+            telling.Condition(self.record.id, self.glance(now)),
             self.suspicion.signals,
         )
 
--- a/endivewind/tests/decisions/telling_tests.py
+++ b/endivewind/tests/decisions/telling_tests.py
@@ -3,6 +3,7 @@
 import datetime
 import unittest
 
+from endivewind import exchange
 from endivewind.decisions import suspicion
 from endivewind.decisions import telling
 
@@ -21,9 +22,8 @@
         self.now += span
 
     def due(self):
-        condition = telling.Condition(
-            "t1", 0, self.suspicion.probability(self.now)
-        )
+        glance = exchange.Glance(0, self.suspicion.probability(self.now))
+        condition = telling.Condition("t1", glance)
         state = telling.State(condition, self.suspicion.signals)
         return self.teller.due([state], self.now)
 
@@ -45,9 +45,9 @@
             self.take(suspicion.Signal.GOOD)
             told += self.due()
 
-        self.assertLess(told[-1].suspicion, telling.DOUBTFUL)
+        self.assertLess(told[-1].glance.suspicion, suspicion.DOUBTFUL)
         self.assertEqual(
-            [], [item for item in told[:-1] if item.suspicion < 0.11]
+            [], [item for item in told[:-1] if item.glance.suspicion < 0.11]
         )
 
     def test_silence_about_a_sick_target_is_no_news(self):
@@ -72,7 +72,9 @@
         self.take(suspicion.Signal.FAILED)
         self.due()
         self.pause()
-        other = telling.State(telling.Condition("t2", 0, 0.9), 1)
+        other = telling.State(
+            telling.Condition("t2", exchange.Glance(0, 0.9)), 1
+        )
         self.teller.due([other], self.now)
         self.pause()
 
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from endivewind import exchange
+from endivewind.decisions import retries
 from endivewind.decisions import telling
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
@@ -170,8 +172,8 @@
 
     def test_news_of_a_zone_come_through(self):
         news = telling.News(
-            (telling.Condition("riders-1", 2, 0.413),),
-            (telling.Tally("riders", 20, 3),),
+            (telling.Condition("riders-1", exchange.Glance(2, 0.413)),),
+            (telling.Tally("riders", retries.Count(20, 3)),),
         )
         datagram = gossip.Datagram("n1", 7, news=news)
 
