Count doubt of a target only above the usual

Cause: of two targets with equal load the less suspicious was taken, however small the difference. Change: what counts is the doubt above that of a target without news. The demo's test took either exit code, computed from the output; it now holds the demo to success.

--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -342,7 +342,7 @@
     doubt = DOUBT_REPEATABLE if demand.may_fail else DOUBT_ONCE
     costs = [
         (load.in_use(item.id) + 1) / item.slots
-        + doubt * load.suspicion(item.id)
+        + doubt * _doubt_above_usual(item, load)
         for item in items
     ]
     latencies = [load.latency(item.id) for item in items]
@@ -354,6 +354,17 @@
     return items[costs.index(min(costs))]
 
 
+def _doubt_above_usual(item: floor.Candidate, load: Load) -> float:
+    """How much likelier it is sick than a target that nothing is known of.
+
+    Load: few requests, most targets idle, some of them proven by their
+    answers. Harm: if less doubt than the usual counted for a target, the
+    proven ones would always win over one that has just come or has long been
+    idle; it would get no work for ever, and so nothing to prove itself by.
+    """
+    return max(0.0, load.suspicion(item.id) - suspicion.UNKNOWN)
+
+
 def _distance(place: Place, item: floor.Candidate) -> int:
     if item.region != place.region:
         return 2
--- a/endivewind/tests/commands/demo_tests.py
+++ b/endivewind/tests/commands/demo_tests.py
@@ -27,8 +27,9 @@
         self.assertEqual(200, counted, child.stderr)
         self.assertEqual([], [k for k in seen["refused"] if "not-run" not in k])
         self.assertLessEqual(set(value["ejected"]), {"riders-3"})
-        found = {*value["ejected"], *value["avoided"]} == {"riders-3"}
-        self.assertEqual(0 if found else 1, child.returncode)
+        without_work = {*value["ejected"], *value["avoided"]}
+        self.assertEqual({"riders-3"}, without_work, child.stdout)
+        self.assertEqual(0, child.returncode, child.stderr)
 
     def test_text_names_the_ejected(self):
         seen = demo.Seen(whole=3, failed=2, first_half_failed=2)
--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -38,9 +38,6 @@
 # A target that fails does so at once, without any work.
 FAILURE_SECONDS = 0.001
 LOOK_SECONDS = 0.1
-_ANNOUNCEMENT = registry.Announcement(
-    service=SERVICE, address="http://t", lease_ms=60_000, slots=SLOTS
-)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,6 +154,7 @@
         targets_per_zone: int = TARGETS_PER_ZONE,
         entries_per_zone: int = 1,
         tells: bool = True,
+        slots: int = SLOTS,
     ) -> None:
         """Builds the fleet.
 
@@ -165,7 +163,11 @@
           targets_per_zone: targets, each with a home of its own.
           entries_per_zone: entries, each with callers of its own.
           tells: whether homes tell entries near by of sick targets.
+          slots: of each target.
         """
+        self._announcement = registry.Announcement(
+            service=SERVICE, address="http://t", lease_ms=60_000, slots=slots
+        )
         self._tells = tells
         self._tellers = collections.defaultdict(telling.Teller)
         self.loop = virtual.VirtualLoop()
@@ -187,6 +189,11 @@
             for zone in ZONES
         }
 
+    def join(self, name, zone):
+        """Adds a target that nothing is known of; returns it."""
+        self._add_target(name, zone)
+        return self.targets[name]
+
     def _add_target(self, name, zone):
         target = self.targets[name] = Target(self.rng)
         home = registry.HomeIdentity(name, 1, zone[0], zone)
@@ -201,7 +208,11 @@
         )
         self._view.put_node(view.NodeRecord(name, 1, name, zone[0], zone))
         record = samples.target(
-            name, home=name, region=zone[0], zone=zone, slots=SLOTS
+            name,
+            home=name,
+            region=zone[0],
+            zone=zone,
+            slots=self._announcement.slots,
         )
         self._view.put_home(name, 1, 1, [record])
 
@@ -247,7 +258,7 @@
     def play(self, seconds, kinds, zones=ZONES, scale=1.0):
         """Lets callers of some zones send for a while."""
         for name, held in self._held.items():
-            held.announce(name, _ANNOUNCEMENT, SLOTS)
+            held.announce(name, self._announcement, self._announcement.slots)
         self.loop.run_until_complete(self._play(seconds, kinds, zones, scale))
 
     async def _play(self, seconds, kinds, zones, scale):
