Start gossip once links are taken; repeat downloads

Cause of the known red test: a node asked for the fleet's state before it accepted links. The answer came back within a millisecond and was lost; the next pull is three seconds later. Neither a lease nor the machine. Change: links are served before gossip starts. The proof now names the reason of a refusal.

A route of type download was decoded as work that must not repeat, so that it was never sent to a second target; it is a look-up with a large answer.

--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -126,6 +126,11 @@
 
         Nothing is accepted before all that answers it is built: callers and
         peers come back to a node's addresses the moment it listens again.
+
+        Gossip starts last. It asks a peer for the state of the fleet, which
+        comes back within a millisecond and over a link: where none was
+        accepted yet it was lost, and the next was asked for three seconds
+        later. Until then callers were refused for want of a target.
         """
         self._session = aiohttp.ClientSession()
         self._platform = client.PlatformClient(
@@ -136,9 +141,9 @@
         self._build_configuration()
         nodes = await self._bind_links()
         self._build_membership(nodes)
-        await self._gossip.start(nodes)
         addresses = await self._bind(nodes)
         await self._link_server.serve()
+        await self._gossip.start(nodes)
         for work in (
             *(item.run() for item in self._watchers),
             self._auditor.run(),
--- a/endivewind/platform/configuration.py
+++ b/endivewind/platform/configuration.py
@@ -14,7 +14,11 @@
 from endivewind.platform import wire
 
 _HEX = 16
-_REPEAT = {"safe": objects.Repeat.ALWAYS}
+# What may run more than once; a download is a look-up with a large answer.
+_REPEAT = {
+    "safe": objects.Repeat.ALWAYS,
+    "download": objects.Repeat.ALWAYS,
+}
 
 
 class _Metadata(pydantic.BaseModel):
@@ -30,8 +34,8 @@
     """A route as the operator writes it.
 
     Attributes:
-      route_type: "safe" for work that may run more than once; all else may
-        run at most once.
+      route_type: "safe" or "download" for work that may run more than once;
+        all else may run at most once.
       timeout_s: longest time that a caller is kept waiting.
       target_latency_s: time within which an answer earns most.
       priority: 0 is the most important.
--- a/endivewind/tests/platform/configuration_tests.py
+++ b/endivewind/tests/platform/configuration_tests.py
@@ -108,6 +108,16 @@
             ),
         )
 
+    def test_a_download_may_run_again_whatever_its_method(self):
+        """Only its answer is large; an order stays what runs once."""
+        given = copy.deepcopy(GIVEN)
+        given["resources"][1]["spec"]["route_type"] = "download"
+
+        orders, downloads = self._take(given).routes
+
+        self.assertIs(objects.Repeat.NEVER, orders.repeat)
+        self.assertIs(objects.Repeat.ALWAYS, downloads.repeat)
+
     def test_the_operators_version_orders_and_never_goes_back(self):
         """An older object arrives late, at a higher revision of the store."""
         self._take(GIVEN)
--- a/endivewind/tests/proofs/membership_tests.py
+++ b/endivewind/tests/proofs/membership_tests.py
@@ -130,7 +130,7 @@
             )
             await fleet.target("riders-1", "riders", [home])
             await entry.message("home heard", home="home", targets=["riders-1"])
-            self.assertEqual("503 not-run", await _send(entry))
+            self.assertEqual("503 not-run not-ready", await _send(entry))
 
             await _fault(fleet, [])
             await entry.message("in force", object="camerino")
@@ -171,7 +171,7 @@
 
 
 async def _send(node: processes.Process) -> str:
-    """The status, and who answered or what the refusal says of the work."""
+    """The status, and who answered or what the refusal says and why."""
     url = f"http://{node.listening['callers']}/work"
     async with (
         asyncio.timeout(SOON_SECONDS),
@@ -179,8 +179,10 @@
         session.get(url) as response,
     ):
         answer = await response.json(content_type=None)
-        outcome = response.headers.get("Endivewind-Outcome", "")
-        return f"{response.status} {answer.get('target', outcome)}"
+        told = response.headers.get("Endivewind-Outcome", "")
+        reason = response.headers.get("Endivewind-Reason", "")
+        who = answer.get("target") or f"{told} {reason}"
+        return f"{response.status} {who}"
 
 
 if __name__ == "__main__":
