Begin pipelined look-ups side by side

An order is begun only when it is first, and nothing overtakes it. A caller that leaves ends all of them. An answer closes the connection only where no target has one behind it. Deadlines count from the reading. The listener's module is parted: one request (calls), connections, the listener.

--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -1,25 +1,27 @@
-"""The listener for callers: HTTP by aiohttp."""
+"""The listener for callers: from an HTTP request to an exchange and back.
+
+A request comes from connections; what is routed and in order goes on to the
+gateway, or to ticketing where it must not repeat.
+"""
 
 import asyncio
 import collections.abc
 import contextlib
-import dataclasses
 import datetime
 import logging
-import os
 from typing import Any
 
 from aiohttp import web
 import expression
-import multidict
 
 from endivewind import exchange
 from endivewind import headers
 from endivewind import logs
+from endivewind.callers import calls
+from endivewind.callers import connections
 from endivewind.callers import gateway
 from endivewind.callers import problems
 from endivewind.callers import ticketing
-from endivewind.callers import tickets
 from endivewind.callers import waiting
 from endivewind.config import objects
 from endivewind.config import settings
@@ -27,11 +29,7 @@
 log = logging.getLogger(__name__)
 
 MAX_TIMEOUT = datetime.timedelta(minutes=10)
-_MAX_ID = 128
 _READ_BYTES = 65_536
-_ID_BYTES = 16
-# What only the system may say to a caller.
-_OWN_FIELDS = (headers.OUTCOME, headers.REASON)
 # A caller that is answered before its body ends gets this long to read the
 # answer before its connection is closed.
 LINGER = datetime.timedelta(seconds=1)
@@ -40,23 +38,6 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Dialect:
-    """How callers speak to this node.
-
-    Attributes:
-      names: the headers that they use.
-      caller_service: the service on this VM, which targets are told; empty
-        where there is none.
-      tickets: whether work that must not repeat needs a ticket; else the id
-        of each request names it.
-    """
-
-    names: headers.Names = headers.OWN
-    caller_service: str = ""
-    tickets: bool = True
-
-
 class Listener:
     """Turns HTTP requests into exchanges and answers them."""
 
@@ -66,7 +47,7 @@
         ticketed: ticketing.Ticketing,
         limits: settings.Limits,
         not_ready: collections.abc.Callable[[], str | None],
-        dialect: Dialect | None = None,
+        dialect: calls.Dialect | None = None,
     ) -> None:
         """Serves nothing before server() is started.
 
@@ -81,10 +62,11 @@
         self._tickets = ticketed
         self._limits = limits
         self._not_ready = not_ready
-        self.speak(dialect or Dialect())
+        self.speak(dialect or calls.Dialect())
         self._counts = served.counts
         self._leaving = False
         self._in_flight = 0
+        self._dropped: set[asyncio.Task[None]] = set()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -93,10 +75,10 @@
         """Requests being served now."""
         return self._in_flight
 
-    def speak(self, dialect: Dialect) -> None:
+    def speak(self, dialect: calls.Dialect) -> None:
         """Takes how callers speak from the next request on."""
         self._dialect = dialect
-        self._fields = _RequestFields.from_dialect(dialect)
+        self._fields = calls.RequestFields.from_dialect(dialect)
 
     def limit(self, limits: settings.Limits) -> None:
         """Takes the bounds of this process from the next request on."""
@@ -108,8 +90,10 @@
 
     def server(self) -> web.Server:
         """The HTTP server; a caller that leaves cancels its request."""
-        return _Server(
+        return connections.Server(
             self.handle,
+            self.begin,
+            self.drop,
             self._connection_options,
             access_log=None,
             auto_decompress=False,
@@ -133,28 +117,102 @@
         self._leaving = True
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serves one request."""
-        self._in_flight += 1
-        self._idle.clear()
-        started = self._counts.started()
-        call = _Call(request, self._dialect)
+        """Serves one request, or answers it where it was begun before."""
+        connection = _connection(request)
+        begun = connection.turn() or self._open(request)
+        call = begun.call
+        call.request = request
         result: gateway.AnswerResult | None = None
         try:
-            result = await self._serve(call)
+            result = await self._result(begun, connection)
             if result.is_error():
                 _log_refusal(call, result.error)
                 return self._refusal(call, result.error)
             return await self._respond(call, result.ok)
         finally:
-            self._counts.ended(started, call.service, result)
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
+            connection.end_turn()
+            self._close(begun, result)
+
+    def begin(self, request: web.BaseRequest) -> connections.Begun | None:
+        """Starts a request before its turn, if it may run beside others.
+
+        What would be refused waits for its turn, and so does all that comes
+        while the node leaves: it has not been read, and the caller sends it
+        elsewhere once the connection is closed.
+        """
+        call = calls.Call(request, self._dialect)
+        route = self._route(call)
+        if self._leaving or route is None:
+            return None
+        if not gateway.may_repeat(route, request.method):
+            return None
+        if self._admit(call) is not None:
+            return None
+        begun = self._open(request, call)
+        begun.task = asyncio.create_task(self._pass_on(call))
+        return begun
+
+    def drop(self, begun: connections.Begun) -> None:
+        """Ends a request that was begun, and frees what its answer holds."""
+        task = asyncio.create_task(self._discard(begun))
+        self._dropped.add(task)
+        task.add_done_callback(self._dropped.discard)
+
+    async def _discard(self, begun: connections.Begun) -> None:
+        assert begun.task is not None
+        begun.task.cancel()
+        try:
+            result = await begun.task
+            if result.is_ok() and result.ok.rest is not None:
+                await result.ok.rest.aclose()
+        except asyncio.CancelledError:
+            return
+        finally:
+            self._close(begun, None)
+
+    def _open(
+        self, request: web.BaseRequest, call: calls.Call | None = None
+    ) -> connections.Begun:
+        """Counts a request as being served."""
+        self._in_flight += 1
+        self._idle.clear()
+        return connections.Begun(
+            call or calls.Call(request, self._dialect), self._counts.started()
+        )
 
-    async def _serve(self, call: "_Call") -> gateway.AnswerResult:
-        refusal = self._admit(call) or await self._read_body(call)
+    def _close(
+        self, begun: connections.Begun, result: gateway.AnswerResult | None
+    ) -> None:
+        """Counts a request's end; no result where its caller left."""
+        self._counts.ended(begun.started, begun.call.service, result)
+        self._in_flight -= 1
+        if not self._in_flight:
+            self._idle.set()
+
+    async def _result(
+        self, begun: connections.Begun, connection: connections.Connection
+    ) -> gateway.AnswerResult:
+        """What came of a request whose turn it is."""
+        if begun.task is not None:
+            self._let_ahead(begun.call, connection)
+            return await begun.task
+        refusal = self._admit(begun.call)
+        if refusal is None:
+            self._let_ahead(begun.call, connection)
+            refusal = await self._read_body(begun.call)
         if refusal is not None:
             return expression.Error(refusal)
+        return await self._pass_on(begun.call)
+
+    def _let_ahead(
+        self, call: calls.Call, connection: connections.Connection
+    ) -> None:
+        """Lets requests behind this one begin, if it may be repeated."""
+        if not call.once and call.request.keep_alive:
+            connection.open_turn()
+
+    async def _pass_on(self, call: calls.Call) -> gateway.AnswerResult:
+        """Hands a request in order over to what runs it."""
         route = call.route
         head = exchange.RequestHead(
             request_id=call.request_id,
@@ -174,11 +232,13 @@
             return await self._tickets.serve(route, head, call.body)
         return await self._gateway.serve(route, head, call.body)
 
-    def _admit(self, call: "_Call") -> exchange.Refusal | None:
-        """Routes a request whose head is in order; its body is unread."""
-        host = _host(call.request.headers.get("Host", ""))
+    def _route(self, call: calls.Call) -> objects.Route | None:
         path = call.path.partition("?")[0]
-        route = self._gateway.route(host, path, call.workspace)
+        return self._gateway.route(call.host, path, call.workspace)
+
+    def _admit(self, call: calls.Call) -> exchange.Refusal | None:
+        """Routes a request whose head is in order; its body is unread."""
+        route = self._route(call)
         missing = self._not_ready() if route is None else None
         if missing:
             # Without its configuration a node can't tell a route that does
@@ -188,7 +248,8 @@
                 exchange.Reason.NOT_READY, missing, NOT_READY_RETRY
             )
         if route is None:
-            return call.refuse(exchange.Reason.NO_ROUTE, f"no route for {host}")
+            detail = f"no route for {call.host}"
+            return call.refuse(exchange.Reason.NO_ROUTE, detail)
         call.route = route
         call.service = self._gateway.service_of(route)
         call.once = not gateway.may_repeat(route, call.request.method)
@@ -205,7 +266,7 @@
             name = self._dialect.names.timeout_ms
             detail = f"{name} must be a whole number from 1"
             return call.refuse(exchange.Reason.BAD_REQUEST, detail)
-        call.deadline = _now() + remaining
+        call.deadline = calls.now() + remaining
         return None
 
     def _remaining(
@@ -220,7 +281,7 @@
         asked = datetime.timedelta(milliseconds=int(given))
         return min(asked, limit or MAX_TIMEOUT, MAX_TIMEOUT)
 
-    def _body_limit(self, call: "_Call") -> int:
+    def _body_limit(self, call: calls.Call) -> int:
         """Most bytes of a body; one that must not repeat is held whole.
 
         A resend is recognised by its body, so none of it may be passed on
@@ -234,7 +295,7 @@
         limits = self._gateway.limits()
         return limits.body_bytes if limits else self._limits.body_bytes
 
-    async def _read_body(self, call: "_Call") -> exchange.Refusal | None:
+    async def _read_body(self, call: calls.Call) -> exchange.Refusal | None:
         """Reads the body, whole where it is small or must not repeat."""
         request = call.request
         if not request.body_exists:
@@ -254,7 +315,9 @@
             return None
         return await self._hold(call, limit)
 
-    async def _hold(self, call: "_Call", limit: int) -> exchange.Refusal | None:
+    async def _hold(
+        self, call: calls.Call, limit: int
+    ) -> exchange.Refusal | None:
         """Reads the whole body; nothing of it has gone on to a target."""
         try:
             async with asyncio.timeout(call.remaining().total_seconds()):
@@ -285,7 +348,7 @@
             raise exchange.TruncatedBodyError(str(error)) from error
 
     def _refusal(
-        self, call: "_Call", refusal: exchange.Refusal
+        self, call: calls.Call, refusal: exchange.Refusal
     ) -> web.Response:
         response = web.Response(
             status=problems.status(refusal),
@@ -295,21 +358,25 @@
             body=problems.body(refusal, call.request_id),
         )
         self._add_ticket(call, response)
-        if refusal.reason is exchange.Reason.STOPPING:
-            # The caller's next request goes to a node that stays.
+        stopping = refusal.reason is exchange.Reason.STOPPING
+        if stopping and not _connection(call.request).has_begun:
+            # The caller's next request goes to a node that stays. Those that
+            # targets already have are answered first.
             response.force_close()
         return response
 
-    def _add_ticket(self, call: "_Call", response: web.StreamResponse) -> None:
+    def _add_ticket(
+        self, call: calls.Call, response: web.StreamResponse
+    ) -> None:
         """Gives the caller a ticket for its next operation."""
         if call.ticketed and not self._leaving:
             ticket = self._tickets.issue(call.workspace)
             response.headers[headers.IDEMPOTENCY_KEY] = ticket
 
     async def _respond(
-        self, call: "_Call", answer: exchange.Answer
+        self, call: calls.Call, answer: exchange.Answer
     ) -> web.StreamResponse:
-        fields = _headers_out(answer, call, self._dialect.names)
+        fields = calls.headers_out(answer, call, self._dialect.names)
         if answer.rest is None:
             if call.request.method != "HEAD":
                 fields.popall("Content-Length", None)
@@ -338,117 +405,19 @@
         return stream
 
 
-class _Call:
-    """One request of a caller, and what is known of it so far."""
-
-    def __init__(self, request: web.BaseRequest, dialect: Dialect) -> None:
-        self.request = request
-        self._dialect = dialect
-        self.request_id = _request_id(request, dialect.names)
-        self.workspace = request.headers.get(headers.WORKSPACE, "")
-        self.ticket = request.headers.get(headers.IDEMPOTENCY_KEY, "")
-        self.once = False
-        self.route: objects.Route
-        self.service = ""
-        self.body = exchange.RequestBody()
-        self.deadline = datetime.timedelta()
-
-    @property
-    def ticketed(self) -> bool:
-        """Whether it must not repeat and needs a ticket."""
-        return self.once and self._dialect.tickets
-
-    @property
-    def work_name(self) -> str:
-        """What names its work at the homes, if it must not repeat."""
-        return self.ticket if self._dialect.tickets else self.request_id
-
-    @property
-    def path(self) -> str:
-        """Path and query as sent, without scheme and host."""
-        path = self.request.raw_path
-        return (
-            path if path.startswith("/") else self.request.rel_url.raw_path_qs
-        )
-
-    def remaining(self) -> datetime.timedelta:
-        """Time left until the deadline; never zero."""
-        return max(self.deadline - _now(), datetime.timedelta(milliseconds=1))
-
-    def refuse(
-        self,
-        reason: exchange.Reason,
-        detail: str,
-        retry_after: datetime.timedelta | None = None,
-    ) -> exchange.Refusal:
-        """A refusal of this send by the entry."""
-        refusal = exchange.not_run(reason, detail, retry_after)
-        if self._dialect.tickets and tickets.parse(self.ticket) is not None:
-            refusal = ticketing.unconfirmed(refusal)
-        return refusal
-
-
-class _Server(web.Server):
-    """An HTTP server whose own errors tell the outcome, too."""
-
-    def __init__(
-        self,
-        handler: collections.abc.Callable[
-            [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
-        ],
-        connection_options: collections.abc.Callable[[], dict[str, Any]],
-        **options: Any,
-    ) -> None:
-        super().__init__(handler, handler_cancellation=True, **options)
-        self._connection_options = connection_options
-        self._options = options
-
-    def __call__(self) -> web.RequestHandler:
-        """The handler of one connection."""
-        options = {**self._options, **self._connection_options()}
-        return _Connection(self, loop=asyncio.get_running_loop(), **options)
-
-
-class _Connection(web.RequestHandler):
-    """One caller's connection."""
-
-    __slots__ = ()
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answers what is not HTTP, or what a fault here has left open."""
-        if request.writer.output_size > 0:
-            raise ConnectionError("an answer has begun already")
-        if status < 500:
-            detail = (message or "not a valid request").strip()
-            refusal = exchange.not_run(exchange.Reason.BAD_REQUEST, detail)
-        else:
-            log.error("request failed", exc_info=exc)
-            refusal = exchange.unknown(
-                exchange.Reason.INTERNAL, "the node failed"
-            )
-        request_id = _new_request_id()
-        response = web.Response(
-            status=status,
-            headers=problems.header_fields(refusal, request_id),
-            body=problems.body(refusal, request_id),
-        )
-        response.force_close()
-        return response
+def _connection(request: web.BaseRequest) -> connections.Connection:
+    connection = request.protocol
+    assert isinstance(connection, connections.Connection)
+    return connection
 
 
-def _too_large(call: _Call, limit: int) -> exchange.Refusal:
+def _too_large(call: calls.Call, limit: int) -> exchange.Refusal:
     return call.refuse(
         exchange.Reason.BODY_TOO_LARGE, f"a body may have {limit} bytes"
     )
 
 
-def _log_refusal(call: _Call, refusal: exchange.Refusal) -> None:
+def _log_refusal(call: calls.Call, refusal: exchange.Refusal) -> None:
     """Logs a refusal: aloud only where the outcome is unknown.
 
     Under overload a node refuses thousands a second, and a line for each
@@ -478,87 +447,3 @@
         if len(held) > limit:
             return None
     return exchange.RequestBody(bytes(held))
-
-
-def _now() -> datetime.timedelta:
-    return datetime.timedelta(seconds=asyncio.get_running_loop().time())
-
-
-def _host(field: str) -> str:
-    """The Host field without its port."""
-    if field.endswith("]"):
-        return field
-    host, colon, _ = field.rpartition(":")
-    return host if colon else field
-
-
-def _request_id(request: web.BaseRequest, names: headers.Names) -> str:
-    given = request.headers.get(names.request_id, "")
-    usable = 0 < len(given) <= _MAX_ID and given.isascii()
-    return given if usable and given.isprintable() else _new_request_id()
-
-
-def _new_request_id() -> str:
-    return os.urandom(_ID_BYTES).hex()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RequestFields:
-    """Which headers of a request go on to a target.
-
-    Attributes:
-      dropped: as bytes in lower case, since every header is compared.
-      request_id: name of the request's id.
-      added: what the system itself says to every target.
-    """
-
-    dropped: frozenset[bytes]
-    request_id: bytes
-    added: exchange.HeaderList
-
-    @classmethod
-    def from_dialect(cls, dialect: Dialect) -> "_RequestFields":
-        """The fields for callers that speak so."""
-        names = dialect.names
-        own = (names.request_id, names.caller_service, names.expected_target)
-        dropped = frozenset(
-            name.lower().encode()
-            for name in (*headers.HOP_BY_HOP, "expect", *own)
-            if name
-        )
-        added: exchange.HeaderList = ()
-        if names.caller_service and dialect.caller_service:
-            name = names.caller_service.encode()
-            added = ((name, dialect.caller_service.encode()),)
-        return cls(dropped, names.request_id.encode(), added)
-
-    def forwarded(
-        self, raw: exchange.HeaderList, request_id: str
-    ) -> exchange.HeaderList:
-        """The headers that a target gets."""
-        named = [
-            token.strip().lower()
-            for name, value in raw
-            if name.lower() == b"connection"
-            for token in value.split(b",")
-        ]
-        dropped = self.dropped.union(named) if named else self.dropped
-        kept = [item for item in raw if item[0].lower() not in dropped]
-        kept.append((self.request_id, request_id.encode()))
-        kept.extend(self.added)
-        return tuple(kept)
-
-
-def _headers_out(
-    answer: exchange.Answer, call: _Call, names: headers.Names
-) -> multidict.CIMultiDict[str]:
-    fields = multidict.CIMultiDict(
-        [
-            (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
-            for name, value in answer.headers
-        ]
-    )
-    for name in _OWN_FIELDS:
-        fields.popall(name, None)
-    fields[names.request_id] = call.request_id
-    return fields
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -16,6 +16,7 @@
 from endivewind import logs
 from endivewind import metrics
 from endivewind import tls
+from endivewind.callers import calls
 from endivewind.callers import gateway
 from endivewind.callers import listener
 from endivewind.callers import placement
@@ -289,9 +290,9 @@
     def _header_names(self) -> headers.Names:
         return names.HEADERS if self._on_platform else headers.OWN
 
-    def _dialect(self) -> listener.Dialect:
+    def _dialect(self) -> calls.Dialect:
         beside = self._settings.beside
-        return listener.Dialect(
+        return calls.Dialect(
             self._header_names,
             beside.service if beside else "",
             self._settings.once is settings.Once.TICKET,
