Answer what is in flight when a planned stop reaches its limit

Change: at the stop's limit every request ends with what is known: unknown (504, cut-short) where a target may have it, a former answer, or not run with the time to come back. The proof that a hung request does not hold up a stop asked for a cut connection; it now asks for the true answer and the same end of the process.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -66,6 +66,9 @@
 # Part of the retry budget that may be spent before doubtful targets are left
 # alone: the rest is for failures that nobody chose.
 PROBE_SPENT = 0.4
+# When a caller may come back whose request a leaving node has not run: the
+# least that it can be told; another node takes it.
+END_RETRY = datetime.timedelta(seconds=1)
 # A home hears of a failure before the entry does.
 RISK_MARGIN = 0.1
 
@@ -106,6 +109,7 @@
         self._counts = counts.RequestCounts(clock)
         self._limits: objects.CallerLimits | None = None
         self._splitters: dict[objects.Route, splitting.Splitter] = {}
+        self._open: set[_Call] = set()
 
     @property
     def budgets(self) -> budgets.RetryBudgets:
@@ -191,10 +195,30 @@
             return expression.Error(refused)
         started = self._clock.monotonic()
         call = _Call(route, head, body, started + head.remaining, started)
-        self._budgets.of(head.service).request(started)
+        call.task = asyncio.current_task()
+        self._open.add(call)
+        try:
+            told = await self._serve(call)
+        except asyncio.CancelledError:
+            if not call.was_ended():
+                raise
+            told = _told_at_end(call)
+        finally:
+            self._open.discard(call)
+        self._log(call, told)
+        return told
+
+    def end_all(self) -> None:
+        """Ends every request now; each caller hears what is known of it."""
+        for call in list(self._open):
+            call.end()
+
+    async def _serve(self, call: "_Call") -> AnswerResult:
+        """Tries targets until one has answered or no other may be tried."""
+        self._budgets.of(call.head.service).request(call.started)
         last = await self._first(call)
         while call.may_go_on and _may_place_again(call, last):
-            if self._crashes.refusal(head, body) is not None:
+            if self._crashes.refusal(call.head, call.body) is not None:
                 break
             record = self._moved(call, last)
             if record is None and _was_unseen(last):
@@ -204,11 +228,9 @@
                 record = self._choose_again(call)
             if record is None:
                 break
-            self._placement.started(record, len(body.held))
+            self._placement.started(record, len(call.body.held))
             last = await self._attempt(call, record)
-        told = _told(call, last)
-        self._log(call, told)
-        return told
+        return _told(call, last)
 
     def _log(self, call: "_Call", told: AnswerResult) -> None:
         """One line for a request that took more than one plain answer."""
@@ -374,6 +396,7 @@
         finally:
             latency = self._clock.monotonic() - started
             self._note(call, record, result, started)
+            call.is_open = call.is_open or result is None
             self._placement.ended(record, result, latency)
             self._waiting.ended(call.head.service)
         if not _was_unseen(result):
@@ -435,9 +458,26 @@
             return await self._pool.forward(home, record.id, head, body)
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _Call:
-    """One request on its way through the gateway."""
+    """One request on its way through the gateway.
+
+    Attributes:
+      route: how it is configured.
+      head: the request.
+      body: its body.
+      deadline: when its caller stops waiting.
+      started: when it came.
+      tries: placings so far.
+      sent: targets that may have seen something of it.
+      given_up: no target is to be looked for any more.
+      is_open: a try was broken off, and nobody knows how it ended.
+      record: the target tried last.
+      reached: the last answer or refusal of a try that may have run.
+      tried: targets tried.
+      steps: the tries, for the log.
+      task: serves it.
+    """
 
     route: objects.Route
     head: exchange.RequestHead
@@ -451,6 +491,21 @@
     reached: AnswerResult | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     steps: list[dict[str, object]] = dataclasses.field(default_factory=list)
+    is_open: bool = False
+    task: asyncio.Task[Any] | None = None
+    _ended: bool = False
+
+    def end(self) -> None:
+        """Breaks it off wherever it is."""
+        assert self.task is not None
+        self._ended = True
+        self.task.cancel()
+
+    def was_ended(self) -> bool:
+        """Whether it was broken off by end() alone, not by its caller."""
+        if not self._ended or self.task is None:
+            return False
+        return self.task.uncancel() == 0
 
     @property
     def repeatable(self) -> bool:
@@ -531,6 +586,21 @@
     return call.reached
 
 
+def _told_at_end(call: _Call) -> AnswerResult:
+    """What the caller of a request that was broken off hears."""
+    if call.is_open:
+        detail = "the node ended before the answer came"
+        refusal = exchange.unknown(exchange.Reason.CUT_SHORT, detail)
+        return expression.Error(refusal)
+    if call.reached is not None:
+        return call.reached
+    return expression.Error(
+        exchange.not_run(
+            exchange.Reason.STOPPING, "the node is leaving", END_RETRY
+        )
+    )
+
+
 def _was_unseen(result: AnswerResult) -> bool:
     """Whether no target has seen anything of the request."""
     return result.is_error() and result.error.reason in _UNSEEN
--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -112,6 +112,10 @@
             "keepalive_timeout": limits.idle_timeout_ms / 1000,
         }
 
+    def end(self) -> None:
+        """Ends every request now, each with what is known of its outcome."""
+        self._gateway.end_all()
+
     def refuse_new(self) -> None:
         """Refuses work from now on; sends of tickets may still be answered."""
         self._leaving = True
--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -34,6 +34,7 @@
     exchange.Reason.SEALED: 409,
     exchange.Reason.RATE_LIMITED: 429,
     exchange.Reason.POISON: 503,
+    exchange.Reason.CUT_SHORT: 504,
     exchange.Reason.INTERNAL: 500,
 }
 
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -45,6 +45,7 @@
     SEALED = "sealed"
     RATE_LIMITED = "rate-limited"
     POISON = "poison"
+    CUT_SHORT = "cut-short"
     INTERNAL = "internal"
 
 
--- a/endivewind/nodes/leaving.py
+++ b/endivewind/nodes/leaving.py
@@ -1,6 +1,7 @@
 """A node's planned departure: what is refused when, and what is waited for."""
 
 import asyncio
+import contextlib
 import datetime
 import logging
 from typing import Protocol
@@ -10,6 +11,9 @@
 # Work that is still there at the limit is cut; without this bound the HTTP
 # server waits another minute for it and the VM can't be replaced.
 CUT_AFTER = datetime.timedelta(milliseconds=500)
+# Answers to requests that are ended at the limit are short and written at
+# once; a caller that does not read them must not hold up the rest.
+LAST_ANSWERS = datetime.timedelta(milliseconds=100)
 
 
 class Door(Protocol):
@@ -25,6 +29,9 @@
     async def drained(self) -> None:
         """Waits until nothing is being served."""
 
+    def end(self) -> None:
+        """Ends what is being served, each with its outcome."""
+
 
 class Links(Protocol):
     """The listener for other nodes."""
@@ -85,3 +92,10 @@
                 await asyncio.sleep(self._tickets.kept_for().total_seconds())
         except TimeoutError:
             log.info("stop limit reached")
+            await self._end()
+
+    async def _end(self) -> None:
+        self._entry.end()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_ANSWERS.total_seconds()):
+                await self._entry.drained()
--- a/endivewind/tests/callers/gateway_tests.py
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -1,5 +1,6 @@
 """Tests of what the gateway does with a home's refusals."""
 
+import asyncio
 import datetime
 import random
 import unittest
@@ -71,14 +72,78 @@
         self.assertEqual(gateway.MAX_PLACINGS, len(pool.sent))
 
 
+class EndTest(unittest.IsolatedAsyncioTestCase):
+    """A node must end while requests are still being served.
+
+    A closed connection would tell their callers nothing, and an order that
+    never ran would not be sent again. Each gets an answer that is true.
+    """
+
+    async def asyncSetUp(self):
+        self.pool = _Silent()
+        self.served = _gateway(self.pool)
+
+    async def test_work_at_a_target_is_of_unknown_outcome(self):
+        asked = asyncio.create_task(_ask(self.served))
+        await self.pool.reached.wait()
+
+        self.served.end_all()
+
+        refusal = (await asked).error
+        self.assertEqual(exchange.Outcome.UNKNOWN, refusal.outcome)
+        self.assertEqual(exchange.Reason.CUT_SHORT, refusal.reason)
+
+    async def test_work_that_waits_has_not_run(self):
+        """The only target has one slot, and another request has it."""
+        first = asyncio.create_task(_ask(self.served))
+        await self.pool.reached.wait()
+        waits = asyncio.create_task(_ask(self.served))
+        await asyncio.sleep(0)
+
+        self.served.end_all()
+
+        refusal = (await waits).error
+        self.assertEqual(exchange.Outcome.NOT_RUN, refusal.outcome)
+        self.assertEqual(gateway.END_RETRY, refusal.retry_after)
+        self.assertEqual(exchange.Outcome.UNKNOWN, (await first).error.outcome)
+        self.assertEqual(1, self.pool.asked)
+
+    async def test_a_caller_that_leaves_then_is_gone(self):
+        asked = asyncio.create_task(_ask(self.served))
+        await self.pool.reached.wait()
+
+        self.served.end_all()
+        asked.cancel()
+
+        with self.assertRaises(asyncio.CancelledError):
+            await asked
+
+
+class _Silent:
+    """Links to a home that never answers."""
+
+    def __init__(self) -> None:
+        self.reached = asyncio.Event()
+        self.asked = 0
+
+    async def forward(self, home, target, head, body):
+        self.asked += 1
+        self.reached.set()
+        await asyncio.Event().wait()
+
+
 async def _serve(pool: _Pool) -> gateway.AnswerResult:
+    return await _ask(_gateway(pool))
+
+
+def _gateway(pool) -> gateway.Gateway:
     clock = clocks.ManualClock()
     fleet = view.FleetView()
     for name in ("old", "new"):
         fleet.put_node(view.NodeRecord(name, 7, f"{name}:1", "andina", "a"))
     fleet.put_home("old", 7, 1, [_record()])
     place = placing.Place("entry", "andina", "a")
-    served = gateway.Gateway(
+    return gateway.Gateway(
         "entry",
         placement.Placement(place, fleet, lambda _: 0, clock, random.Random(1)),
         store.ConfigurationStore(),
@@ -88,6 +153,9 @@
         clock,
         mock.Mock(),
     )
+
+
+async def _ask(served: gateway.Gateway) -> gateway.AnswerResult:
     head = exchange.RequestHead(
         "r1", "GET", "/", (), "riders", "", datetime.timedelta(seconds=5)
     )
@@ -97,4 +165,6 @@
 
 
 def _record() -> records.TargetRecord:
-    return samples.target("t1", home="old", home_incarnation=7, zone="a")
+    return samples.target(
+        "t1", home="old", home_incarnation=7, zone="a", slots=1
+    )
--- a/endivewind/tests/proofs/stop_tests.py
+++ b/endivewind/tests/proofs/stop_tests.py
@@ -75,7 +75,11 @@
             self.assertEqual(1, (await caller.runs(fleet))["slow"])
 
     async def test_stop_ends_at_its_limit(self):
-        """A request that hangs must not hold up the replacement of a VM."""
+        """A request that hangs must not hold up the replacement of a VM.
+
+        Its caller is answered before the process ends, and hears that the
+        outcome is unknown: a target has it.
+        """
         async with _fleet() as (fleet, caller):
             node = fleet.nodes["node-1"]
             far_off = {"Endivewind_Timeout_Ms": "300000"}
@@ -89,7 +93,10 @@
 
             self.assertEqual(0, code)
             reply = await hung
-            self.assertTrue(reply.cut, reply)
+            self.assertEqual(
+                (504, "unknown", "cut-short"),
+                (reply.status, reply.outcome, reply.reason),
+            )
 
     async def test_rolling_replacement_under_load(self):
         """All nodes and all targets are replaced while callers call.
