--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -530,7 +530,7 @@
             patience,
             # It is likely to need a second target.
             may_probe=self.may_hedge and spent <= PROBE_SPENT,
-            is_last=self.sent + 1 >= self.most_sends or spent >= 1,
+            is_last=self.sent + 1 >= self.most_sends,
             may_wait=True,
         )
 
