Let a node that has just started wait for targets

Cause: after a loss of power callers come back before targets have announced themselves; a node that had heard of none refused them, and they came back one to three seconds later. Change: for two seconds from its start a node keeps requests of services that it knows no target of in its queue. Then they are refused as before.

--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -53,6 +53,10 @@
 # When a refused caller may come back at the earliest.
 LEAST_RETRY = datetime.timedelta(seconds=1)
 RETRY_SPREAD = 3
+# A node that has just started hears of every target that lives within this
+# time: they announce themselves every second and a half or more often, and
+# the news of it takes some hundred milliseconds.
+SETTLING = datetime.timedelta(seconds=2)
 _LATENCY_WEIGHT = 1 / 8
 _FAILED_STATUS = 500
 # What a home told of its load counts so long where nothing is known of the
@@ -305,6 +309,7 @@
         self._floor_of = floor_of
         self._rng = rng
         self._clock = clock
+        self._started = clock.monotonic()
         self._pools: dict[str, tuple[tuple[int, int], placing.Pool]] = {}
         self._paths = paths.Paths()
         self._crossing = crossing.CrossRegionBudget(cross_region_bytes)
@@ -316,6 +321,11 @@
         """This entry's availability zone."""
         return self._place.zone
 
+    @property
+    def is_settling(self) -> bool:
+        """Whether targets may live of which this node has not heard yet."""
+        return self._clock.monotonic() - self._started < SETTLING
+
     def choose(
         self, service: str, demand: placing.Demand
     ) -> records.TargetRecord | None:
--- a/endivewind/callers/waiting.py
+++ b/endivewind/callers/waiting.py
@@ -86,13 +86,9 @@
             record = self._try(claim)
             if record is not None:
                 return expression.Ok(record)
-        if not self._placement.has_candidate(claim.service, claim.demand):
+        if self._is_hopeless(claim):
             # Nothing to wait for: the caller hears it now, not later.
-            return self._refusal(
-                exchange.Reason.NO_TARGET,
-                f"{claim.service} has no target",
-                datetime.timedelta(),
-            )
+            return self._no_target(claim.service)
         now = self._clock.monotonic()
         offered = queue.offer(claim.waiter, now)
         if isinstance(offered, admission.Refused):
@@ -169,12 +165,35 @@
         self._answer(claim, expression.Ok(record))
         return True
 
+    def _is_hopeless(self, claim: Claim) -> bool:
+        """Whether no target could take the request, however long it waits.
+
+        Load: all nodes and targets start at once, after a loss of power.
+        Harm: callers come back at once, and a node that has heard of no
+        target yet would refuse them for seconds, with targets that announce
+        themselves in the next moment. While it settles they wait.
+        """
+        if self._placement.has_candidate(claim.service, claim.demand):
+            return False
+        unheard = not self._placement.admitted_slots(claim.service)
+        return not (unheard and self._placement.is_settling)
+
     def _look(self, service: str) -> None:
         del self._looks[service]
         self._serve(service)
+        self._give_up(service)
         if len(self._queue(service)):
             self._look_later(service)
 
+    def _give_up(self, service: str) -> None:
+        """Refuses those that wait for targets which have not come."""
+        if self._placement.is_settling:
+            return
+        for waiter in self._queue(service).first_few(TRIED):
+            claim = self._claims[waiter]
+            if self._is_hopeless(claim):
+                self._answer(claim, self._no_target(service))
+
     def _look_later(self, service: str) -> None:
         if service not in self._looks:
             loop = asyncio.get_running_loop()
@@ -208,6 +227,13 @@
             return
         claim.placed.set_result(result)
 
+    def _no_target(self, service: str) -> PlacedResult:
+        return self._refusal(
+            exchange.Reason.NO_TARGET,
+            f"{service} has no target",
+            datetime.timedelta(),
+        )
+
     def _refusal(
         self, reason: exchange.Reason, detail: str, wait: datetime.timedelta
     ) -> PlacedResult:
