Take several slow answers for a slow target, not one

Cause: an entry remembered one latency of a target for two seconds. One slow answer, the first over a new connection or the tail of long work, made a healthy target look several times slower than the others; it got nothing for that time. Change: what is known starts at the usual latency of the service, and is forgotten after eight times itself, two seconds at most.

--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -63,8 +63,11 @@
 # length of the work there; requests last some hundred milliseconds.
 _GLANCE_LIFE = datetime.timedelta(milliseconds=300)
 _NEVER_SECONDS = 86_400.0
-# An older latency says nothing of the present.
+# An older latency says nothing of the present. It is shorter where answers take
+# milliseconds: a target that is left aside for one slow answer is asked again
+# after a few times that answer's length.
 _LATENCY_LIFE = datetime.timedelta(seconds=2)
+_LIFE_IN_LATENCIES = 8
 
 
 def _default_share(service: str) -> float:
@@ -139,9 +142,25 @@
         done = age.total_seconds() * self.slots / usual
         return max(0.0, self.others - done)
 
-    def take(self, seconds: float, now: datetime.timedelta) -> None:
-        if now - self.heard >= _LATENCY_LIFE:
-            self.latency = seconds
+    def usual_seconds(self, now: datetime.timedelta) -> float:
+        """Its usual latency; 0 where none is known of late."""
+        life = datetime.timedelta(seconds=_LIFE_IN_LATENCIES * self.latency)
+        fresh = now - self.heard < min(life, _LATENCY_LIFE)
+        return self.latency if fresh else 0.0
+
+    def take(
+        self, seconds: float, usual: float, now: datetime.timedelta
+    ) -> None:
+        """Takes the latency of one answer.
+
+        Load: a few requests a second and entry, work with a long tail. Harm:
+        where an entry knows one latency of a target, the tail of one request
+        made a healthy target look several times slower than the others, and
+        it got nothing for as long as that was remembered. What is known
+        starts at what is usual for the service, so that it takes several.
+        """
+        if not self.usual_seconds(now):
+            self.latency = usual
         self.latency += _LATENCY_WEIGHT * (seconds - self.latency)
         self.heard = now
 
@@ -202,10 +221,7 @@
     def latency(self, target: str) -> float:
         """Usual latency in seconds; 0 where none is known of late."""
         known = self._loads.get(target)
-        if known is None:
-            return 0.0
-        idle = self._clock.monotonic() - known.heard
-        return known.latency if idle < _LATENCY_LIFE else 0.0
+        return known.usual_seconds(self._clock.monotonic()) if known else 0.0
 
     def slots(self, item: floor.Candidate) -> int:
         """Slots of it that this entry may use now."""
@@ -254,8 +270,8 @@
             known.rests_until = now + rest
         elif result.is_ok() and result.ok.status < _FAILED_STATUS:
             seconds = latency.total_seconds()
-            known.take(seconds, now)
             usual = usual or seconds
+            known.take(seconds, usual, now)
             usual += _LATENCY_WEIGHT * (seconds - usual)
             self._usual[record.service] = usual
 
--- a/endivewind/tests/callers/placement_tests.py
+++ b/endivewind/tests/callers/placement_tests.py
@@ -136,6 +136,35 @@
 
         self.assertEqual(24, self.fill().total())
 
+    def test_one_slow_answer_does_not_make_a_slow_target(self):
+        """Two targets answer in 0.5 s; then one request of one takes 3 s.
+
+        Work has a long tail: the next answers may come as fast as ever. A
+        target that takes 3 s for each is left aside after a few.
+        """
+        items = [_record(number) for number in range(2)]
+        self.put(items)
+        for item in items:
+            self.answer(item, 0.5)
+        self.clock.advance(datetime.timedelta(seconds=5))
+        self.answer(items[1], 0.5)
+
+        self.answer(items[0], 3.0)
+        after_one = {self.choose() for _ in range(20)}
+        for _ in range(6):
+            self.answer(items[0], 3.0)
+        after_many = {self.choose() for _ in range(20)}
+
+        self.assertEqual({"riders-0", "riders-1"}, after_one)
+        self.assertEqual({"riders-1"}, after_many)
+
+    def answer(self, item, seconds):
+        """A request to a target ends well."""
+        self.placement.started(item)
+        answer = expression.Ok(exchange.Answer(200, ()))
+        latency = datetime.timedelta(seconds=seconds)
+        self.placement.ended(item, answer, latency)
+
     def test_draining_targets_get_no_new_work(self):
         draining = dataclasses.replace(_record(0), state=records.State.DRAINING)
         self.put([draining, _record(1)])
