Let a leave bind a home that has not heard of its target yet

Cause: a home that restarts and gets a target's leave before any announcement acknowledged it and forgot it; an announcement held up on the way then brought the target back, and work reached it after the drain time. Change: a leave is remembered by id and start, known or not. Before: the new test's late announcement was taken; after: refused.

--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -242,11 +242,21 @@
 
         Its later announcements are refused: one that was held up on the way
         arrives after the leave, and would bring back a target that is gone.
+        That holds also where this home has just started and not heard of it
+        yet: the leave is acknowledged, and binds.
+
+        Args:
+          target: its id.
+          incarnation: its start; 0 where starts are not numbered.
         """
         item = self._targets.get(target)
-        if item is None or item.record.target_incarnation > incarnation > 0:
+        if (
+            item is not None
+            and item.record.target_incarnation > incarnation > 0
+        ):
             return False
-        self._departed[target] = item.record.target_incarnation
+        known = item.record.target_incarnation if item else 0
+        self._departed[target] = max(known, incarnation)
         if len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
         return self.withdraw(target)
--- a/endivewind/tests/targets/registry_tests.py
+++ b/endivewind/tests/targets/registry_tests.py
@@ -89,6 +89,21 @@
         self.clock.advance(SECOND * 1.5)
         self.assertTrue(self._announce().is_ok())
 
+    def test_a_leave_binds_a_home_that_has_not_heard_of_the_target(self):
+        """A request reaches a target seconds after it has said that it leaves.
+
+        Its home has restarted and takes the leave before any announcement;
+        one that was held up on the way comes next. Taken, it would bring the
+        target back, with nothing after it to end that before its lease.
+        """
+        self.assertFalse(self.targets.depart("t1", incarnation=2))
+
+        self.assertEqual(
+            registry.Refused.LEFT, self._announce(incarnation=2).error
+        )
+        self.assertIsNone(self.targets.get("t1"))
+        self.assertTrue(self._announce(incarnation=3).is_ok())
+
     def test_later_announcement_elsewhere_takes_the_target(self):
         """Two homes hold one target; the one left by it gives it up."""
         self._announce(moves=1)
