Leave three fifths of the retries to requests that failed

Change: a second target is asked for a slow answer only while two fifths of the budget or less are spent, like a doubtful one.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -66,8 +66,9 @@
 # the second one still has time to.
 HEDGE_SHARE = 0.6
 # Part of the retry budget that may be spent before doubtful targets are left
-# alone: the rest is for failures that nobody chose.
-PROBE_SPENT = 0.4
+# alone, and slow answers waited for: the rest is for requests that have
+# failed. One that is late is worth something, one that failed is not.
+CHOSEN_SPENT = 0.4
 # When a caller may come back whose request a leaving node has not run: the
 # least that it can be told; another node takes it.
 END_RETRY = datetime.timedelta(seconds=1)
@@ -285,9 +286,7 @@
 
     async def _first(self, call: "_Call") -> AnswerResult:
         """Sends a request that no target has seen."""
-        budget = self._budgets.of(call.head.service)
-        spent = budget.spent(self._clock.monotonic())
-        return await self._placed(call, call.demand(spent))
+        return await self._placed(call, call.demand(self._spent(call)))
 
     async def _placed(
         self, call: "_Call", demand: placing.Demand
@@ -342,6 +341,8 @@
         self, call: "_Call"
     ) -> collections.abc.Coroutine[Any, Any, AnswerResult] | None:
         """An attempt at another target with a free slot, if one may be made."""
+        if self._spent(call) > CHOSEN_SPENT:
+            return None
         demand = placing.Demand(True, call.tried, is_last=True)
         record = self._placement.choose(call.head.service, demand)
         if record is None:
@@ -351,6 +352,11 @@
         self._placement.started(record, len(call.body.held))
         return self._attempt(call, record)
 
+    def _spent(self, call: "_Call") -> float:
+        """The part of its service's retries that is spent."""
+        budget = self._budgets.of(call.head.service)
+        return budget.spent(self._clock.monotonic())
+
     def _over_rate(self, workspace: str) -> exchange.Refusal | None:
         """A refusal where the workspace has used up its rate at this entry."""
         owner = self._workspaces.get(workspace)
@@ -529,7 +535,7 @@
             self.tried,
             patience,
             # It is likely to need a second target.
-            may_probe=self.may_hedge and spent <= PROBE_SPENT,
+            may_probe=self.may_hedge and spent <= CHOSEN_SPENT,
             is_last=self.sent + 1 >= self.most_sends,
             may_wait=True,
         )
--- a/endivewind/tests/callers/gateway_hedging_tests.py
+++ b/endivewind/tests/callers/gateway_hedging_tests.py
@@ -133,6 +133,27 @@
 
         self.assertEqual(1, len(self.dispatcher.met))
 
+    def test_slow_answers_leave_retries_for_failures(self):
+        """Every answer is late for a while, and then a target fails.
+
+        Hedges for late answers would use up the retries, and the failed one
+        is lost. With two fifths of the retries spent they stop.
+        """
+        budget = self.gateway.budgets.of(SERVICE)
+        now = datetime.timedelta(seconds=self.loop.time())
+        for _ in range(20):
+            budget.request(now)
+        while budget.spent(now) <= gateway.CHOSEN_SPENT:
+            self.assertTrue(budget.take(now))
+
+        self.ask((0.9, OK))
+        self.assertEqual(1, len(self.dispatcher.met))
+        self.dispatcher.met.clear()
+        result, _ = self.ask((0.1, FAILED), (0.1, OK))
+
+        self.assertEqual(OK, result)
+        self.assertEqual(2, len(self.dispatcher.met))
+
     def test_both_stop_when_the_caller_leaves(self):
         result, _ = self.ask((99, OK), (99, OK), leave_after=1.0)
 
