Tell every caller of work that has not run when to come back

Change: the entry adds the time, one to three times the least. The test's own BUSY now carries a time, as those of homes do.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -208,9 +208,24 @@
             told = _told_at_end(call)
         finally:
             self._open.discard(call)
+        told = self._with_a_time(told)
         self._log(call, told)
         return told
 
+    def _with_a_time(self, told: AnswerResult) -> AnswerResult:
+        """A refusal of work that has not run, with the time to come back.
+
+        Homes and targets refuse without one, since the entry may have others
+        to ask. Its caller, told nothing, comes back at once or never.
+        """
+        if told.is_ok() or not told.error.is_not_run:
+            return told
+        if told.error.retry_after is not None:
+            return told
+        wait = self._placement.come_back_after(placement.LEAST_RETRY)
+        refusal = dataclasses.replace(told.error, retry_after=wait)
+        return expression.Error(refusal)
+
     def end_all(self) -> None:
         """Ends every request now; each caller hears what is known of it."""
         for call in list(self._open):
--- a/endivewind/tests/callers/gateway_retries_tests.py
+++ b/endivewind/tests/callers/gateway_retries_tests.py
@@ -24,7 +24,12 @@
 FAILED = expression.Ok(exchange.Answer(500, ()))
 SHED = expression.Ok(exchange.Answer(503, ()))
 LOST = expression.Error(exchange.unknown(exchange.Reason.TARGET_LOST))
-BUSY = expression.Error(exchange.not_run(exchange.Reason.BUSY))
+BUSY = expression.Error(
+    exchange.not_run(
+        exchange.Reason.BUSY, retry_after=datetime.timedelta(seconds=1)
+    )
+)
+FULL = expression.Error(exchange.not_run(exchange.Reason.TARGET_FULL))
 
 
 def _record(number):
@@ -87,6 +92,19 @@
             self.assertEqual(OK, result)
             self.assertEqual(2, len(set(met)))
 
+    async def test_what_has_not_run_is_told_when_to_come_back(self):
+        """Every target of a service sheds; its answers say nothing of a time.
+
+        A caller that is told none comes back at once, into the same load, or
+        not at all.
+        """
+        result, _ = await self.ask([FULL] * 3, "POST", "ticket")
+
+        self.assertIs(exchange.Reason.TARGET_FULL, result.error.reason)
+        most = placement.RETRY_SPREAD * placement.LEAST_RETRY
+        self.assertGreaterEqual(result.error.retry_after, placement.LEAST_RETRY)
+        self.assertLessEqual(result.error.retry_after, most)
+
     async def test_what_may_have_run_is_never_sent_again(self):
         """A confirmation whose target failed or vanished.
 
