--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -17,6 +17,7 @@
 from endivewind.callers import counts
 from endivewind.callers import crashes
 from endivewind.callers import placement
+from endivewind.callers import routed
 from endivewind.callers import routing
 from endivewind.callers import waiting
 from endivewind.config import objects
@@ -31,37 +32,18 @@
 
 log = logging.getLogger(__name__)
 
-AnswerResult = expression.Result[exchange.Answer, exchange.Refusal]
+AnswerResult = routed.AnswerResult
 
 # Hears how requests went at targets of other homes.
 Witness = collections.abc.Callable[
     [records.TargetRecord, str, AnswerResult, datetime.timedelta], None
 ]
 
-# Targets that one request may be sent to, where its route does not say.
-MAX_ATTEMPTS = 3
-# Homes that are asked on top of these, and refuse before their target has any
-# work of it; each costs a hop. A full target rests for a quarter of its work's
-# length, so that these last for some lengths of it: an order with a deadline
-# of many lengths is not refused in the first of them.
+# Homes that are asked for one request; most of them refuse before their target
+# has any work of it, and each costs a hop. A full target rests for a quarter of
+# its work's length, so that these last for some lengths of it: an order with a
+# deadline of many lengths is not refused in the first of them.
 MAX_PLACINGS = 16
-_FAILED_STATUS = frozenset({500, 502, 503, 504})
-# Refusals that came before any target had a byte.
-_UNSEEN = frozenset(
-    {
-        exchange.Reason.BUSY,
-        exchange.Reason.SUSPECT,
-        exchange.Reason.STOPPING,
-        exchange.Reason.STALE_HOME,
-        exchange.Reason.UNREACHABLE,
-        exchange.Reason.HOME_UNREACHABLE,
-    }
-)
-# A request waits in a near queue for up to this part of its aim: with the
-# usual work, about a quarter of the aim, the answer is then still in time.
-# Below a third, one order in twelve went to another region while the near
-# targets were busy for a moment; at a half one in forty, none of them late.
-PATIENCE_SHARE = 0.5
 # When a second target is asked: nineteen in twenty have answered by then, and
 # the second one still has time to.
 HEDGE_SHARE = 0.6
@@ -69,9 +51,6 @@
 # alone, and slow answers waited for: the rest is for requests that have
 # failed. One that is late is worth something, one that failed is not.
 CHOSEN_SPENT = 0.4
-# When a caller may come back whose request a leaving node has not run: the
-# least that it can be told; another node takes it.
-END_RETRY = datetime.timedelta(seconds=1)
 # A home hears of a failure before the entry does.
 RISK_MARGIN = 0.1
 
@@ -112,7 +91,7 @@
         self._counts = counts.RequestCounts(clock)
         self._limits: objects.CallerLimits | None = None
         self._splitters: dict[objects.Route, splitting.Splitter] = {}
-        self._open: set[_Call] = set()
+        self._open: set[routed.RoutedRequest] = set()
 
     @property
     def budgets(self) -> budgets.RetryBudgets:
@@ -197,7 +176,9 @@
         if refused is not None:
             return expression.Error(refused)
         started = self._clock.monotonic()
-        call = _Call(route, head, body, started + head.remaining, started)
+        call = routed.RoutedRequest(
+            route, head, body, started + head.remaining, started
+        )
         call.task = asyncio.current_task()
         self._open.add(call)
         try:
@@ -205,7 +186,7 @@
         except asyncio.CancelledError:
             if not call.was_ended():
                 raise
-            told = _told_at_end(call)
+            told = call.told_at_end()
         finally:
             self._open.discard(call)
         told = self._with_a_time(told)
@@ -231,29 +212,29 @@
         for call in list(self._open):
             call.end()
 
-    async def _serve(self, call: "_Call") -> AnswerResult:
+    async def _serve(self, call: routed.RoutedRequest) -> AnswerResult:
         """Tries targets until one has answered or no other may be tried."""
         self._budgets.of(call.head.service).request(call.started)
         last = await self._first(call)
-        while call.may_go_on and _may_place_again(call, last):
+        while call.may_go_on(MAX_PLACINGS) and call.may_place_again(last):
             if self._crashes.refusal(call.head, call.body) is not None:
                 break
             record = self._moved(call, last)
-            if record is None and _was_unseen(last):
+            if record is None and routed.was_unseen(last):
                 last = await self._again(call, last)
                 continue
             if record is None:
                 if not self._pays(call.head.service):
                     break
-                last = await self._placed(call, call.demand(spent=1))
+                last = await self._placed(call, call.demand(may_probe=False))
                 continue
             self._placement.started(record, len(call.body.held))
             last = await self._attempt(call, record)
-        return _told(call, last)
+        return call.told(last)
 
-    def _log(self, call: "_Call", told: AnswerResult) -> None:
+    def _log(self, call: routed.RoutedRequest, told: AnswerResult) -> None:
         """One line for a request that took more than one plain answer."""
-        plain = told.is_ok() and told.ok.status not in _FAILED_STATUS
+        plain = told.is_ok() and told.ok.status not in routed.FAILED_STATUS
         if plain and call.tries <= 1:
             return
         spent = self._clock.monotonic() - call.started
@@ -262,9 +243,9 @@
             service=call.head.service,
             prefix=call.route.prefix,
             once=not call.repeatable,
-            result=_word(told),
-            milliseconds=_milliseconds(spent),
-            tries=call.steps,
+            result=routed.word(told),
+            milliseconds=routed.milliseconds(spent),
+            tries=[step.as_fields() for step in call.steps],
         )
         log.info("request", extra=fields)
 
@@ -280,7 +261,7 @@
         )
 
     def _moved(
-        self, call: "_Call", last: AnswerResult
+        self, call: routed.RoutedRequest, last: AnswerResult
     ) -> records.TargetRecord | None:
         """The target just tried, at the later home that the last one named."""
         if last.is_ok() or call.record is None:
@@ -292,19 +273,23 @@
             call.record, home=home.name, home_incarnation=home.incarnation
         )
 
-    async def _again(self, call: "_Call", last: AnswerResult) -> AnswerResult:
+    async def _again(
+        self, call: routed.RoutedRequest, last: AnswerResult
+    ) -> AnswerResult:
         """Puts a request back into the queue that its home had no slot for."""
         if last.error.reason is exchange.Reason.BUSY and call.record:
             # It rests for a moment, and may be the only one there is.
             call.tried.discard(call.record.id)
         return await self._first(call)
 
-    async def _first(self, call: "_Call") -> AnswerResult:
+    async def _first(self, call: routed.RoutedRequest) -> AnswerResult:
         """Sends a request that no target has seen."""
-        return await self._placed(call, call.demand(self._spent(call)))
+        return await self._placed(
+            call, call.demand(may_probe=self._spent(call) <= CHOSEN_SPENT)
+        )
 
     async def _placed(
-        self, call: "_Call", demand: placing.Demand
+        self, call: routed.RoutedRequest, demand: placing.Demand
     ) -> AnswerResult:
         """Waits for a slot within the fair order, and sends the request."""
         owner = self._workspaces.get(call.head.workspace)
@@ -330,7 +315,7 @@
         return await self._hedged(call, placed.ok)
 
     async def _hedged(
-        self, call: "_Call", record: records.TargetRecord
+        self, call: routed.RoutedRequest, record: records.TargetRecord
     ) -> AnswerResult:
         """Sends the request to a second target if the first is late.
 
@@ -353,7 +338,7 @@
             await _end(tasks)
 
     def _second(
-        self, call: "_Call"
+        self, call: routed.RoutedRequest
     ) -> collections.abc.Coroutine[Any, Any, AnswerResult] | None:
         """An attempt at another target with a free slot, if one may be made."""
         if self._spent(call) > CHOSEN_SPENT:
@@ -367,7 +352,7 @@
         self._placement.started(record, len(call.body.held))
         return self._attempt(call, record)
 
-    def _spent(self, call: "_Call") -> float:
+    def _spent(self, call: routed.RoutedRequest) -> float:
         """The part of its service's retries that is spent."""
         budget = self._budgets.of(call.head.service)
         return budget.spent(self._clock.monotonic())
@@ -388,7 +373,7 @@
         )
 
     async def _attempt(
-        self, call: "_Call", record: records.TargetRecord
+        self, call: routed.RoutedRequest, record: records.TargetRecord
     ) -> AnswerResult:
         """Sends the request to a target whose slot is counted already."""
         call.tries += 1
@@ -415,7 +400,7 @@
             call.is_open = call.is_open or result is None
             self._placement.ended(record, result, latency)
             self._waiting.ended(call.head.service)
-        if not _was_unseen(result):
+        if not routed.was_unseen(result):
             call.sent += 1
         if result.is_ok() or not result.error.is_not_run:
             call.reached = result
@@ -426,23 +411,22 @@
 
     def _note(
         self,
-        call: "_Call",
+        call: routed.RoutedRequest,
         record: records.TargetRecord,
         result: AnswerResult | None,
         started: datetime.timedelta,
         suspicion: float,
     ) -> None:
         """Keeps how one attempt went, and what it was chosen by."""
-        ended = self._clock.monotonic()
         call.steps.append(
-            {
-                "target": record.id,
-                "home": record.home,
-                "after_ms": _milliseconds(started - call.started),
-                "for_ms": _milliseconds(ended - started),
-                "suspicion": round(suspicion, 2),
-                "result": _word(result),
-            }
+            routed.Step(
+                record.id,
+                record.home,
+                started - call.started,
+                self._clock.monotonic() - started,
+                suspicion,
+                result,
+            )
         )
 
     async def _pass_on(
@@ -466,96 +450,6 @@
             return await self._pool.forward(home, record.id, head, body)
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Call:
-    """One request on its way through the gateway.
-
-    Attributes:
-      route: how it is configured.
-      head: the request.
-      body: its body.
-      deadline: when its caller stops waiting.
-      started: when it came.
-      tries: placings so far.
-      sent: targets that may have seen something of it.
-      given_up: no target is to be looked for any more.
-      is_open: a try was broken off, and nobody knows how it ended.
-      record: the target tried last.
-      reached: the last answer or refusal of a try that may have run.
-      tried: targets tried.
-      steps: the tries, for the log.
-      task: serves it.
-    """
-
-    route: objects.Route
-    head: exchange.RequestHead
-    body: exchange.RequestBody
-    deadline: datetime.timedelta
-    started: datetime.timedelta
-    tries: int = 0
-    sent: int = 0
-    given_up: bool = False
-    record: records.TargetRecord | None = None
-    reached: AnswerResult | None = None
-    tried: set[str] = dataclasses.field(default_factory=set)
-    steps: list[dict[str, object]] = dataclasses.field(default_factory=list)
-    is_open: bool = False
-    task: asyncio.Task[Any] | None = None
-    _ended: bool = False
-
-    def end(self) -> None:
-        """Breaks it off wherever it is."""
-        assert self.task is not None
-        self._ended = True
-        self.task.cancel()
-
-    def was_ended(self) -> bool:
-        """Whether it was broken off by end() alone, not by its caller."""
-        if not self._ended or self.task is None:
-            return False
-        return self.task.uncancel() == 0
-
-    @property
-    def repeatable(self) -> bool:
-        """Whether it may run more than once."""
-        if self.head.ticket:
-            return False
-        return may_repeat(self.route, self.head.method)
-
-    @property
-    def most_sends(self) -> int:
-        """Targets that it may be sent to."""
-        return self.route.attempts or MAX_ATTEMPTS
-
-    @property
-    def may_go_on(self) -> bool:
-        """Whether it may be placed once more."""
-        return self.sent < self.most_sends and self.tries < MAX_PLACINGS
-
-    @property
-    def may_hedge(self) -> bool:
-        """Whether it may be at two targets at once."""
-        return (
-            self.repeatable
-            and self.body.replayable
-            and bool(self.head.aim)
-            and self.most_sends > self.sent + 1
-        )
-
-    def demand(self, spent: float) -> placing.Demand:
-        """Where it may be placed now, with so much of the retries spent."""
-        patience = PATIENCE_SHARE * self.head.aim.total_seconds()
-        return placing.Demand(
-            self.repeatable,
-            self.tried,
-            patience,
-            # It is likely to need a second target.
-            may_probe=self.may_hedge and spent <= CHOSEN_SPENT,
-            is_last=self.sent + 1 >= self.most_sends,
-            may_wait=True,
-        )
-
-
 def _risk(suspicion: float) -> float:
     """How likely a target may be sick for its home to take the request.
 
@@ -565,66 +459,6 @@
     return max(exchange.ACCEPTED_RISK, suspicion + RISK_MARGIN)
 
 
-def _may_place_again(call: _Call, result: AnswerResult) -> bool:
-    """Whether another target may get the request.
-
-    Only what truly did not run, or what may run twice. An answer of 5xx to
-    the latter is one target's trouble as long as the budget pays for asking
-    another. What was refused before any target was chosen is final.
-    """
-    if not call.body.replayable or call.given_up:
-        return False
-    if result.is_ok():
-        failed = result.ok.status in _FAILED_STATUS
-        return failed and call.repeatable and result.ok.rest is None
-    if result.error.reason is exchange.Reason.DEADLINE:
-        return False
-    return call.repeatable or result.error.is_not_run
-
-
-def _word(result: AnswerResult | None) -> str:
-    """A result in one word, for logs."""
-    if result is None:
-        return "cancelled"
-    if result.is_ok():
-        return str(result.ok.status)
-    return f"{result.error.reason.value} ({result.error.outcome.value})"
-
-
-def _milliseconds(span: datetime.timedelta) -> int:
-    return span // datetime.timedelta(milliseconds=1)
-
-
-def _told(call: _Call, last: AnswerResult) -> AnswerResult:
-    """What the caller hears: never "not run" of work that a target had.
-
-    A first try may have run and failed while a later one found no slot.
-    """
-    if call.reached is None or last.is_ok() or not last.error.is_not_run:
-        return last
-    return call.reached
-
-
-def _told_at_end(call: _Call) -> AnswerResult:
-    """What the caller of a request that was broken off hears."""
-    if call.is_open:
-        detail = "the node ended before the answer came"
-        refusal = exchange.unknown(exchange.Reason.CUT_SHORT, detail)
-        return expression.Error(refusal)
-    if call.reached is not None:
-        return call.reached
-    return expression.Error(
-        exchange.not_run(
-            exchange.Reason.STOPPING, "the node is leaving", END_RETRY
-        )
-    )
-
-
-def _was_unseen(result: AnswerResult) -> bool:
-    """Whether no target has seen anything of the request."""
-    return result.is_error() and result.error.reason in _UNSEEN
-
-
 async def _first_good(
     tasks: set[asyncio.Task[AnswerResult]],
 ) -> AnswerResult:
@@ -636,7 +470,7 @@
         )
         results = [task.result() for task in ended]
         for result in results:
-            if result.is_ok() and result.ok.status not in _FAILED_STATUS:
+            if result.is_ok() and result.ok.status not in routed.FAILED_STATUS:
                 return result
         if not waiting:
             return results[-1]
@@ -647,14 +481,3 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def may_repeat(route: objects.Route, method: str) -> bool:
-    """Whether the route lets a request of this method run more than once."""
-    match route.repeat:
-        case objects.Repeat.ALWAYS:
-            return True
-        case objects.Repeat.NEVER:
-            return False
-        case _:
-            return method in objects.SAFE_METHODS
--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -21,6 +21,7 @@
 from endivewind.callers import connections
 from endivewind.callers import gateway
 from endivewind.callers import problems
+from endivewind.callers import routed
 from endivewind.callers import ticketing
 from endivewind.callers import waiting
 from endivewind.config import objects
@@ -148,7 +149,7 @@
         route = self._route(call)
         if self._leaving or route is None:
             return None
-        if not gateway.may_repeat(route, request.method):
+        if not routed.may_repeat(route, request.method):
             return None
         if self._admit(call) is not None:
             return None
@@ -256,7 +257,7 @@
             return call.refuse(exchange.Reason.NO_ROUTE, detail)
         call.route = route
         call.service = self._gateway.service_of(route)
-        call.once = not gateway.may_repeat(route, call.request.method)
+        call.once = not routed.may_repeat(route, call.request.method)
         keyed = call.ticketed and bool(call.ticket)
         if self._leaving and not keyed:
             return call.refuse(
--- a/endivewind/tests/callers/gateway_tests.py
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -12,6 +12,7 @@
 from endivewind import exchange
 from endivewind.callers import gateway
 from endivewind.callers import placement
+from endivewind.callers import routed
 from endivewind.config import objects
 from endivewind.config import store
 from endivewind.decisions import placing
@@ -104,7 +105,7 @@
 
         refusal = (await waits).error
         self.assertEqual(exchange.Outcome.NOT_RUN, refusal.outcome)
-        self.assertEqual(gateway.END_RETRY, refusal.retry_after)
+        self.assertEqual(routed.END_RETRY, refusal.retry_after)
         self.assertEqual(exchange.Outcome.UNKNOWN, (await first).error.outcome)
         self.assertEqual(1, self.pool.asked)
 
