--- a/endivewind/nodes/datagrams.py
+++ b/endivewind/nodes/datagrams.py
@@ -13,6 +13,7 @@
 from endivewind.decisions import telling
 from endivewind.nodes import changes
 from endivewind.nodes import codec
+from endivewind.nodes import digests
 from endivewind.nodes import gossip
 from endivewind.nodes import view
 
@@ -121,7 +122,7 @@
     return item.encode() if isinstance(item, str) else bytes(item)
 
 
-def _version_out(version: gossip.Version) -> Any:
+def _version_out(version: digests.Version) -> Any:
     incarnation, refutation, state = version.member
     return codec.messages.Version(
         name=version.name,
@@ -133,8 +134,8 @@
     )
 
 
-def _version_in(version: Any) -> gossip.Version:
-    return gossip.Version(
+def _version_in(version: Any) -> digests.Version:
+    return digests.Version(
         version.name,
         (version.incarnation, version.refutation, version.state),
         view.HomeVersion(version.home_incarnation, version.sequence),
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -7,15 +7,15 @@
 import collections.abc
 import dataclasses
 import datetime
-import hashlib
-import math
 import random
 
 from endivewind import clock as clocks
 from endivewind.decisions import telling
 from endivewind.nodes import changes
 from endivewind.nodes import codec
+from endivewind.nodes import digests
 from endivewind.nodes import membership
+from endivewind.nodes import transmission
 from endivewind.nodes import view
 from endivewind.targets import records
 
@@ -26,12 +26,6 @@
 # Each tick sends at most FAN_OUT datagrams, so that gossip costs a node no
 # more than FAN_OUT * MAX_DATAGRAM * 10 = 48 KB a second, whatever happens.
 FAN_OUT = 4
-# Each node passes a change on ln(N) + this many times. With all pushes random
-# a node then misses one with e^-3 / N, so that all hear of it in 95 of 100
-# cases; digests repair the rest in seconds. Each further one costs a fleet of
-# two dozen a tenth of its bytes.
-EXTRA_TRANSMITS = 3
-MAX_TRANSMITS = 16
 # Traffic between regions and between zones is paid for. A change comes into
 # each zone about so many times from others, and as often into each region:
 # one in 400 then gets into a zone by repair only, some seconds later. Within
@@ -39,8 +33,6 @@
 INBOUND = 6
 # The rest stays near, also where a zone has a node or two only.
 MOST_CROSSING = 1 / 2
-MAX_QUEUED = 4096
-BUCKETS = 128
 # A node repairs with one other at a time, and leaves news time to spread: what
 # it has heard in the last REPAIR_PERIOD others may simply not have heard yet.
 # Without that each change would make every node compare its buckets.
@@ -58,25 +50,6 @@
 JOIN_LIMIT = datetime.timedelta(seconds=1)
 HOMES_PER_FRAME = 16
 
-# Node, its incarnation, then sequence and 1 or refutation and state.
-_Key = tuple[str, int, int, int]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Version:
-    """Which version of a node's records the sender knows."""
-
-    name: str
-    member: tuple[int, int, int]
-    home: view.HomeVersion
-
-    @property
-    def text(self) -> str:
-        """What digests are made of; the same at every node."""
-        incarnation, refutation, state = self.member
-        own = f"{self.name} {incarnation} {refutation} {int(state)}"
-        return f"{own} {self.home.incarnation} {self.home.sequence}"
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Datagram:
@@ -103,7 +76,7 @@
     changes: tuple[bytes, ...] = ()
     buckets: tuple[int, ...] = ()
     compared: tuple[int, ...] = ()
-    versions: tuple[Version, ...] = ()
+    versions: tuple[digests.Version, ...] = ()
     news: telling.News = telling.NO_NEWS
 
 
@@ -134,111 +107,6 @@
     message: Datagram | FleetState | Pull
 
 
-def transmits_of(nodes: int) -> int:
-    """How often each of so many nodes passes on a change."""
-    wanted = math.ceil(math.log(nodes + 1)) + EXTRA_TRANSMITS
-    return min(wanted, MAX_TRANSMITS)
-
-
-class ChangeQueue:
-    """Changes to pass on, the least often sent first."""
-
-    def __init__(self) -> None:
-        self._levels: list[dict[_Key, bytes]] = [
-            {} for _ in range(MAX_TRANSMITS)
-        ]
-        self._length = 0
-
-    def __len__(self) -> int:
-        return self._length
-
-    def put(self, key: _Key, payload: bytes) -> None:
-        """Adds a change.
-
-        A full queue drops what was sent most: others have it, and the digest
-        repairs the rest. Without a bound a mass restart would fill memory.
-        """
-        if self._length >= MAX_QUEUED:
-            fullest = next(item for item in reversed(self._levels) if item)
-            fullest.pop(next(iter(fullest)))
-            self._length -= 1
-        self._levels[0][key] = payload
-        self._length += 1
-
-    def take(self, room: int, nodes: int) -> tuple[bytes, ...]:
-        """Changes for one datagram, within so many bytes.
-
-        Args:
-          room: bytes that they may take.
-          nodes: how many nodes are to hear of them.
-        """
-        transmits = transmits_of(nodes)
-        taken: list[tuple[int, _Key, bytes]] = []
-        for level, items in enumerate(self._levels):
-            for key, payload in items.items():
-                room -= len(payload) + 4
-                if room < 0:
-                    break
-                taken.append((level, key, payload))
-            if room < 0:
-                break
-        for level, key, payload in taken:
-            del self._levels[level][key]
-            if level + 1 < transmits:
-                self._levels[level + 1][key] = payload
-            else:
-                self._length -= 1
-        return tuple(payload for _, _, payload in taken)
-
-
-class Digests:
-    """Digests of every node's versions, kept as versions change."""
-
-    def __init__(self) -> None:
-        self._hashes: dict[str, int] = {}
-        self._buckets = [0] * BUCKETS
-        self._names: list[set[str]] = [set() for _ in range(BUCKETS)]
-        self._summary = 0
-
-    @property
-    def summary(self) -> int:
-        """One digest of all."""
-        return self._summary
-
-    @property
-    def buckets(self) -> tuple[int, ...]:
-        """The digest of each bucket."""
-        return tuple(self._buckets)
-
-    def names(self, bucket: int) -> collections.abc.Set[str]:
-        """The nodes whose versions are in a bucket."""
-        return self._names[bucket]
-
-    def put(self, name: str, version: Version | None) -> None:
-        """Takes a node's version; None takes the node out."""
-        bucket = bucket_of(name)
-        old = self._hashes.pop(name, 0)
-        new = 0
-        if version is not None:
-            new = _digest(version.text)
-            self._hashes[name] = new
-            self._names[bucket].add(name)
-        else:
-            self._names[bucket].discard(name)
-        self._buckets[bucket] ^= old ^ new
-        self._summary ^= old ^ new
-
-
-def bucket_of(name: str) -> int:
-    """The bucket of a node; the same at every node."""
-    return _digest(name) % BUCKETS
-
-
-def _digest(text: str) -> int:
-    raw = hashlib.blake2b(text.encode(), digest_size=8).digest()
-    return int.from_bytes(raw, "big", signed=True)
-
-
 class Gossip:
     """One node's part in spreading what the fleet knows."""
 
@@ -253,8 +121,8 @@
         self._view = fleet
         self._clock = clock
         self._rng = rng
-        self._queue = ChangeQueue()
-        self._digests = Digests()
+        self._queue = transmission.ChangeQueue()
+        self._digests = digests.Digests()
         self._heard: list[records.TargetRecord] = []
         self._turns: list[membership.MemberRecord] = []
         self._started = clock.monotonic()
@@ -496,11 +364,13 @@
         if self._digests.summary != before:
             self._changed_at = self._clock.monotonic()
 
-    def _version(self, name: str) -> Version | None:
+    def _version(self, name: str) -> digests.Version | None:
         member = self._members.members.get(name)
         if member is None or not member.usable:
             return None
-        return Version(name, member.order, self._view.home_version(name))
+        return digests.Version(
+            name, member.order, self._view.home_version(name)
+        )
 
     def _run(
         self,
@@ -574,7 +444,9 @@
                 region.append(item)
             else:
                 far.append(item)
-        pushes = transmits_of(len(zone) + len(region) + len(far) + 1)
+        pushes = transmission.transmits_of(
+            len(zone) + len(region) + len(far) + 1
+        )
         zones = len({item.node.zone for item in region}) + 1
         sent_here = (len(zone) + len(region) + 1) * pushes
         to_far = INBOUND / sent_here if far else 0
@@ -629,7 +501,9 @@
         if len(theirs) != len(mine):
             return []
         differing = [
-            index for index in range(BUCKETS) if mine[index] != theirs[index]
+            index
+            for index in range(digests.BUCKETS)
+            if mine[index] != theirs[index]
         ]
         sends: list[Send] = []
         now = self._clock.monotonic()
@@ -646,7 +520,7 @@
     def _version_datagrams(self, differing: list[int]) -> list[Datagram]:
         found: list[Datagram] = []
         compared: list[int] = []
-        versions: list[Version] = []
+        versions: list[digests.Version] = []
         room = CHANGE_ROOM
         me = self._members.me.node.name
         for index in differing:
@@ -687,7 +561,7 @@
         theirs = {item.name: item for item in message.versions}
         names = set(theirs)
         for index in message.compared:
-            if 0 <= index < BUCKETS:
+            if 0 <= index < digests.BUCKETS:
                 names |= self._digests.names(index)
         wanted: list[str] = []
         offered: list[str] = []
@@ -706,7 +580,9 @@
             sends.append(Send(address, self._state(me, part, last=False)))
         return sends
 
-    def _relation(self, name: str, theirs: Version | None) -> tuple[bool, bool]:
+    def _relation(
+        self, name: str, theirs: digests.Version | None
+    ) -> tuple[bool, bool]:
         """Whether this node is behind, and whether it is ahead."""
         member = self._members.members.get(name)
         if theirs is None:
@@ -721,10 +597,10 @@
         return behind, ahead
 
 
-def _target_key(record: records.TargetRecord) -> _Key:
+def _target_key(record: records.TargetRecord) -> transmission.Key:
     return (record.home, record.home_incarnation, record.sequence, 1)
 
 
-def _version_size(version: Version) -> int:
+def _version_size(version: digests.Version) -> int:
     # Six fields of three bytes, five numbers, the name and the list's share.
     return len(version.name) + 60
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -8,6 +8,7 @@
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
 from endivewind.nodes import gossip
+from endivewind.nodes import transmission
 from endivewind.targets import records
 from endivewind.tests.nodes import network
 
@@ -99,7 +100,7 @@
                 for number in range(16):
                     if node.name in NAMES[:13]:
                         node.announce(f"{node.name}-{number}")
-                self.assertLessEqual(node.core.queued, gossip.MAX_QUEUED)
+                self.assertLessEqual(node.core.queued, transmission.MAX_QUEUED)
         self.assertLessEqual(self.net.largest, gossip.MAX_DATAGRAM)
         self.assertTrue(self.net.agreed())
         known = {len(n.view.all_targets()) for n in self.net.nodes.values()}
@@ -144,26 +145,26 @@
     """What is passed on, and how often."""
 
     def test_least_often_sent_goes_first(self):
-        queue = gossip.ChangeQueue()
+        queue = transmission.ChangeQueue()
         queue.put(("a", 1, 1, 1), b"a" * 100)
         queue.take(150, 760)
         queue.put(("b", 1, 1, 1), b"b" * 100)
         self.assertEqual((b"b" * 100,), queue.take(150, 760))
 
     def test_each_change_is_sent_a_bounded_number_of_times(self):
-        queue = gossip.ChangeQueue()
+        queue = transmission.ChangeQueue()
         queue.put(("a", 1, 1, 1), b"a")
         sent = sum(len(queue.take(100, 760)) for _ in range(50))
         self.assertEqual(10, sent)
         self.assertEqual(0, len(queue))
 
     def test_full_queue_drops_what_was_sent_most(self):
-        queue = gossip.ChangeQueue()
+        queue = transmission.ChangeQueue()
         queue.put(("old", 1, 1, 1), b"old")
         queue.take(100, 760)
-        for number in range(gossip.MAX_QUEUED):
+        for number in range(transmission.MAX_QUEUED):
             queue.put(("new", 1, number, 1), b"new")
-        self.assertEqual(gossip.MAX_QUEUED, len(queue))
+        self.assertEqual(transmission.MAX_QUEUED, len(queue))
         self.assertNotIn(b"old", queue.take(10**6, 760))
 
 
