Share retries with the whole region where it is small

Change: entries of a region of 25 nodes or fewer tell each other their counts; larger ones share within the zone as before.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -5,22 +5,23 @@
 from endivewind import clock as clocks
 from endivewind.config import objects
 from endivewind.config import store
+from endivewind.decisions import placing
 from endivewind.decisions import retries
 from endivewind.decisions import telling
 from endivewind.nodes import view
 
 
 class RetryBudgets:
-    """One budget for each service, as configured, with the zone's tallies."""
+    """One budget for each service, as configured, with others' tallies."""
 
     def __init__(
         self,
         configuration: store.ConfigurationStore,
         fleet: view.FleetView,
-        zone: str,
+        place: placing.Place,
         clock: clocks.Clock,
     ) -> None:
-        self._zone = zone
+        self._place = place
         self._configuration = configuration
         self._fleet = fleet
         self._clock = clock
@@ -40,15 +41,15 @@
         return known
 
     def hear(self, node: str, tally: telling.Tally) -> None:
-        """Takes what another entry of the zone has used of its part."""
+        """Takes what another entry near by has used of its part."""
         known = self._budgets.get(tally.service)
         if known is not None:
             known.hear(node, tally.count, self._clock.monotonic())
 
     def due(self) -> tuple[telling.Tally, ...]:
-        """Tallies that the other entries of the zone must hear now.
+        """Tallies that the other entries near by must hear now.
 
-        Call it often; the size of the zone is looked up here, too.
+        Call it often; how many there are is looked up here, too.
         """
         self._neighbours = self._count_neighbours()
         now = self._clock.monotonic()
@@ -78,8 +79,10 @@
         )
 
     def _count_neighbours(self) -> int:
-        """Other nodes of the zone that hear each other's tallies."""
-        near = sum(
-            item.zone == self._zone for item in self._fleet.nodes.values()
-        )
-        return min(max(0, near - 1), telling.HEARERS)
+        """Other nodes that hear each other's tallies."""
+        nodes = self._fleet.nodes.values()
+        region = sum(item.region == self._place.region for item in nodes)
+        if telling.shares_region(region - 1):
+            return max(0, region - 1)
+        zone = sum(item.zone == self._place.zone for item in nodes)
+        return min(max(0, zone - 1), telling.HEARERS)
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -81,7 +81,7 @@
         self._clock = clock
         self._table = routing.RoutingTable()
         self._budgets = budgets.RetryBudgets(
-            configuration, fleet, placement.zone, clock
+            configuration, fleet, placement.place, clock
         )
         self._rates = admission.RateLimits()
         self._crashes = crashes.CrashWatch(clock)
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -333,9 +333,9 @@
         self._loads = Loads(clock, self._paths, self._crossing, self._ramps)
 
     @property
-    def zone(self) -> str:
-        """This entry's availability zone."""
-        return self._place.zone
+    def place(self) -> Place:
+        """Where this entry is."""
+        return self._place
 
     @property
     def is_settling(self) -> bool:
--- a/endivewind/decisions/telling.py
+++ b/endivewind/decisions/telling.py
@@ -1,4 +1,4 @@
-"""What nodes of a zone tell each other, and when. Pure."""
+"""What nodes near each other tell, and when. Pure."""
 
 import collections.abc
 import dataclasses
@@ -17,6 +17,21 @@
 HEARERS = 24
 
 
+def shares_region(others: int) -> bool:
+    """Whether entries share their retries with their whole region.
+
+    Load: few requests an entry, one in ten of which fails, in bunches. Harm: a
+    zone of six with a bound of nine retries in ten seconds has used them up
+    while the zone beside it has used none. Twice as many share twice as much,
+    and chance evens out better. Each count goes to every node that shares, so
+    only where these are few.
+
+    Args:
+      others: nodes of the region, this one not counted.
+    """
+    return others <= HEARERS
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Condition:
     """What a home tells of one of its targets.
@@ -45,7 +60,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
-    """One message to the nodes of the zone; false if it is empty."""
+    """One message to nodes near by; false if it is empty."""
 
     conditions: tuple[Condition, ...] = ()
     tallies: tuple[Tally, ...] = ()
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -185,16 +185,26 @@
         return self._push()
 
     def tell(self, news: telling.News) -> list[Send]:
-        """Tells the nodes of this zone."""
+        """Tells the nodes of this zone, and what they share to the region."""
         me = self._members.me.node
-        near = [
-            item for item in self._members.peers() if item.node.zone == me.zone
-        ]
-        message = Datagram(me.name, self.summary, news=news)
-        return [
-            Send(item.node.address, message)
-            for item in self._some(near, telling.HEARERS)
+        peers = self._members.peers()
+        region = [item for item in peers if item.node.region == me.region]
+        zone = [item for item in region if item.node.zone == me.zone]
+        sends = [
+            self._news(item, news) for item in self._some(zone, telling.HEARERS)
         ]
+        if news.tallies and telling.shares_region(len(region)):
+            tallies = telling.News(tallies=news.tallies)
+            sends.extend(
+                self._news(item, tallies)
+                for item in region
+                if item.node.zone != me.zone
+            )
+        return sends
+
+    def _news(self, to: membership.MemberRecord, news: telling.News) -> Send:
+        me = self._members.me.node.name
+        return Send(to.node.address, Datagram(me, self.summary, news=news))
 
     def tick(self) -> list[Send]:
         """Runs the timers; call it about every 100 ms."""
--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -155,6 +155,7 @@
         entries_per_zone: int = 1,
         tells: bool = True,
         slots: int = SLOTS,
+        retries: tuple[int, int] = (20, 60),
     ) -> None:
         """Builds the fleet.
 
@@ -164,7 +165,9 @@
           entries_per_zone: entries, each with callers of its own.
           tells: whether homes tell entries near by of sick targets.
           slots: of each target.
+          retries: in a hundred requests, and in each window besides.
         """
+        self._retries = retries
         self._announcement = registry.Announcement(
             service=SERVICE, address="http://t", lease_ms=60_000, slots=slots
         )
@@ -241,7 +244,10 @@
             SERVICE,
             1,
             {
-                "spec": {"retry_percent": 20, "retry_reserve": 60},
+                "spec": {
+                    "retry_percent": self._retries[0],
+                    "retry_reserve": self._retries[1],
+                },
                 "operation": "o",
             },
         )
@@ -318,15 +324,25 @@
             for condition in self._tellers[name].due(states, now):
                 for placed in self._placements[zone]:
                     placed.hear(condition)
-        for zone in ZONES:
-            self._tell_tallies(zone)
+        self._tell_tallies()
 
-    def _tell_tallies(self, zone):
-        for number, entry in enumerate(self._entries[zone]):
+    def _tell_tallies(self):
+        entries = [
+            (f"entry-{zone}-{number}", zone, entry)
+            for zone in ZONES
+            for number, entry in enumerate(self._entries[zone])
+        ]
+        for name, zone, entry in entries:
             for tally in entry.budgets.due():
-                for other in self._entries[zone]:
-                    if other is not entry:
-                        other.budgets.hear(f"entry-{zone}-{number}", tally)
+                for other, other_zone, hearer in entries:
+                    if other != name and self._share(zone, other_zone):
+                        hearer.budgets.hear(name, tally)
+
+    def _share(self, zone, other):
+        """Whether entries of two zones share their retries."""
+        region = 2 * len(self._entries[zone])
+        whole = telling.shares_region(region - 1)
+        return zone == other or (whole and zone[0] == other[0])
 
     async def _ask(self, kind, zone):
         route = kind.route
