Refuse what waits for a slot while half of its time is left

Change: a request waits for half of the time that it has when it begins to; its caller hears then that it has not run, with time to come back.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -51,6 +51,8 @@
 # alone, and slow answers waited for: the rest is for requests that have
 # failed. One that is late is worth something, one that failed is not.
 CHOSEN_SPENT = 0.4
+# Part of the time left to a request that it may wait for a slot.
+WAIT_SHARE = 0.5
 # A home hears of a failure before the entry does.
 RISK_MARGIN = 0.1
 
@@ -302,7 +304,7 @@
                     call.head.workspace,
                     weight,
                     waiting.level(call.route),
-                    call.deadline,
+                    self._wait_until(call),
                 ),
                 len(call.body.held),
             )
@@ -314,6 +316,17 @@
             return await self._attempt(call, placed.ok)
         return await self._hedged(call, placed.ok)
 
+    def _wait_until(self, call: routed.RoutedRequest) -> datetime.timedelta:
+        """How long a request waits for a slot before it is refused.
+
+        Load: a service that gets more than it can take for longer than its
+        callers wait, most of it of a higher rank. Harm: the rest waits for
+        its deadline and is refused then, when it is too late to come back.
+        Half of the time is left to whoever is refused here.
+        """
+        now = self._clock.monotonic()
+        return now + WAIT_SHARE * (call.deadline - now)
+
     async def _hedged(
         self, call: routed.RoutedRequest, record: records.TargetRecord
     ) -> AnswerResult:
