Tell that a route does not exist as soon as that is known

The listener asked whether the node is ready at all; gossip, which starts later now, had not listed the nodes yet. Change: only the configuration counts for this.

--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -47,7 +47,7 @@
         served: gateway.Gateway,
         ticketed: ticketing.Ticketing,
         limits: settings.Limits,
-        not_ready: collections.abc.Callable[[], str | None],
+        unknown: collections.abc.Callable[[], str | None],
         dialect: calls.Dialect | None = None,
     ) -> None:
         """Serves nothing before server() is started.
@@ -56,13 +56,14 @@
           served: routes and places requests.
           ticketed: runs work that must not repeat.
           limits: bounds of this process.
-          not_ready: what the node still lacks; None once it has all.
+          unknown: what of the configuration the node does not know yet; None
+            once it knows all.
           dialect: how callers speak; None for the project's own way.
         """
         self._gateway = served
         self._tickets = ticketed
         self._limits = limits
-        self._not_ready = not_ready
+        self._unknown = unknown
         self.speak(dialect or calls.Dialect())
         self._counts = served.counts
         self._leaving = False
@@ -244,7 +245,7 @@
     def _admit(self, call: calls.Call) -> exchange.Refusal | None:
         """Routes a request whose head is in order; its body is unread."""
         route = self._route(call)
-        missing = self._not_ready() if route is None else None
+        missing = self._unknown() if route is None else None
         if missing:
             # Without its configuration a node can't tell a route that does
             # not exist from one that it has not heard of; a 404 would have
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -217,7 +217,7 @@
             self._gateway,
             self._ticketing,
             config.limits,
-            self._not_ready,
+            lambda: self._configuration_peer.missing(),
             self._dialect(),
         )
 
@@ -345,15 +345,17 @@
         self._stopping = True
         log.info("stopping")
         if self._settings.beside is None:
-            # Its targets move to other homes, which takes a while.
             self._targets.stop_taking()
+        else:
+            # Its target can't move: the fleet must turn to others at once,
+            # and the target's own announcements are still to be answered.
+            self._gossip.announce_leave()
         departure = leaving.Departure(
             self._listener,
             self._dispatcher,
             self._link_server,
             self._ticketing,
             datetime.timedelta(seconds=self._settings.limits.notice_seconds),
-            self._turn_away,
         )
         await departure.run(self._stop_limit())
         await self._take_leave()
@@ -367,14 +369,6 @@
         await self._dispatcher.close()
         await self._session.close()
 
-    def _turn_away(self) -> None:
-        """Tells the fleet to send no more work to a target that can't move.
-
-        Its announcements are still answered.
-        """
-        if self._settings.beside is not None:
-            self._gossip.announce_leave()
-
     def _stop_limit(self) -> datetime.timedelta:
         """How long work in flight may take."""
         limits = self._settings.limits
--- a/endivewind/tests/node_tests.py
+++ b/endivewind/tests/node_tests.py
@@ -5,9 +5,12 @@
 import unittest
 from unittest import mock
 
+import aiohttp
+
 from endivewind import clock as clocks
 from endivewind import node
 from endivewind.config import settings
+from endivewind.nodes import configuration
 from endivewind.nodes import service
 
 # Nothing listens there, and a connection is refused at once.
@@ -30,6 +33,36 @@
             writer.close()
             taken.append(address)
 
+        member = self._member()
+        with mock.patch.object(service.GossipService, "start", start):
+            addresses = await member.start()
+        self.addAsyncCleanup(self._end, member)
+
+        self.assertEqual([addresses.nodes], taken)
+
+    async def test_a_route_that_does_not_exist_is_told_once_that_is_known(self):
+        """The configuration is here; the list of other nodes is not yet.
+
+        Which nodes there are says nothing of routes: a caller that is asked
+        to come back would ask for the same again.
+        """
+        member = self._member()
+        peer, gossip = configuration.ConfigurationPeer, service.GossipService
+        with (
+            mock.patch.object(gossip, "start", mock.AsyncMock()),
+            mock.patch.object(gossip, "not_ready", lambda _: "no list yet"),
+            mock.patch.object(peer, "missing", lambda _: None),
+        ):
+            addresses = await member.start()
+            self.addAsyncCleanup(self._end, member)
+            url = f"http://{addresses.callers}/nowhere"
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url) as response,
+            ):
+                self.assertEqual(404, response.status)
+
+    def _member(self) -> node.Node:
         config = settings.NodeSettings(
             name="node-a",
             region="andina",
@@ -37,14 +70,9 @@
             platform=NO_PLATFORM,
             audit=settings.Trail.LOG,
         )
-        member = node.Node.from_settings(
+        return node.Node.from_settings(
             config, clocks.SystemClock(), random.Random(1)
         )
-        with mock.patch.object(service.GossipService, "start", start):
-            addresses = await member.start()
-        self.addAsyncCleanup(self._end, member)
-
-        self.assertEqual([addresses.nodes], taken)
 
     async def _end(self, member: node.Node) -> None:
         """Cancels what the node runs; its gossip has never started."""
