--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -21,6 +21,7 @@
 from endivewind.callers import routed
 from endivewind.decisions import crossing
 from endivewind.decisions import placing
+from endivewind.decisions import retries
 from endivewind.decisions import suspicion
 from endivewind.decisions import telling
 from endivewind.targets import slots
@@ -130,6 +131,10 @@
     "told load": lambda: _off(
         placement._TargetLoad, "others_now", lambda *_: 0.0
     ),
+    "care without retries": lambda: _off(
+        retries.RetryBudget, "is_used_up", lambda self, now: False
+    ),
+    "refusal at half of the time": lambda: _off(gateway, "WAIT_SHARE", 1.0),
     "settling": lambda: _off(placement, "SETTLING", datetime.timedelta()),
     "crossing limit": lambda: _off(
         crossing.CrossRegionBudget, "allows", lambda *_: True
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -41,6 +41,36 @@
 _BEATS = "platform.heartbeats_tests"
 
 MUTANTS = (
+    Mutant(
+        "a pipelined order is begun before its turn",
+        "callers/listener.py",
+        "        if not routed.may_repeat(route, request.method):\n"
+        "            return None\n",
+        "",
+        "callers.pipelining_tests",
+    ),
+    Mutant(
+        "an answer closes the connection although targets have others on it",
+        "callers/listener.py",
+        "        if stopping and not _connection(call.request).has_begun:\n",
+        "        if stopping:\n",
+        "callers.pipelining_tests",
+    ),
+    Mutant(
+        "work at a target is called not run when the node ends",
+        "callers/routed.py",
+        "        if self.is_open:\n",
+        "        if False:\n",
+        "callers.gateway_tests",
+    ),
+    Mutant(
+        "a leave that comes before any announcement is forgotten",
+        "targets/registry.py",
+        "        self._departed[target] = max(known, incarnation)\n",
+        "        if item is not None:\n"
+        "            self._departed[target] = max(known, incarnation)\n",
+        "targets.registry_tests",
+    ),
     Mutant(
         "an attempt is recorded after its hand-over",
         "targets/dispatch.py",
