--- a/endivewind/tests/loads/sharing_tests.py
+++ b/endivewind/tests/loads/sharing_tests.py
@@ -23,18 +23,24 @@
 SEEDS = range(1, 7)
 
 
+def _fleet(seed):
+    """A fleet that has been quiet for three seconds."""
+    played = fleet.Fleet(
+        seed,
+        slots=SLOTS,
+        entries_per_zone=ENTRIES_PER_ZONE,
+        retries=RETRIES,
+    )
+    played.play(3, (LOOKUP,))
+    played.outcomes.clear()
+    return played
+
+
 def _lost():
     """The share of look-ups that got no answer of use, over all seeds."""
     total = collections.Counter()
     for seed in SEEDS:
-        played = fleet.Fleet(
-            seed,
-            slots=SLOTS,
-            entries_per_zone=ENTRIES_PER_ZONE,
-            retries=RETRIES,
-        )
-        played.play(3, (LOOKUP,))
-        played.outcomes.clear()
+        played = _fleet(seed)
         for _ in range(SPELLS):
             sick = played.rng.sample(list(played.targets.values()), SICK)
             for target in sick:
@@ -66,14 +72,7 @@
     """The share of look-ups that failed, half of the targets being sick."""
     total = collections.Counter()
     for seed in SEEDS:
-        played = fleet.Fleet(
-            seed,
-            slots=SLOTS,
-            entries_per_zone=ENTRIES_PER_ZONE,
-            retries=RETRIES,
-        )
-        played.play(3, (LOOKUP,))
-        played.outcomes.clear()
+        played = _fleet(seed)
         targets = list(played.targets.values())
         for target in played.rng.sample(targets, len(targets) // 2):
             target.fails = FAILS
