--- a/endivewind/callers/routed.py
+++ b/endivewind/callers/routed.py
@@ -165,7 +165,6 @@
             patience,
             may_probe=may_probe and self.may_hedge,
             is_last=is_last or self.sent + 1 >= self.most_sends,
-            may_wait=True,
         )
 
     def may_place_again(self, result: AnswerResult) -> bool:
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -27,11 +27,6 @@
 # which pays up to about even odds.
 RISK_ONCE = 0.15
 RISK_REPEATABLE = 0.5
-# A target that likelier fails than not gets nothing that can't be tried again,
-# as long as a good one will have a slot in time: it fails at once and so is
-# always free, and under load would take most of what the good ones have no
-# slot for. A sick target fails two requests in three (suspicion.Signal).
-RISK_WORSE_THAN_WAITING = 0.5 / suspicion.Signal.FAILED.value[0]
 # Between two good ones, this much of a slot's load for a sure sickness.
 DOUBT_ONCE = 3.0
 DOUBT_REPEATABLE = 0.5
@@ -121,7 +116,6 @@
         well fail.
       is_last: whether no other target may be tried after this one, by its
         route or because retries are used up.
-      may_wait: whether it has the time to wait for a slot of a good target.
     """
 
     repeatable: bool
@@ -129,7 +123,6 @@
     patience: float = 0.0
     may_probe: bool = False
     is_last: bool = False
-    may_wait: bool = False
 
     @property
     def may_fail(self) -> bool:
@@ -226,43 +219,10 @@
         return None
     rank, same = found
     if rank in _RISKY:
-        return _least_doubtful(same, pool, demand, load)
+        return min(same, key=lambda item: load.suspicion(item.id))
     return _better(same[:_CHOICES], demand, load)
 
 
-def _least_doubtful(
-    items: list[floor.Candidate], pool: Pool, demand: Demand, load: Load
-) -> floor.Candidate | None:
-    """The best of what may well fail; None where waiting is better.
-
-    Load: a burst, or a stop of some homes, while some targets are sick. Harm:
-    the good targets are full and the sick ones free, since they fail at once;
-    each takes tens of requests a second and loses most. With a quarter of the
-    targets sick and two fifths more orders than the others can take, for five
-    seconds, 12 to 14 orders in 100 failed so; where they wait 1 to 2 do, and
-    6 more are refused as not run (six seeds). Where no target is any better
-    there is nothing to wait for.
-    """
-    found = min(items, key=lambda item: load.suspicion(item.id))
-    if demand.may_fail or not demand.may_wait:
-        return found
-    if load.suspicion(found.id) <= RISK_WORSE_THAN_WAITING:
-        return found
-    waits = any(
-        _is_good(item, demand, load) for tier in pool.tiers for item in tier
-    )
-    return None if waits else found
-
-
-def _is_good(item: floor.Candidate, demand: Demand, load: Load) -> bool:
-    """Whether a target is worth waiting for, though it has no slot now."""
-    return (
-        item.id not in demand.excluded
-        and load.reaches(item.home)
-        and load.suspicion(item.id) <= demand.risk
-    )
-
-
 def _best(
     tiers: tuple[tuple[floor.Candidate, ...], ...],
     demand: Demand,
