--- a/endivewind/callers/waiting.py
+++ b/endivewind/callers/waiting.py
@@ -147,10 +147,10 @@
     def _serve(self, service: str) -> None:
         """Gives free slots to those whose turn it is.
 
-        Load: orders wait for a good target, and behind them look-ups that
-        may go to a doubtful one. Harm: tried in strict order, the look-ups
-        would wait for slots that they do not need, and the doubtful targets
-        stand idle although they may be well again.
+        Load: the first in the queue may go to few targets, since it has tried
+        the others or must not fail. Harm: tried in strict order, those behind
+        it would wait for slots that they do not need, and the targets stand
+        idle.
         """
         queue = self._queue(service)
         while any(self._offer(item) for item in queue.first_few(TRIED)):
