Let nodes use half of the fleet's retries by themselves

Nodes used six tenths by themselves; the calls of repeated work, which count where they arrive, may be as many again: 1.2 of the bound. Change: half, so that with one call for each repeat the sum keeps the bound.

--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -120,7 +120,7 @@
 # The part of the fleet's retries that nodes take by themselves. A repeat may
 # call other services, and these calls count as repeats there; with as many
 # calls as repeats the sum still keeps the bound.
-OWN_RETRIES = 0.6
+OWN_RETRIES = 0.5
 
 
 class FleetLimits(base.Model):
