Count bytes to nodes by kind and distance, and calls to the platform

Now each node counts what it sends by purpose and by how far it goes, and its calls by word and kind, as metrics and in a log line.

--- a/endivewind/metrics.py
+++ b/endivewind/metrics.py
@@ -15,6 +15,8 @@
 import prometheus_client
 
 from endivewind.callers import counts
+from endivewind.nodes import traffic
+from endivewind.platform import client
 from endivewind.targets import records
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
@@ -33,6 +35,8 @@
       nodes: nodes known, this one included.
       idle_links: open links to other nodes that carry no request.
       version: the highest version of a configuration object in force.
+      sent_bytes: bytes sent to other nodes.
+      platform_calls: calls to the platform.
     """
 
     requests: counts.RequestCounts
@@ -43,6 +47,8 @@
     nodes: collections.abc.Callable[[], int]
     idle_links: collections.abc.Callable[[], int]
     version: collections.abc.Callable[[], int]
+    sent_bytes: traffic.Counts
+    platform_calls: collections.abc.Mapping[client.Call, int]
 
 
 class Kind(enum.Enum):
@@ -73,7 +79,7 @@
     @property
     def scraped_name(self) -> str:
         """The name as Prometheus scrapes it."""
-        suffix = {"s": "_seconds"}.get(self.unit, "")
+        suffix = {"s": "_seconds", "By": "_bytes"}.get(self.unit, "")
         total = "_total" if self.kind is Kind.COUNTER else ""
         return self.name.replace(".", "_") + suffix + total
 
@@ -137,6 +143,17 @@
     yield api.Observation(sources.idle_links())
 
 
+def _sent_bytes(sources: Sources) -> Observations:
+    for (kind, distance), size in sources.sent_bytes.items():
+        labels = {"kind": kind.value, "distance": distance.value}
+        yield api.Observation(size, labels)
+
+
+def _platform_calls(sources: Sources) -> Observations:
+    for call, count in sources.platform_calls.items():
+        yield api.Observation(count, dataclasses.asdict(call))
+
+
 INSTRUMENTS = (
     Instrument(
         "endivewind.requests",
@@ -216,6 +233,21 @@
         "Open links to other nodes that carry no request.",
         _idle_links,
     ),
+    Instrument(
+        "endivewind.sent",
+        Kind.COUNTER,
+        "By",
+        "Bytes sent to other nodes, by what they are for and how far they "
+        "went.",
+        _sent_bytes,
+    ),
+    Instrument(
+        "endivewind.platform.calls",
+        Kind.COUNTER,
+        "{call}",
+        "Calls to the platform, by what they do and the kind of objects.",
+        _platform_calls,
+    ),
 )
 
 
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -37,6 +37,7 @@
 from endivewind.nodes import link_server
 from endivewind.nodes import links
 from endivewind.nodes import service
+from endivewind.nodes import traffic
 from endivewind.nodes import view
 from endivewind.operators import configuration as operators
 from endivewind.operators import http
@@ -87,8 +88,11 @@
         self._rng = rng
         self._configuration = store.ConfigurationStore()
         self._fleet = view.FleetView()
-        self._pool = links.LinkPool(clock, tls.link_context(config.nodes_tls))
-        self._link_server = link_server.LinkServer(self)
+        self._traffic = traffic.Traffic(config.region, config.zone, self._fleet)
+        self._pool = links.LinkPool(
+            clock, tls.link_context(config.nodes_tls), self._traffic
+        )
+        self._link_server = link_server.LinkServer(self, self._traffic)
         self._teller = telling.Teller()
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.BaseRunner] = []
@@ -320,6 +324,7 @@
             self._platform,
             self._clock,
             self._rng,
+            self._traffic,
         )
 
     def reload(self, config: settings.NodeSettings) -> None:
@@ -597,13 +602,15 @@
             self._gateway.budgets.hear(sender, tally)
 
     async def _log_traffic(self) -> None:
-        """Says now and then what this node has sent, by kind."""
+        """Says now and then what this node has sent and called, by kind."""
         while True:
             await asyncio.sleep(TRAFFIC_PERIOD.total_seconds())
-            fields = logs.fields(
-                **self._pool.sent_bytes, datagrams=self._gossip.datagram_bytes
-            )
-            log.info("bytes sent", extra=fields)
+            log.info("bytes sent", extra=logs.fields(**self._traffic.by_kind()))
+            calls = {
+                f"{call.word} {call.kind}": count
+                for call, count in self._platform.calls.items()
+            }
+            log.info("platform calls", extra=logs.fields(**calls))
 
     def _metric_sources(self) -> metrics.Sources:
         return metrics.Sources(
@@ -613,6 +620,8 @@
             nodes=lambda: len(self._fleet.nodes),
             idle_links=lambda: self._pool.idle,
             version=lambda: self._configuration.version,
+            sent_bytes=self._traffic.counts,
+            platform_calls=self._platform.calls,
         )
 
     def _not_ready(self) -> str | None:
--- a/endivewind/nodes/chunks.py
+++ b/endivewind/nodes/chunks.py
@@ -10,16 +10,19 @@
     writer: asyncio.StreamWriter,
     number: int,
     parts: collections.abc.AsyncIterator[bytes],
-) -> None:
-    """Sends all parts of the body of an exchange, and its end."""
+) -> int:
+    """Sends all parts of an exchange's body, and its end; returns the bytes."""
+    size = 0
     async for data in parts:
-        _write_chunk(writer, number, data, last=False)
+        size += _write_chunk(writer, number, data, last=False)
         await writer.drain()
-    _write_chunk(writer, number, b"", last=True)
+    return size + _write_chunk(writer, number, b"", last=True)
 
 
 def _write_chunk(
     writer: asyncio.StreamWriter, number: int, data: bytes, *, last: bool
-) -> None:
+) -> int:
     chunk = codec.messages.Chunk(exchange=number, data=data, last=last)
-    writer.write(codec.encode(codec.messages.Frame(chunk=chunk)))
+    encoded = codec.encode(codec.messages.Frame(chunk=chunk))
+    writer.write(encoded)
+    return len(encoded)
--- a/endivewind/nodes/datagrams.py
+++ b/endivewind/nodes/datagrams.py
@@ -15,6 +15,7 @@
 from endivewind.nodes import codec
 from endivewind.nodes import digests
 from endivewind.nodes import gossip
+from endivewind.nodes import traffic
 from endivewind.nodes import view
 
 log = logging.getLogger(__name__)
@@ -175,12 +176,25 @@
     return telling.Tally(tally.service_name, count)
 
 
+def _kind(datagram: gossip.Datagram) -> traffic.Kind:
+    """What most of a datagram is for."""
+    if datagram.news:
+        return traffic.Kind.NEWS
+    return traffic.Kind.CHANGES if datagram.changes else traffic.Kind.PROBES
+
+
 class DatagramSocket(asyncio.DatagramProtocol):
     """A node's UDP socket, at the address of its listener for nodes."""
 
-    def __init__(self, received: Received, key: bytes = b"") -> None:
+    def __init__(
+        self,
+        received: Received,
+        key: bytes = b"",
+        meter: traffic.Meter | None = None,
+    ) -> None:
         self._received = received
         self._key = key
+        self._meter = meter or traffic.Unmetered()
         self._transport: asyncio.DatagramTransport | None = None
         self._sent_bytes = 0
         self._received_bytes = 0
@@ -214,6 +228,7 @@
         host, _, port = address.rpartition(":")
         data = encode(datagram, self._key)
         self._sent_bytes += len(data)
+        self._meter.sent(_kind(datagram), address, len(data))
         self._transport.sendto(data, (host.strip("[]"), int(port)))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/endivewind/nodes/link_server.py
+++ b/endivewind/nodes/link_server.py
@@ -14,6 +14,7 @@
 from endivewind.nodes import chunks
 from endivewind.nodes import codec
 from endivewind.nodes import links
+from endivewind.nodes import traffic
 
 log = logging.getLogger(__name__)
 
@@ -81,8 +82,9 @@
 class LinkServer:
     """Accepts links from other nodes."""
 
-    def __init__(self, home: Home) -> None:
+    def __init__(self, home: Home, meter: traffic.Meter | None = None) -> None:
         self._home = home
+        self._meter = meter or traffic.Unmetered()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._in_flight = 0
@@ -203,10 +205,13 @@
         result = await self._run(forward, body)
         match result:
             case expression.Result(tag="ok", ok=answer):
-                await _send_answer(writer, forward.exchange, answer)
+                size = await _send_answer(writer, forward.exchange, answer)
             case expression.Result(error=refusal):
-                _send_refusal(writer, forward.exchange, refusal)
+                size = _send_refusal(writer, forward.exchange, refusal)
         await writer.drain()
+        caller = writer.get_extra_info("peername")
+        if caller is not None:
+            self._meter.sent(traffic.Kind.ANSWERS, caller[0], size)
         if body.rest is not None:
             # Chunks that nobody read would be taken for the next exchange.
             async with contextlib.aclosing(body.rest):  # type: ignore[type-var]
@@ -259,7 +264,8 @@
 
 async def _send_answer(
     writer: asyncio.StreamWriter, number: int, answer: exchange.Answer
-) -> None:
+) -> int:
+    """Sends an answer; returns its bytes."""
     head = codec.messages.Answer(
         exchange=number,
         status=answer.status,
@@ -268,15 +274,18 @@
         body_complete=answer.rest is None,
         glance=codec.glance_out(answer.glance),
     )
-    writer.write(codec.encode(codec.messages.Frame(answer=head)))
-    if answer.rest is not None:
-        async with contextlib.aclosing(answer.rest):
-            await chunks.send(writer, number, answer.rest)
+    data = codec.encode(codec.messages.Frame(answer=head))
+    writer.write(data)
+    if answer.rest is None:
+        return len(data)
+    async with contextlib.aclosing(answer.rest):
+        return len(data) + await chunks.send(writer, number, answer.rest)
 
 
 def _send_refusal(
     writer: asyncio.StreamWriter, number: int, refusal: exchange.Refusal
-) -> None:
+) -> int:
+    """Sends a refusal; returns its bytes."""
     wait = refusal.retry_after
     message = codec.messages.Refusal(
         exchange=number,
@@ -287,7 +296,9 @@
         moved_to=refusal.moved_to or None,
         glance=codec.glance_out(refusal.glance),
     )
-    writer.write(codec.encode(codec.messages.Frame(refusal=message)))
+    data = codec.encode(codec.messages.Frame(refusal=message))
+    writer.write(data)
+    return len(data)
 
 
 class _Heart:
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import dataclasses
 import datetime
@@ -21,6 +20,7 @@
 from endivewind import exchange
 from endivewind.nodes import chunks
 from endivewind.nodes import codec
+from endivewind.nodes import traffic
 from endivewind.nodes import view
 
 log = logging.getLogger(__name__)
@@ -60,18 +60,16 @@
     """Connections to peers, for forwarding and for gossip's repairs."""
 
     def __init__(
-        self, clock: clocks.Clock, tls: ssl.SSLContext | None = None
+        self,
+        clock: clocks.Clock,
+        tls: ssl.SSLContext | None = None,
+        meter: traffic.Meter | None = None,
     ) -> None:
         self._clock = clock
         self._tls = tls
+        self._meter = meter or traffic.Unmetered()
         self._idle: dict[str, list[_Link]] = {}
         self._numbers = itertools.count(1)
-        self._sent: collections.Counter[str] = collections.Counter()
-
-    @property
-    def sent_bytes(self) -> collections.abc.Mapping[str, int]:
-        """Bytes written to peers by kind, since the start."""
-        return self._sent
 
     @property
     def idle(self) -> int:
@@ -136,9 +134,8 @@
         limit = head.remaining + DEADLINE_GRACE
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                self._sent["requests"] += await _send_request(
-                    link, forward, body
-                )
+                size = await _send_request(link, forward, body)
+                self._meter.sent(traffic.Kind.REQUESTS, peer.address, size)
                 return await self._receive(peer.address, link, number)
         except (OSError, EOFError, codec.FrameError) as error:
             link.close()
@@ -179,7 +176,7 @@
             if link is None:
                 link = await self._connect(address)
             data = codec.encode(frame)
-            self._sent["control"] += len(data)
+            self._meter.sent(_kind(frame), address, len(data))
             link.writer.write(data)
             async with asyncio.timeout(SILENCE_LIMIT.total_seconds()):
                 await link.writer.drain()
@@ -402,6 +399,13 @@
     return len(data)
 
 
+def _kind(frame: Any) -> traffic.Kind:
+    """What a frame that needs no answer is for."""
+    if frame.fleet_state or frame.pull:
+        return traffic.Kind.STATE
+    return traffic.Kind.CONFIGURATION
+
+
 def _refusal_in(refusal: Any) -> exchange.Refusal:
     wait = refusal.retry_after_ms
     return exchange.Refusal(
--- a/endivewind/nodes/service.py
+++ b/endivewind/nodes/service.py
@@ -20,6 +20,7 @@
 from endivewind.nodes import links
 from endivewind.nodes import membership
 from endivewind.nodes import states
+from endivewind.nodes import traffic
 from endivewind.nodes import view
 from endivewind.platform import client
 from endivewind.targets import registry
@@ -72,6 +73,7 @@
         platform: client.PlatformClient,
         clock: clocks.Clock,
         rng: random.Random,
+        meter: traffic.Meter | None = None,
     ) -> None:
         self._seeds = config.seeds
         self._state = state
@@ -81,7 +83,7 @@
         self._members = membership.Membership(me, clock, rng, config.seeds)
         self._core = gossip.Gossip(self._members, state.fleet, clock, rng)
         self._socket = datagrams.DatagramSocket(
-            self._received, config.gossip_key.encode()
+            self._received, config.gossip_key.encode(), meter
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._sending: set[asyncio.Task[None]] = set()
@@ -127,11 +129,6 @@
         """
         self._list_now.set()
 
-    @property
-    def datagram_bytes(self) -> int:
-        """Bytes of datagrams sent since the start."""
-        return self._socket.sent_bytes
-
     def frame(self, frame: Any) -> None:
         """Takes a frame of gossip that came by a link."""
         try:
--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -1,7 +1,9 @@
 """Client of the platform's store: get, list, put, delete, watch."""
 
 import asyncio
+import collections
 import collections.abc
+import dataclasses
 import datetime
 import logging
 from typing import Any
@@ -38,6 +40,19 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """What a call does, for counting.
+
+    Attributes:
+      word: get, list, watch, put, post or delete.
+      kind: of the objects that it is about.
+    """
+
+    word: str
+    kind: str
+
+
 class PlatformClient:
     """Calls the store; every failure is a value, none is raised.
 
@@ -54,6 +69,12 @@
         self._session = session
         self._clock = clock or clocks.SystemClock()
         self._budget = retries.CallBudget()
+        self._calls: collections.Counter[Call] = collections.Counter()
+
+    @property
+    def calls(self) -> collections.abc.Mapping[Call, int]:
+        """Calls made since the start; each is paid for."""
+        return self._calls
 
     @property
     def budget(self) -> retries.CallBudget:
@@ -165,6 +186,7 @@
     ) -> expression.Result[AnswerT, messages.PlatformError]:
         if not await self._admitted():
             return _error(messages.Failure.THROTTLED, "call budget used up")
+        self._calls[_call_of(method, path)] += 1
         try:
             async with self._session.request(
                 method,
@@ -201,6 +223,15 @@
         return False
 
 
+def _call_of(method: str, path: str) -> Call:
+    plain, _, query = path.partition("?")
+    _, _, kind, *name = plain.split("/")
+    word = method.lower()
+    if method == "GET" and not name:
+        word = "watch" if "watch=" in query else "list"
+    return Call(word, kind)
+
+
 def _kind(kind: str, **query: Any) -> str:
     path = names.OBJECTS_PATH.format(kind=kind)
     return path + ("?" + urllib.parse.urlencode(query) if query else "")
--- a/endivewind/tests/metrics_tests.py
+++ b/endivewind/tests/metrics_tests.py
@@ -11,6 +11,8 @@
 from endivewind import exchange
 from endivewind import metrics
 from endivewind.callers import counts
+from endivewind.nodes import traffic
+from endivewind.platform import client
 from endivewind.targets import records
 
 _PAGE = (
@@ -50,6 +52,8 @@
         nodes=lambda: 5,
         idle_links=lambda: 4,
         version=lambda: 17,
+        sent_bytes={(traffic.Kind.NEWS, traffic.Distance.FAR): 90},
+        platform_calls={client.Call("watch", "config"): 6},
     )
     return metrics.NodeMetrics(sources).render().decode()
 
@@ -74,6 +78,8 @@
             "endivewind_configuration_version 17.0",
             "endivewind_nodes 5.0",
             "endivewind_links_idle 4.0",
+            'endivewind_sent_bytes_total{distance="far",kind="news"} 90.0',
+            'endivewind_platform_calls_total{kind="config",word="watch"} 6.0',
         ):
             self.assertIn(line, lines)
 
--- a/endivewind/tests/platform/client_tests.py
+++ b/endivewind/tests/platform/client_tests.py
@@ -6,6 +6,7 @@
 
 from endivewind.durable import retries
 from endivewind.durable import writing
+from endivewind.platform import client
 from endivewind.platform import messages
 from endivewind.platform import wire
 from endivewind.standins import faults
@@ -33,6 +34,26 @@
         self.platform.standin.set_faults(faults.Fault(mode=mode, **fields))
 
 
+class CountedCallsTest(_PlatformCase):
+    """Each call is paid for, also one that is refused."""
+
+    async def test_calls_are_told_apart(self):
+        self.platform.put("riders", {"a": 1})
+        await self.client.get("service", "riders")
+        await self.client.list("service")
+        await self.client.watch("service", 0, datetime.timedelta())
+        self.fault(Mode.BUSY)
+        await self.client.put("service", "riders", {"a": 2}, 1)
+
+        self.assertEqual(
+            {
+                client.Call(word, "service"): 1
+                for word in ("get", "list", "watch", "put")
+            },
+            self.client.calls,
+        )
+
+
 class FaultyAnswerTest(_PlatformCase):
     async def test_each_bad_answer_is_an_error_of_its_kind(self):
         self.platform.put("riders", {"a": 1})
