Register nodes zone by zone, and read little of the platform at a start

Change: one stale listing of the node's own zone tells of earlier starts and whom to try; one write registers; later listings are stale and end once one holds the own registration and a node of each zone is known. Configuration comes from peers; where none answers a node reads once, stale. The oldest node of each zone watches (two a region at least), so that joins move no watch. Objects stay on leaving; the oldest of a zone removes those gone for ten minutes, which nothing did before. Connections to the platform notice that they have gone silent within four seconds.

--- a/endivewind/commands/submit.py
+++ b/endivewind/commands/submit.py
@@ -14,6 +14,7 @@
 import asyncio
 import dataclasses
 import datetime
+import functools
 import getpass
 import random
 import time
@@ -288,15 +289,16 @@
 ) -> dict[str, Any]:
     """Asks until all known nodes have the versions, or the time is up."""
     start = time.monotonic()
-    listing = await submissions.read(
-        lambda: platform.list(membership.NODE), "the platform's nodes"
-    )
-    listed = {item.name for item in listing.objects}
+    listed: set[str] | None = None
     async with aiohttp.ClientSession(timeout=_ASK_TIMEOUT) as session:
         while True:
-            nodes, silent = await _ask(session, versions)
+            answer = await _ask(session, versions)
+            nodes = answer["nodes"]
             behind = _behind(nodes, versions)
-            unasked = sorted((listed | silent) - nodes.keys())
+            if listed is None:
+                listed = await _registered(platform, answer["zones"])
+            known = listed | set(answer["silent"])
+            unasked = sorted(known - nodes.keys() - set(answer["left"]))
             spent = datetime.timedelta(seconds=time.monotonic() - start)
             late = spent.total_seconds() >= _WAIT_SECONDS.value
             if late or not (behind or unasked):
@@ -311,9 +313,22 @@
     }
 
 
+async def _registered(
+    platform: client.PlatformClient, zones: list[str]
+) -> set[str]:
+    """Names of all nodes that are registered, those that left included."""
+    found: set[str] = set()
+    for kind in membership.Directory(platform, zones).kinds:
+        listing = await submissions.read(
+            functools.partial(platform.list, kind), "the platform's nodes"
+        )
+        found |= {item.name for item in listing.objects}
+    return found
+
+
 async def _ask(
     session: aiohttp.ClientSession, versions: dict[str, int]
-) -> tuple[dict[str, Any], set[str]]:
+) -> dict[str, Any]:
     """What nodes say, through the first operators' address that answers."""
     query = [("object", name) for name in versions][:_MAX_OBJECTS_ASKED]
     problem = ""
@@ -322,8 +337,8 @@
         try:
             async with session.get(url, params=query) as response:
                 response.raise_for_status()
-                answer = await response.json()
-                return answer["nodes"], set(answer["silent"])
+                answer: dict[str, Any] = await response.json()
+                return answer
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
             problem = f"{address}: {str(error) or 'no answer in time'}"
     raise exceptions.UnavailableError(
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -170,6 +170,8 @@
       name: the node's name; one name, one VM.
       region: region of the VM.
       zone: availability zone of the VM.
+      zones: all availability zones of the fleet, each with its region; nodes
+        then register zone by zone, and a start reads its own zone only.
       callers: address of the listener for callers.
       targets: address where targets announce themselves.
       nodes: address for other nodes (TCP, and UDP for gossip).
@@ -198,6 +200,7 @@
     name: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
     region: str = pydantic.Field(min_length=1, max_length=63)
     zone: str = pydantic.Field(min_length=1, max_length=63)
+    zones: dict[str, str] = {}
     platform: str = pydantic.Field(pattern=r"^https?://")
     callers: Address = "127.0.0.1:0"
     targets: Address = "127.0.0.1:0"
--- a/endivewind/config/spreading.py
+++ b/endivewind/config/spreading.py
@@ -28,8 +28,10 @@
 TICK = datetime.timedelta(milliseconds=250)
 # A round of repair costs two messages of one number where nothing differs.
 DIGEST_PERIOD = datetime.timedelta(seconds=2)
-# A joining node asks more often: it isn't ready before several peers agree.
+# A joining node asks more often, and several at once: it isn't ready before
+# several peers agree.
 JOINING_PERIOD = datetime.timedelta(milliseconds=250)
+JOINING_PEERS = 3
 # A question or its answer may be lost: one in five is with one message in
 # ten. The peer that told of the object last is then asked again, since by
 # then rumours have ended and repair takes several periods.
@@ -179,6 +181,7 @@
         self._next_digest = datetime.timedelta()
         self._budget = _Budget()
         self._agreed: set[str] = set()
+        self._agreed_at = datetime.timedelta()
         self._ready = False
 
     @property
@@ -189,6 +192,11 @@
         """
         return self._agreed
 
+    @property
+    def agreed_at(self) -> datetime.timedelta:
+        """When a ready peer has last said so; zero if none has."""
+        return self._agreed_at
+
     @property
     def ready(self) -> bool:
         """Whether this node's configuration is known to be whole."""
@@ -217,6 +225,7 @@
         self._take_objects(message, result)
         if message.same and message.ready:
             self._agreed.add(message.sender)
+            self._agreed_at = now
         answers = (
             self._answer_digest(message),
             self._answer_have(message, now),
@@ -307,7 +316,7 @@
         if not self._budget.open(now):
             return []
         message = self._message(digest=(self._store.summary,))
-        chosen = self._some_peers(1)
+        chosen = self._some_peers(1 if self._ready else JOINING_PEERS)
         self._budget.left -= size(message) * len(chosen)
         return [Outgoing(peer.name, message) for peer in chosen]
 
--- a/endivewind/config/watchers.py
+++ b/endivewind/config/watchers.py
@@ -1,13 +1,14 @@
-"""Which nodes hold the platform's watch: a few in each availability zone."""
+"""Which nodes hold the platform's watch: the longest-running of each zone."""
 
 import collections.abc
-import hashlib
 from typing import Protocol
 
-# A waiting watch counts as a call, and every change comes whole to each of
-# them, over paid links. Two stand in for one another; with five zones the
-# fleet holds ten watches, however many nodes it has.
-WATCHERS_PER_ZONE = 2
+# Every change comes whole to each watcher, over paid links, and each waiting
+# watch is a call that is paid for. Where a zone's only watcher fails, those of
+# the region's other zones hear of a change and pass it on.
+WATCHERS_PER_ZONE = 1
+# Two stand in for one another, also in a region of one zone.
+WATCHERS_PER_REGION = 2
 
 
 class Member(Protocol):
@@ -17,44 +18,60 @@
     def name(self) -> str:
         """The node's name."""
 
+    @property
+    def incarnation(self) -> int:
+        """Its start; a later one has a higher number."""
+
+    @property
+    def region(self) -> str:
+        """Region of its VM."""
+
     @property
     def zone(self) -> str:
         """Availability zone of its VM."""
 
 
-def is_watcher(
-    name: str, zone: str, members: collections.abc.Iterable[Member]
-) -> bool:
-    """Whether a node is among the first of its zone by rendezvous hashing.
+def is_watcher(me: Member, members: collections.abc.Iterable[Member]) -> bool:
+    """Whether a node is among the longest-running of its zone or region.
 
-    Nodes that know different members may choose one watcher more: harmless,
-    a watch too many costs one call. A node that knows nobody watches itself.
+    Load: a fleet of which a part restarts all the time. Harm: where a node
+    that joins could take the watch over from one that runs, each restart
+    would cost the platform a listing and a watch more. The order of starts
+    moves a watch only when its holder ends. Nodes that know different members
+    may choose one more: harmless, it costs a call. A node that knows nobody
+    watches itself.
     """
-    own = _weight(zone, name)
-    before = sum(
-        1
-        for member in members
-        if member.zone == zone
-        and member.name != name
-        and _weight(zone, member.name) > own
-    )
-    return before < WATCHERS_PER_ZONE
+    zone = region = 0
+    mine = _start(me)
+    for member in members:
+        if member.region != me.region or _start(member) >= mine:
+            continue
+        region += 1
+        zone += member.zone == me.zone
+    return zone < WATCHERS_PER_ZONE or region < WATCHERS_PER_REGION
+
 
+def is_oldest(me: Member, members: collections.abc.Iterable[Member]) -> bool:
+    """Whether a node has run for longest of its zone."""
+    mine = _start(me)
+    return all(_start(item) >= mine for item in members if item.zone == me.zone)
 
-def sharers(
-    name: str, zone: str, members: collections.abc.Collection[Member]
-) -> int:
+
+def sharers(me: Member, members: collections.abc.Collection[Member]) -> int:
     """How many nodes share the platform's call budget with this one.
 
     Watchers share one and all others another: at 760 nodes an equal share
     would let a watcher call once in four seconds, too late for a change that
     has to be in force within eight.
     """
-    if not is_watcher(name, zone, members):
+    if not is_watcher(me, members):
         return len(members)
-    zones = {member.zone for member in members} | {zone}
-    return len(zones) * WATCHERS_PER_ZONE
+    places = {(member.region, member.zone) for member in (me, *members)}
+    regions = {region for region, _ in places}
+    return len(places) * WATCHERS_PER_ZONE + len(regions) * (
+        WATCHERS_PER_REGION - WATCHERS_PER_ZONE
+    )
 
 
-def _weight(zone: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{zone}/{name}".encode(), digest_size=8).digest()
+def _start(member: Member) -> tuple[int, str]:
+    return member.incarnation, member.name
--- a/endivewind/durable/membership.py
+++ b/endivewind/durable/membership.py
@@ -1,6 +1,8 @@
-"""This node's object in the platform: written at start, removed on leaving."""
+"""The nodes' objects in the platform: by zone, written at start, for others."""
 
 import asyncio
+import collections.abc
+import dataclasses
 import datetime
 import logging
 
@@ -13,18 +15,156 @@
 
 log = logging.getLogger(__name__)
 
-NODE = names.NODE_KIND
+# A start may wait for the platform no longer than this to learn of earlier
+# starts and of the nodes of its zone; an answer takes 60 ms from the farthest
+# region.
+START_TIMEOUT = datetime.timedelta(milliseconds=500)
 
 
-# A start may wait for the platform no longer than this to learn of earlier
-# starts of its name; an answer takes 60 ms from the farthest region.
-EARLIER_TIMEOUT = datetime.timedelta(milliseconds=500)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registered:
+    """A start of a node that is registered.
+
+    Attributes:
+      node: the node.
+      version: of its object.
+    """
+
+    node: view.NodeRecord
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneListing:
+    """The nodes that are registered in one list of the directory.
+
+    Attributes:
+      revision: the platform's when it was so.
+      found: by name; the dead are among them.
+    """
+
+    revision: int
+    found: collections.abc.Mapping[str, Registered]
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Where these nodes take links."""
+        return tuple(item.node.address for item in self.found.values())
+
 
+Listed = expression.Result[ZoneListing, messages.PlatformError]
 
-async def earlier_incarnation(
-    platform: client.PlatformClient, name: str
-) -> int:
-    """Incarnation of the latest start of a node that the platform knows.
+
+class Directory:
+    """Where nodes register, zone by zone.
+
+    Load: hundreds of nodes start at once. Harm: with one list for all, each
+    start reads an object of every node, and the bytes of all starts grow with
+    the square of the fleet. With a list for each zone a start reads its zone,
+    and hears of the others from its neighbours.
+    """
+
+    def __init__(
+        self,
+        platform: client.PlatformClient,
+        zones: collections.abc.Iterable[str] = (),
+    ) -> None:
+        """Builds the directory.
+
+        Args:
+          platform: where it is kept.
+          zones: all availability zones; nodes of others share one list.
+        """
+        self._platform = platform
+        self._zones = tuple(zones)
+
+    def other_zones(self, zone: str) -> tuple[str, ...]:
+        """The zones whose nodes are not in the list of a node's own zone."""
+        if zone not in self._zones:
+            return self._zones
+        return tuple(item for item in self._zones if item != zone)
+
+    def _kind(self, zone: str) -> str:
+        if zone not in self._zones:
+            return names.NODE_KIND
+        return names.ZONE_NODE_KIND.format(zone=zone)
+
+    @property
+    def kinds(self) -> tuple[str, ...]:
+        """The kinds of objects that nodes may register as."""
+        zones = (self._kind(zone) for zone in self._zones)
+        return (names.NODE_KIND, *zones)
+
+    async def listed(self, zone: str) -> Listed:
+        """The nodes of a zone, as they were a moment ago.
+
+        A listing that may be some seconds old costs a fraction of a fresh
+        one; its revision tells whether what was written lately is in it.
+        """
+        listed = await self._platform.list(self._kind(zone), stale=True)
+        if listed.is_error():
+            return expression.Error(listed.error)
+        found = {}
+        for item in listed.ok.objects:
+            node = _record_of(item)
+            if node is not None:
+                found[node.name] = Registered(node, item.version)
+        return expression.Ok(ZoneListing(listed.ok.revision, found))
+
+    async def listed_at_start(self, zone: str) -> ZoneListing | None:
+        """The nodes of a starting node's zone; None if no answer is in time."""
+        try:
+            async with asyncio.timeout(START_TIMEOUT.total_seconds()):
+                listed = await self.listed(zone)
+        except TimeoutError:
+            log.warning("can't tell of earlier starts: no answer in time")
+            return None
+        if listed.is_error():
+            log.warning("can't tell of earlier starts: %s", listed.error)
+            return None
+        return listed.ok
+
+    async def register(
+        self, record: view.NodeRecord, version: int = 0
+    ) -> expression.Result[int, messages.PlatformError]:
+        """Writes a start of a node over whatever an earlier one left.
+
+        Args:
+          record: this start.
+          version: of the earlier one's object, if one was seen.
+
+        Returns:
+          The version as written.
+        """
+        kind = self._kind(record.zone)
+        value = {
+            "incarnation": record.incarnation,
+            "address": record.address,
+            "region": record.region,
+            "zone": record.zone,
+        }
+        written = await self._platform.put(kind, record.name, value, version)
+        if written.is_error():
+            error = written.error
+            if error.failure is messages.Failure.NOT_FOUND:
+                written = await self._platform.put(kind, record.name, value, 0)
+            elif error.current is not None:
+                written = await self._platform.put(
+                    kind, record.name, value, error.current.version
+                )
+        return written.map(lambda stored: stored.version)
+
+    async def remove(self, gone: Registered) -> None:
+        """Removes a node's object; that of a later start is left alone."""
+        removed = await self._platform.delete(
+            self._kind(gone.node.zone), gone.node.name, gone.version
+        )
+        if removed.is_error():
+            log.warning("can't remove the node's object: %s", removed.error)
+
+
+def earlier_incarnation(listing: ZoneListing | None, name: str) -> int:
+    """Incarnation of the latest start of a node that is registered.
 
     Failure: a VM's clock goes back and its node is restarted. Symptom: the
     new start has a lower incarnation than the old one, and the fleet takes
@@ -32,68 +172,14 @@
     later than it, whatever the clock says.
 
     Returns:
-      0 if there is none, or if the platform does not answer in time.
-    """
-    try:
-        async with asyncio.timeout(EARLIER_TIMEOUT.total_seconds()):
-            found = await platform.get(NODE, name)
-    except TimeoutError:
-        log.warning("can't tell of earlier starts: no answer in time")
-        return 0
-    if found.is_error():
-        if found.error.failure is not messages.Failure.NOT_FOUND:
-            log.warning("can't tell of earlier starts: %s", found.error)
-        return 0
-    known = record_of(found.ok)
-    return known.incarnation if known else 0
-
-
-async def register(
-    platform: client.PlatformClient, record: view.NodeRecord
-) -> expression.Result[messages.StoredObject, messages.PlatformError]:
-    """Writes this start of the node over whatever an earlier one left."""
-    value = {
-        "incarnation": record.incarnation,
-        "address": record.address,
-        "region": record.region,
-        "zone": record.zone,
-    }
-    written = await platform.put(NODE, record.name, value, 0)
-    if written.is_error() and written.error.current is not None:
-        version = written.error.current.version
-        return await platform.put(NODE, record.name, value, version)
-    return written
-
-
-async def unregister(
-    platform: client.PlatformClient, record: view.NodeRecord, version: int
-) -> None:
-    """Removes the object of this start; a later start's is left alone.
-
-    Args:
-      platform: where it is.
-      record: this start.
-      version: of the object, as this start has written it. A later start has
-        changed it, and the platform then refuses to remove it.
+      0 if there is none, or if the platform has not answered.
     """
-    removed = await platform.delete(NODE, record.name, version)
-    if removed.is_error():
-        log.warning("can't remove the node's object: %s", removed.error)
-
-
-async def addresses(
-    platform: client.PlatformClient,
-) -> expression.Result[list[str], messages.PlatformError]:
-    """Addresses of all nodes that have an object, the dead included."""
-    listed = await platform.list(NODE)
-    if listed.is_error():
-        return expression.Error(listed.error)
-    found = [record_of(item) for item in listed.ok.objects]
-    return expression.Ok([item.address for item in found if item])
+    known = listing.found.get(name) if listing else None
+    return known.node.incarnation if known else 0
 
 
-def record_of(stored: messages.StoredObject) -> view.NodeRecord | None:
-    """The node that an object tells of; None if it was removed or is bad."""
+def _record_of(stored: messages.StoredObject) -> view.NodeRecord | None:
+    """The node that an object tells of; None if it is bad."""
     value = stored.value
     try:
         return view.NodeRecord(
@@ -104,6 +190,5 @@
             str(value["zone"]),
         )
     except (KeyError, TypeError, ValueError):
-        if value:
-            log.warning("bad node object %s", stored.name)
+        log.warning("bad node object %s", stored.name)
         return None
--- a/endivewind/durable/watcher.py
+++ b/endivewind/durable/watcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import datetime
+import enum
 import logging
 import random
 
@@ -14,20 +15,35 @@
 
 log = logging.getLogger(__name__)
 
-# A node that holds no watch hears from its peers. It still asks for changes
-# now and then, in case that no peer reaches it: 760 nodes make 13 reads/s.
-POLL_PERIOD = datetime.timedelta(seconds=60)
-# How soon a node that has become a watcher, as members left, starts to watch.
-ROLE_PERIOD = datetime.timedelta(seconds=1)
+# A node that reads because its peers tell it nothing does so again after this
+# long, and after twice as long each time; while it has no configuration at all
+# its callers wait for the next reading.
+FIRST_PAUSE = datetime.timedelta(seconds=1)
+LAST_PAUSE = datetime.timedelta(seconds=30)
+# How soon a node begins to read that has become a watcher, as members left,
+# or that hears nothing from its peers any more.
+ROLE_PERIOD = datetime.timedelta(milliseconds=100)
+
+
+class Role(enum.Enum):
+    """What a node has to read in the platform.
+
+    NOTHING: its peers tell it of every change. ONCE: what is there now, since
+    no peer tells it. ALWAYS: every change, as one of the few that watch.
+    """
+
+    NOTHING = "nothing"
+    ONCE = "once"
+    ALWAYS = "always"
 
 
 def _ignore(kind: str) -> None:
     """Takes no notice of listings."""
 
 
-def _always() -> bool:
+def _always() -> Role:
     """Holds the watch all the time."""
-    return True
+    return Role.ALWAYS
 
 
 class Watcher:
@@ -40,15 +56,16 @@
         seen: collections.abc.Callable[[messages.StoredObject], None],
         rng: random.Random,
         listed: collections.abc.Callable[[str], None] = _ignore,
-        watching: collections.abc.Callable[[], bool] = _always,
+        role: collections.abc.Callable[[], Role] = _always,
     ) -> None:
         self._platform = platform
         self._kind = kind
         self._seen = seen
         self._take_listing = listed
-        self._watching = watching
+        self._role = role
         self._backoff = retries.Backoff(rng)
-        self._rng = rng
+        self._pause = FIRST_PAUSE
+        self._stale_will_do = True
         self._revision: int | None = None
         self._listed = asyncio.Event()
 
@@ -60,24 +77,39 @@
     async def run(self) -> None:
         """Follows for ever."""
         while True:
-            result = await self._step()
+            role = self._role()
+            if role is Role.NOTHING:
+                self._pause = FIRST_PAUSE
+                await asyncio.sleep(ROLE_PERIOD.total_seconds())
+                continue
+            result = await self._step(role)
             if result.is_ok():
                 self._backoff.reset()
                 self._take(result.ok)
-                await self._rest()
+                if role is Role.ONCE:
+                    await self._rest()
                 continue
             if result.error.failure is messages.Failure.COMPACTED:
                 self._revision = None
+                self._stale_will_do = False
             log.warning("platform: %s", result.error)
             await asyncio.sleep(self._backoff.next_seconds(result.error))
 
     async def _step(
-        self,
+        self, role: Role
     ) -> expression.Result[messages.Listing, messages.PlatformError]:
-        if self._revision is None:
-            return await self._platform.list(self._kind)
-        wait = client.WATCH_WAIT if self._watching() else datetime.timedelta()
-        return await self._platform.watch(self._kind, self._revision, wait)
+        """One reading.
+
+        A listing may be some seconds old, which costs a tenth; the watch that
+        follows begins at its revision and tells what has come since. Who does
+        not watch hears that from its peers. Where the platform has forgotten
+        what came since, only a fresh listing has it.
+        """
+        if self._revision is None or role is Role.ONCE:
+            return await self._platform.list(
+                self._kind, stale=self._stale_will_do
+            )
+        return await self._platform.watch(self._kind, self._revision)
 
     def _take(self, listing: messages.Listing) -> None:
         for item in listing.objects:
@@ -85,12 +117,13 @@
         if self._revision is None:
             self._take_listing(self._kind)
         self._revision = listing.revision
+        self._stale_will_do = True
         self._listed.set()
 
     async def _rest(self) -> None:
-        """Waits between polls, for as long as this node holds no watch."""
-        longest = POLL_PERIOD.total_seconds()
-        left = self._rng.uniform(0.5, 1) * longest
-        while left > 0 and not self._watching():
+        """Waits before the next reading of a node that only asks."""
+        left = self._pause
+        self._pause = min(2 * self._pause, LAST_PAUSE)
+        while left > datetime.timedelta() and self._role() is Role.ONCE:
             await asyncio.sleep(ROLE_PERIOD.total_seconds())
-            left -= ROLE_PERIOD.total_seconds()
+            left -= ROLE_PERIOD
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -60,8 +60,6 @@
 # Of the time until the platform ends the process: a second to cut what is
 # left, to tell the platform, and to end.
 END_MARGIN = datetime.timedelta(seconds=1)
-# A call to the platform, and the wait until targets have moved.
-LEAVE_LIMIT = client.CALL_TIMEOUT + service.LEAVE_WAIT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,9 +95,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
-        # Version of this start's object in the platform, once it is written.
-        self._registered: int | None = None
         # Set by start(), which needs the running loop and the platform.
+        self._directory: membership.Directory
+        self._at_start: membership.ZoneListing | None
         self._incarnation: int
         self._targets: registry.TargetRegistry
         self._judge: judge.Judge
@@ -137,7 +135,7 @@
         accepted yet it was lost, and the next was asked for three seconds
         later. Until then callers were refused for want of a target.
         """
-        self._session = aiohttp.ClientSession()
+        self._session = client.session()
         self._platform = client.PlatformClient(
             self._settings.platform, self._session
         )
@@ -153,7 +151,6 @@
             *(item.run() for item in self._watchers),
             self._auditor.run(),
             self._configuration_peer.run(),
-            self._register(),
             self._expire(),
             self._judge_often(),
             self._log_traffic(),
@@ -164,9 +161,9 @@
     async def _build_identity(self) -> None:
         """This start's incarnation, and the targets that it is home to."""
         config = self._settings
-        earlier = await membership.earlier_incarnation(
-            self._platform, config.name
-        )
+        self._directory = membership.Directory(self._platform, config.zones)
+        self._at_start = await self._directory.listed_at_start(config.zone)
+        earlier = membership.earlier_incarnation(self._at_start, config.name)
         started = int(self._clock.now().timestamp() * 1_000_000)
         self._incarnation = max(started, earlier + 1)
         identity = registry.HomeIdentity(
@@ -263,9 +260,17 @@
             seen,
             self._rng,
             listed or self._configuration_peer.listed,
-            lambda: self._configuration_peer.is_watcher,
+            self._role,
         )
 
+    def _role(self) -> watcher.Role:
+        """What this node has to read of the configuration now."""
+        if self._gossip.is_settled and self._configuration_peer.is_watcher:
+            return watcher.Role.ALWAYS
+        if self._configuration_peer.lacks_peers:
+            return watcher.Role.ONCE
+        return watcher.Role.NOTHING
+
     def _operator_wrote(self, stored: messages.StoredObject) -> None:
         """Takes the configuration that the platform's operator has written."""
         if stored.name != names.CONFIGURATION_NAME or not stored.value:
@@ -321,7 +326,7 @@
             self._self_record,
             service.State(self._fleet, self._targets, self._hear),
             self._pool,
-            self._platform,
+            service.Entrance(self._directory, self._at_start, self._joined),
             self._clock,
             self._rng,
             self._traffic,
@@ -384,26 +389,17 @@
         return min(seconds, max(grace - END_MARGIN, END_MARGIN))
 
     async def _take_leave(self) -> None:
-        """Tells the platform and the fleet, but waits for neither for long."""
-        limit = END_MARGIN / 2 if self._settings.beside else LEAVE_LIMIT
-        try:
-            async with asyncio.timeout(limit.total_seconds()):
-                await self._unregister()
-                if self._settings.beside is None:
-                    await self._gossip.targets_moved()
-        except TimeoutError:
-            log.warning("left without telling the platform")
+        """Tells the fleet, and waits until targets have moved.
+
+        The node's object stays in the platform: the next start needs it, and
+        that of a node which has gone for good is removed by its zone.
+        """
+        if self._settings.beside is None:
+            await self._gossip.targets_moved()
         await self._gossip.stop()
         if self._settings.audit is settings.Trail.PLATFORM:
             await self._record_leaving()
 
-    async def _unregister(self) -> None:
-        """Removes this start's object, if it was ever written."""
-        if self._registered is not None:
-            await membership.unregister(
-                self._platform, self._self_record, self._registered
-            )
-
     async def _record_leaving(self) -> None:
         """Writes the last records, but waits no longer than one call."""
         self._auditor.membership(audit.Action.LEAVE)
@@ -511,7 +507,11 @@
 
     def _operator_application(self, sources: http.Sources) -> web.Application:
         application = http.OperatorApi(sources).application()
-        operators.add_route(application, self._configuration_peer.asking)
+        operators.add_route(
+            application,
+            self._configuration_peer.asking,
+            operators.Members(tuple(self._settings.zones), self._gossip.left),
+        )
         return application
 
     async def _serve(
@@ -557,18 +557,9 @@
     def _in_force(self, key: store.Key) -> None:
         self._gateway.configure(key.kind, key.name)
 
-    async def _register(self) -> None:
-        while True:
-            written = await membership.register(
-                self._platform, self._self_record
-            )
-            if written.is_ok():
-                self._registered = written.ok.version
-                self._gossip.registered()
-                self._auditor.membership(audit.Action.JOIN)
-                return
-            log.warning("can't register: %s", written.error)
-            await asyncio.sleep(self._rng.uniform(0.5, 1.5))
+    def _joined(self) -> None:
+        """Takes note that this start is registered."""
+        self._auditor.membership(audit.Action.JOIN)
 
     async def _expire(self) -> None:
         while True:
--- a/endivewind/nodes/configuration.py
+++ b/endivewind/nodes/configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import datetime
 import logging
 import random
 from typing import Any
@@ -26,6 +27,13 @@
 # A peer that takes nothing must not pile up tasks; a message dropped here is
 # made up for by the next digest.
 MAX_SENDING = 64
+# A node that starts among others has its configuration from them by then.
+PEERS_FIRST = datetime.timedelta(milliseconds=500)
+# Where nobody has answered by then, all start at once, and the first ones ask
+# the platform; until they have an answer their callers are refused.
+ALONE_FIRST = datetime.timedelta(milliseconds=150)
+# Digests go to one peer about every two seconds; one in ten is lost.
+PEERS_SILENT = datetime.timedelta(seconds=30)
 
 InForce = collections.abc.Callable[[store.Key], None]
 
@@ -59,6 +67,7 @@
         self._joining = joining.Joining(self._spreader, kinds)
         self._asking = asking.Asking(place.name, configuration, fleet, pool)
         self._sending: set[asyncio.Task[None]] = set()
+        self._started = clock.monotonic()
 
     @property
     def asking(self) -> asking.Asking:
@@ -68,9 +77,20 @@
     @property
     def is_watcher(self) -> bool:
         """Whether this node is to hold the platform's watch."""
-        return watchers.is_watcher(
-            self._place.name, self._place.zone, self._fleet.nodes.values()
-        )
+        return watchers.is_watcher(self._place, self._fleet.nodes.values())
+
+    @property
+    def lacks_peers(self) -> bool:
+        """Whether no peer tells what is in force, so that the platform must.
+
+        Peers answer a starting node within some hundred milliseconds, and
+        each later one agrees with some peer every few seconds.
+        """
+        limit = PEERS_SILENT
+        if self.missing():
+            limit = PEERS_FIRST if self._peers() else ALONE_FIRST
+        last = max(self._spreader.agreed_at, self._started)
+        return self._clock.monotonic() - last >= limit
 
     def missing(self) -> str | None:
         """None when the configuration is whole, else what is missing."""
@@ -117,19 +137,18 @@
 
     async def run(self) -> None:
         """Ticks for ever."""
+        told = False
         while True:
             await asyncio.sleep(spreading.TICK.total_seconds())
             self._budget.set_nodes(self._sharers())
-            was_ready = self._spreader.ready
-            if self.missing() is None and not was_ready:
+            if not told and self.missing() is None:
+                told = True
                 agreed = sorted(self._spreader.agreed)
                 log.info("ready", extra=logs.fields(agreed=agreed))
             self._send(self._spreader.tick(self._clock.monotonic()))
 
     def _sharers(self) -> int:
-        return watchers.sharers(
-            self._place.name, self._place.zone, self._fleet.nodes.values()
-        )
+        return watchers.sharers(self._place, self._fleet.nodes.values())
 
     def _peers(self) -> list[view.NodeRecord]:
         own = self._place.name
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -130,6 +130,7 @@
         self._last_repair = clock.monotonic() - REPAIR_PERIOD
         self._last_pull = clock.monotonic() - PULL_PERIOD
         self._joined = True
+        self._has_state = False
         for record in members.members.values():
             self._apply(record)
 
@@ -140,6 +141,11 @@
             return True
         return self._clock.monotonic() - self._started > JOIN_LIMIT
 
+    @property
+    def has_state(self) -> bool:
+        """Whether a peer's whole state has come since this start joined."""
+        return self._has_state
+
     @property
     def summary(self) -> int:
         """Digest of all that this node knows; equal when nodes agree."""
@@ -270,6 +276,7 @@
         for home in state.homes:
             self._take_home(home)
         self._joined = self._joined or state.last
+        self._has_state = self._has_state or state.last
         return []
 
     def answer(self, pull: Pull) -> collections.abc.Iterator[FleetState]:
--- a/endivewind/nodes/service.py
+++ b/endivewind/nodes/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
 import datetime
 import logging
@@ -13,28 +12,21 @@
 from endivewind import logs
 from endivewind.config import settings
 from endivewind.decisions import telling
-from endivewind.durable import membership as objects
+from endivewind.durable import membership as directories
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
+from endivewind.nodes import discovery
 from endivewind.nodes import gossip
 from endivewind.nodes import links
 from endivewind.nodes import membership
 from endivewind.nodes import states
 from endivewind.nodes import traffic
 from endivewind.nodes import view
-from endivewind.platform import client
 from endivewind.targets import registry
 
 log = logging.getLogger(__name__)
 
 TICK = datetime.timedelta(milliseconds=100)
-# The platform's list serves to find nodes that gossip has lost for longer
-# than it remembers the dead. At 760 nodes this is 1.3 reads a second.
-LIST_PERIOD = datetime.timedelta(minutes=10)
-LIST_RETRY = datetime.timedelta(seconds=2)
-# The first listing waits for this node's own object, which takes two calls,
-# so that it need not be repeated after it; but not long where they fail.
-REGISTER_WAIT = datetime.timedelta(milliseconds=300)
 # Each answer to a pull of everything is about 1.4 MB at full size.
 MAX_ANSWERS = 2
 # Targets renew within a third of their lease; those that do not move in this
@@ -61,6 +53,21 @@
     hear: Hear
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entrance:
+    """How this start finds the fleet.
+
+    Attributes:
+      directory: where nodes register.
+      at_start: the nodes of its zone before this start, where that is known.
+      registered: called when this start is registered.
+    """
+
+    directory: directories.Directory
+    at_start: directories.ZoneListing | None
+    registered: collections.abc.Callable[[], None]
+
+
 class GossipService:
     """One node's gossip, with its input and output."""
 
@@ -70,17 +77,23 @@
         me: view.NodeRecord,
         state: State,
         pool: links.LinkPool,
-        platform: client.PlatformClient,
+        entrance: Entrance,
         clock: clocks.Clock,
         rng: random.Random,
         meter: traffic.Meter | None = None,
     ) -> None:
-        self._seeds = config.seeds
         self._state = state
         self._pool = pool
-        self._platform = platform
-        self._rng = rng
         self._members = membership.Membership(me, clock, rng, config.seeds)
+        self._discovery = discovery.Discovery(
+            entrance.directory,
+            self._members,
+            config.seeds,
+            entrance.at_start,
+            clock,
+            rng,
+            entrance.registered,
+        )
         self._core = gossip.Gossip(self._members, state.fleet, clock, rng)
         self._socket = datagrams.DatagramSocket(
             self._received, config.gossip_key.encode(), meter
@@ -88,16 +101,14 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._sending: set[asyncio.Task[None]] = set()
         self._answering = 0
-        self._listed = bool(config.seeds)
         self._warned = False
-        self._list_now = asyncio.Event()
 
     async def start(self, address: str) -> None:
         """Binds the socket to an address and starts the tasks."""
         host, _, port = address.rpartition(":")
         await self._socket.start(host.strip("[]"), int(port))
         self._core.join()
-        for work in (self._run(), self._list()):
+        for work in (self._run(), self._discovery.run()):
             self._tasks.append(asyncio.create_task(work))
 
     def announce_leave(self) -> None:
@@ -121,14 +132,6 @@
         self._dispatch(self._core.leave())
         self._socket.stop()
 
-    def registered(self) -> None:
-        """This node's object has been written: list the others now.
-
-        Of two nodes that start at once, the one that registers later finds
-        the other in its list, so that they can't miss each other.
-        """
-        self._list_now.set()
-
     def frame(self, frame: Any) -> None:
         """Takes a frame of gossip that came by a link."""
         try:
@@ -155,10 +158,25 @@
         """What is missing before this node can place work; None if nothing."""
         if self._members.superseded:
             return "a later start of this node is known"
-        if not self._listed:
+        if self._core.has_state:
+            return None
+        if not self._discovery.has_listed:
             return "no list of nodes yet"
         return None if self._core.joined else "no state of the fleet yet"
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether this node knows those that started before it."""
+        return self._discovery.is_settled and self.not_ready() is None
+
+    def left(self) -> tuple[str, ...]:
+        """Nodes that have left as planned and not come back."""
+        return tuple(
+            name
+            for name, item in self._members.members.items()
+            if item.state is membership.State.LEFT
+        )
+
     def status(self) -> dict[str, object]:
         """For operators: nodes by state, and this node's doubt in itself."""
         counts = dict.fromkeys(membership.State, 0)
@@ -182,28 +200,6 @@
             self._log_turns()
             await asyncio.sleep(TICK.total_seconds())
 
-    async def _list(self) -> None:
-        if not self._seeds:
-            await self._wait_for_list(REGISTER_WAIT.total_seconds())
-        while True:
-            listed = await objects.addresses(self._platform)
-            period = LIST_PERIOD
-            if listed.is_ok():
-                self._members.set_contacts([*self._seeds, *listed.ok])
-                self._listed = True
-            else:
-                log.warning("can't list nodes: %s", listed.error)
-                period = LIST_RETRY
-            self._list_now.clear()
-            wait = period.total_seconds() * self._rng.uniform(0.5, 1.5)
-            await self._wait_for_list(wait)
-
-    async def _wait_for_list(self, seconds: float) -> None:
-        """Waits until this node has registered, but no longer than told."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._list_now.wait()
-
     def _log_turns(self) -> None:
         for record in self._core.take_turns():
             alive = record.state is membership.State.ALIVE
--- a/endivewind/operators/configuration.py
+++ b/endivewind/operators/configuration.py
@@ -1,5 +1,6 @@
 """`GET /v1/configuration`: what is in force on every node of the fleet."""
 
+import collections.abc
 import dataclasses
 
 from aiohttp import web
@@ -10,7 +11,22 @@
 PATH = "/v1/configuration"
 
 
-def add_route(application: web.Application, fleet: asking.Asking) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Members:
+    """What the answer tells of the fleet's nodes.
+
+    Attributes:
+      zones: all zones, where nodes register zone by zone.
+      left: nodes that have left as planned; their registrations may remain.
+    """
+
+    zones: tuple[str, ...]
+    left: collections.abc.Callable[[], tuple[str, ...]]
+
+
+def add_route(
+    application: web.Application, fleet: asking.Asking, members: Members
+) -> None:
     """Adds the path; `?object=KIND/NAME` names each object asked about."""
 
     async def handle(request: web.Request) -> web.Response:
@@ -28,6 +44,8 @@
         return web.json_response(
             {
                 "silent": states.silent,
+                "zones": members.zones,
+                "left": members.left(),
                 "nodes": {
                     name: {
                         str(key): dataclasses.asdict(state)
--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 import logging
+import socket
 from typing import Any
 from typing import TypeVar
 import urllib.parse
@@ -25,10 +26,17 @@
 # The store answers in some milliseconds; a region's round trip is 60 ms.
 CALL_TIMEOUT = datetime.timedelta(seconds=3)
 # The store holds a watch for 30 s at most.
-WATCH_WAIT = datetime.timedelta(seconds=20)
+WATCH_WAIT = datetime.timedelta(seconds=30)
 # An answer of the store is about 1 MB at most; no genuine one is longer.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
+# A connection that has gone silent shows by this: a watch waits for half a
+# minute and would hear of no change all the while.
+_IDLE_BEFORE_PROBE = datetime.timedelta(seconds=2)
+_PROBE_GAP = datetime.timedelta(seconds=1)
+_LOST_PROBES = 2
+_SECOND = datetime.timedelta(seconds=1)
+
 AnswerT = TypeVar("AnswerT")
 Decode = collections.abc.Callable[[bytes], AnswerT]
 
@@ -40,6 +48,25 @@
 }
 
 
+def session() -> aiohttp.ClientSession:
+    """A session whose connections find out when they have gone silent."""
+    connector = aiohttp.TCPConnector(socket_factory=_probing_socket)
+    return aiohttp.ClientSession(connector=connector)
+
+
+def _probing_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = info
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, _IDLE_BEFORE_PROBE // _SECOND),
+        (socket.TCP_KEEPINTVL, _PROBE_GAP // _SECOND),
+        (socket.TCP_KEEPCNT, _LOST_PROBES),
+    ):
+        made.setsockopt(socket.IPPROTO_TCP, option, value)
+    return made
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """What a call does, for counting.
@@ -95,16 +122,22 @@
         return _named(found, kind, name)
 
     async def list(
-        self, kind: str
+        self, kind: str, *, stale: bool = False
     ) -> expression.Result[messages.Listing, messages.PlatformError]:
         """Reads all objects of a kind.
 
         The revision is that of the first part read, so that a watch from it
         tells every change that a later part may have missed.
+
+        Args:
+          kind: which objects.
+          stale: whether a state of some seconds ago will do; such a call
+            costs a tenth, and a watch from its revision catches up.
         """
+        query = {"allow_stale": 1} if stale else {}
         objects: list[messages.StoredObject] = []
         revision: int | None = None
-        path = _kind(kind)
+        path = _kind(kind, **query)
         while True:
             found = await self._call(
                 "GET", path, lambda body: wire.page_in(kind, body)
@@ -116,7 +149,7 @@
             revision = page.revision if revision is None else revision
             if not page.has_more or not page.objects:
                 break
-            path = _kind(kind, after=page.objects[-1].name)
+            path = _kind(kind, **query, after=page.objects[-1].name)
         listing = messages.Listing(revision=revision, objects=tuple(objects))
         return expression.Ok(listing)
 
@@ -233,13 +266,15 @@
 
 
 def _kind(kind: str, **query: Any) -> str:
-    path = names.OBJECTS_PATH.format(kind=kind)
+    path = names.OBJECTS_PATH.format(kind=urllib.parse.quote(kind, safe=""))
     return path + ("?" + urllib.parse.urlencode(query) if query else "")
 
 
 def _object(kind: str, name: str, **query: Any) -> str:
     quoted = urllib.parse.quote(name, safe="")
-    path = names.OBJECT_PATH.format(kind=kind, name=quoted)
+    path = names.OBJECT_PATH.format(
+        kind=urllib.parse.quote(kind, safe=""), name=quoted
+    )
     return path + ("?" + urllib.parse.urlencode(query) if query else "")
 
 
@@ -294,7 +329,8 @@
     current = None
     if failure is messages.Failure.CONFLICT:
         try:
-            current = wire.object_in(path.split("/")[2], body)
+            named = urllib.parse.unquote(path.split("/")[2])
+            current = wire.object_in(named, body)
         except pydantic.ValidationError as error:
             log.debug(
                 "a conflict without its object: %s", wire.problem_line(error)
--- a/endivewind/platform/names.py
+++ b/endivewind/platform/names.py
@@ -5,8 +5,10 @@
 # Kind and name of the object that holds the whole configuration.
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
-# Objects of this project's own, one for each node.
+# Objects of this project's own, one for each node: in one kind, or in one for
+# each availability zone.
 NODE_KIND = "node"
+ZONE_NODE_KIND = "node-{zone}"
 
 READY_PATH = "/ready"
 HEARTBEAT_PATH = "/Instances.Heartbeat/{id}"
--- a/endivewind/standins/faults.py
+++ b/endivewind/standins/faults.py
@@ -14,7 +14,8 @@
     PARTIAL cuts the answer in the middle; GARBAGE answers 200 with no JSON.
     RATE_LIMIT answers 429 above a rate. ERROR answers 500, BUSY 503 with
     nothing done. SILENT never answers. LATE does a write delay_ms after it
-    came, and gives no answer.
+    came, and gives no answer. STALE answers reads that allow it from the
+    state that the store was in when the fault was set.
     """
 
     OUTAGE = "outage"
@@ -27,6 +28,7 @@
     BUSY = "busy"
     SILENT = "silent"
     LATE = "late"
+    STALE = "stale"
 
 
 class Fault(pydantic.BaseModel):
--- a/endivewind/standins/platform.py
+++ b/endivewind/standins/platform.py
@@ -136,6 +136,7 @@
         self._store = store
         self._faults = faults.Faults()
         self._backup = store.copy()
+        self._behind = self._backup
 
     @property
     def store(self) -> ObjectStore:
@@ -150,6 +151,7 @@
     def set_faults(self, *wanted: faults.Fault) -> None:
         """Switches faults on in place of those before; none clears them."""
         self._faults.set(faults.FaultList(faults=wanted))
+        self._behind = self._store.copy()
 
     def application(self) -> web.Application:
         """The routes of the object API and of the control path."""
@@ -173,6 +175,7 @@
             return response
         now = asyncio.get_running_loop().time()
         hits = self._faults.hits(request.method, now)
+        request["is_stale"] = faults.Mode.STALE in hits
         if faults.Mode.SILENT in hits:
             await asyncio.sleep(SILENCE.total_seconds())
             return _cut(request)
@@ -222,6 +225,8 @@
         if "watch" in request.query:
             return await self._watch(request)
         store = self._store
+        if request["is_stale"] and "allow_stale" in request.query:
+            store = self._behind
         after = request.query.get("after", "")
         found = sorted(
             (
--- a/endivewind/tests/config/spreading_tests.py
+++ b/endivewind/tests/config/spreading_tests.py
@@ -235,49 +235,66 @@
 
 
 class WatchersTest(unittest.TestCase):
-    def test_each_zone_has_two_and_all_agree_on_them(self):
-        members = [
-            _record(f"node-{number}", f"andina-{number % 5}")
-            for number in range(100)
-        ]
-        chosen = [
-            item
-            for item in members
-            if watchers.is_watcher(item.name, item.zone, members)
+    def members(self, number, zones):
+        return [
+            view.NodeRecord(
+                f"node-{index}",
+                1000 - index,
+                "",
+                zones[index % len(zones)].rpartition("-")[0],
+                zones[index % len(zones)],
+            )
+            for index in range(number)
         ]
 
-        zones = sorted(item.zone for item in chosen)
-        self.assertEqual(
-            [f"andina-{zone}" for zone in range(5) for _ in range(2)], zones
-        )
+    def watching(self, members):
+        return [item for item in members if watchers.is_watcher(item, members)]
 
-    def test_a_watcher_that_leaves_is_followed_by_one_other(self):
-        members = [_record(f"node-{number}") for number in range(20)]
+    def test_each_zone_has_one_and_each_region_two(self):
+        """A region of one zone must not go blind with one node."""
+        members = self.members(100, ("a-x", "a-y", "a-z", "b-x"))
 
-        def chosen(known):
-            return {
-                item.name
-                for item in known
-                if watchers.is_watcher(item.name, item.zone, known)
-            }
+        zones = [item.zone for item in self.watching(members)]
 
-        before = chosen(members)
+        self.assertEqual({"a-x", "a-y", "a-z", "b-x"}, set(zones))
+        self.assertEqual(2, zones.count("b-x"))
+        self.assertLessEqual(len(zones), 6)
+
+    def test_a_watcher_that_leaves_is_followed_by_one_other(self):
+        members = self.members(20, ("a-x",))
+        before = {item.name for item in self.watching(members)}
         gone = min(before)
-        after = chosen([item for item in members if item.name != gone])
+
+        left = [item for item in members if item.name != gone]
+        after = {item.name for item in self.watching(left)}
 
         self.assertEqual(before - {gone}, before & after)
         self.assertEqual(2, len(after))
 
+    def test_a_node_that_joins_takes_no_watch_over(self):
+        """Each watch that moves costs a listing and a call."""
+        members = self.members(20, ("a-x", "a-y"))
+        before = self.watching(members)
+
+        fresh = view.NodeRecord("a", 5000, "", "a", "a-x")
+        after = self.watching([*members, fresh])
+
+        self.assertEqual(before, after)
+
     def test_watchers_share_their_calls_among_themselves(self):
-        members = [
-            _record(f"node-{number}", f"andina-{number % 5}")
-            for number in range(760)
-        ]
-        shares = {
-            watchers.sharers(item.name, item.zone, members) for item in members
-        }
+        members = self.members(760, tuple(f"a-{zone}" for zone in "vwxyz"))
 
-        self.assertEqual({10, 760}, shares)
+        shares = {watchers.sharers(item, members) for item in members}
+
+        self.assertEqual({6, 760}, shares)
 
     def test_a_node_that_knows_nobody_watches(self):
-        self.assertTrue(watchers.is_watcher("a", "andina-a", []))
+        self.assertTrue(watchers.is_watcher(_record("a"), []))
+
+    def test_one_node_of_a_zone_is_the_oldest(self):
+        members = self.members(20, ("a-x", "a-y"))
+
+        oldest = [item for item in members if watchers.is_oldest(item, members)]
+
+        self.assertEqual({"a-x", "a-y"}, {item.zone for item in oldest})
+        self.assertEqual(2, len(oldest))
--- a/endivewind/tests/deploy_tests.py
+++ b/endivewind/tests/deploy_tests.py
@@ -15,6 +15,7 @@
     "node_id": "sidecar-a-1",
     "region": "andina",
     "zone": "andina-a",
+    "zones": {"andina-a": "andina", "caribe-a": "caribe"},
     "platform": {"address": "10.2.0.1:8142"},
     "listen": {
         "outbound": "10.1.0.38:8147",
@@ -64,6 +65,7 @@
         self.assertIs(settings.Interface.PLATFORM, found.interface)
         self.assertEqual("10.1.0.38:7380", found.nodes)
         self.assertEqual("riders", found.beside.service)
+        self.assertEqual(["andina-a", "caribe-a"], list(found.zones))
 
     def test_retries_and_the_floor_follow_the_deployment(self):
         """A larger fleet may retry more, and its nodes with it.
--- a/endivewind/tests/durable/membership_tests.py
+++ b/endivewind/tests/durable/membership_tests.py
@@ -1,4 +1,4 @@
-"""A node's object in the platform, and the starts that it tells of."""
+"""The directory of nodes in the platform, and the starts that it tells of."""
 
 import unittest
 
@@ -8,28 +8,32 @@
 from endivewind.tests.platform import platforms
 
 
-def _record(incarnation):
-    return view.NodeRecord("node-a", incarnation, "10.0.0.1:1", "r", "z")
+def _record(incarnation, name="node-a", zone="z"):
+    return view.NodeRecord(name, incarnation, "10.0.0.1:1", "r", zone)
 
 
-class EarlierStartTest(unittest.IsolatedAsyncioTestCase):
-    """A VM's clock goes back, and its node is started again.
-
-    By the clock the new start is the older one; the fleet would take it for
-    dead and it would never be ready.
-    """
+class _DirectoryCase(unittest.IsolatedAsyncioTestCase):
+    zones = ()
 
     async def asyncSetUp(self):
         self.platform = platforms.Platform()
         await self.enterAsyncContext(self.platform)
+        self.directory = membership.Directory(self.platform.client, self.zones)
 
     async def earlier(self):
-        return await membership.earlier_incarnation(
-            self.platform.client, "node-a"
-        )
+        listing = await self.directory.listed_at_start("z")
+        return membership.earlier_incarnation(listing, "node-a")
+
+
+class EarlierStartTest(_DirectoryCase):
+    """A VM's clock goes back, and its node is started again.
+
+    By the clock the new start is the older one; the fleet would take it for
+    dead and it would never be ready.
+    """
 
     async def test_the_registered_start_is_found(self):
-        await membership.register(self.platform.client, _record(700))
+        await self.directory.register(_record(700))
 
         self.assertEqual(700, await self.earlier())
 
@@ -42,28 +46,70 @@
             self.assertEqual(0, await self.earlier())
 
     async def test_a_start_replaces_what_an_earlier_one_left(self):
-        await membership.register(self.platform.client, _record(700))
+        await self.directory.register(_record(700))
 
-        written = await membership.register(self.platform.client, _record(701))
+        written = await self.directory.register(_record(701))
 
         self.assertTrue(written.is_ok(), written)
         self.assertEqual(701, await self.earlier())
 
-    async def test_a_late_leave_spares_the_later_start(self):
-        first = await membership.register(self.platform.client, _record(700))
-        await membership.register(self.platform.client, _record(701))
+    async def test_what_was_seen_of_it_spares_a_call(self):
+        first = await self.directory.register(_record(700))
+        before = sum(self.platform.client.calls.values())
 
-        await membership.unregister(
-            self.platform.client, _record(700), first.ok.version
-        )
+        await self.directory.register(_record(701), first.ok)
 
+        self.assertEqual(1, sum(self.platform.client.calls.values()) - before)
         self.assertEqual(701, await self.earlier())
 
-    async def test_a_leave_removes_its_own_start(self):
-        written = await membership.register(self.platform.client, _record(700))
+    async def test_an_object_that_was_removed_meanwhile_is_made_anew(self):
+        first = await self.directory.register(_record(700))
+        listing = await self.directory.listed_at_start("z")
+        await self.directory.remove(listing.found["node-a"])
 
-        await membership.unregister(
-            self.platform.client, _record(700), written.ok.version
-        )
+        await self.directory.register(_record(701), first.ok)
 
-        self.assertEqual(0, await self.earlier())
+        self.assertEqual(701, await self.earlier())
+
+    async def test_a_removal_spares_the_later_start(self):
+        await self.directory.register(_record(700))
+        listing = await self.directory.listed_at_start("z")
+        await self.directory.register(_record(701))
+
+        await self.directory.remove(listing.found["node-a"])
+
+        self.assertEqual(701, await self.earlier())
+
+
+class ZonesTest(_DirectoryCase):
+    """Nodes register zone by zone; a start reads its own zone only."""
+
+    zones = ("y", "z")
+
+    async def test_a_zone_lists_its_own_nodes(self):
+        await self.directory.register(_record(1))
+        await self.directory.register(_record(2, "node-b", "y"))
+
+        listed = (await self.directory.listed("z")).ok
+
+        self.assertEqual(["node-a"], list(listed.found))
+        self.assertEqual(("10.0.0.1:1",), listed.addresses)
+        self.assertEqual(("y",), self.directory.other_zones("z"))
+
+    async def test_a_node_of_an_unknown_zone_shares_a_list_with_its_like(self):
+        await self.directory.register(_record(1, zone="x"))
+
+        listed = (await self.directory.listed("w")).ok
+
+        self.assertEqual(["node-a"], list(listed.found))
+        self.assertEqual(("y", "z"), self.directory.other_zones("x"))
+
+    async def test_a_stale_listing_tells_that_it_is(self):
+        """What was written lately may be missing; the revision shows it."""
+        self.platform.standin.set_faults(faults.Fault(mode=faults.Mode.STALE))
+        written = await self.directory.register(_record(1))
+
+        listed = (await self.directory.listed("z")).ok
+
+        self.assertEqual({}, listed.found)
+        self.assertLess(listed.revision, written.ok)
