Let a leave that names no start bind a home that knows none

The platform's leave has no body, so it names no start, and a home that has just started knows none: the leave bound starts up to number 0, which is none.

Change: such a leave binds every start up to the present time, by which the target on the same VM numbers its starts. Ruled out: an entry with an old view (the home handed the work over itself). The test fails without the change (200 in place of 409).

--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -482,7 +482,9 @@
         )
         if not self._on_platform:
             return api.TargetApi(taken).application()
-        return heartbeats.HeartbeatApi(taken, self._heartbeat_ms).application()
+        return heartbeats.HeartbeatApi(
+            taken, self._heartbeat_ms, self._clock
+        ).application()
 
     def _heartbeat_ms(self) -> int:
         beside = self._settings.beside
--- a/endivewind/platform/heartbeats.py
+++ b/endivewind/platform/heartbeats.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 import pydantic
 
+from endivewind import clock as clocks
 from endivewind import logs
 from endivewind.platform import names
 from endivewind.platform import wire
@@ -51,6 +52,8 @@
 
 
 class _Deregistration(pydantic.BaseModel):
+    """A target's leave; most of them say nothing of its start."""
+
     born: pydantic.StrictInt = pydantic.Field(default=0, ge=0)
 
 
@@ -61,13 +64,16 @@
         self,
         targets: registration.Registration,
         heartbeat_ms: collections.abc.Callable[[], int],
+        clock: clocks.Clock,
     ) -> None:
         """Builds the API.
 
         Args:
           targets: takes the announcements.
           heartbeat_ms: how often targets send one.
+          clock: that of the target's VM, by which it numbers its starts.
         """
+        self._clock = clock
         self._targets = targets
         self._heartbeat_ms = heartbeat_ms
 
@@ -97,7 +103,8 @@
             given = _Deregistration.model_validate_json(body)
         except pydantic.ValidationError as error:
             return _bad(target, error)
-        self._targets.withdraw(target, given.born)
+        now_ms = round(self._clock.now().timestamp() * 1000)
+        self._targets.withdraw(target, given.born, latest=now_ms)
         return web.json_response({})
 
     def _announcement(self, given: _Heartbeat) -> registry.Announcement:
--- a/endivewind/targets/registration.py
+++ b/endivewind/targets/registration.py
@@ -50,9 +50,17 @@
             self._changed()
         return result.error if result.is_error() else None
 
-    def withdraw(self, target: str, incarnation: int = 0) -> bool:
-        """Takes a target's leave; False if it is not known."""
-        if not self._targets.depart(target, incarnation):
+    def withdraw(
+        self, target: str, incarnation: int = 0, latest: int = 0
+    ) -> bool:
+        """Takes a target's leave; False if it is not known.
+
+        Args:
+          target: its id.
+          incarnation: its start; 0 where it is not told.
+          latest: the latest start that it can be.
+        """
+        if not self._targets.depart(target, incarnation, latest):
             return False
         self._changed()
         return True
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -75,6 +75,8 @@
       suspicion: how likely it is sick.
       announced: number of the latest announcement of its present start.
       pending: requests that are there now.
+      left_off: when one of its requests last ended without an answer, so that
+        it may still work on that; None if none has.
     """
 
     record: records.TargetRecord
@@ -84,6 +86,7 @@
     suspicion: suspicion.Suspicion
     announced: int = 0
     pending: dict[Any, None] = dataclasses.field(default_factory=dict)
+    left_off: datetime.timedelta | None = None
 
     @property
     def in_use(self) -> int:
@@ -237,7 +240,9 @@
             self._changed(target)
         return expression.Ok(None)
 
-    def depart(self, target: str, incarnation: int = 0) -> bool:
+    def depart(
+        self, target: str, incarnation: int = 0, latest: int = 0
+    ) -> bool:
         """Takes a target's own leave; False if it is not known.
 
         Its later announcements are refused: one that was held up on the way
@@ -247,7 +252,9 @@
 
         Args:
           target: its id.
-          incarnation: its start; 0 where starts are not numbered.
+          incarnation: its start; 0 where it is not told.
+          latest: where neither is told nor known which start leaves, the
+            latest that it can be; 0 where starts are not numbered.
         """
         item = self._targets.get(target)
         if (
@@ -255,7 +262,7 @@
             and item.record.target_incarnation > incarnation > 0
         ):
             return False
-        known = item.record.target_incarnation if item else 0
+        known = item.record.target_incarnation if item else latest
         self._departed[target] = max(known, incarnation)
         if len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
--- a/endivewind/tests/platform/heartbeats_tests.py
+++ b/endivewind/tests/platform/heartbeats_tests.py
@@ -1,5 +1,6 @@
 """Heartbeats and deregistrations as targets of the platform send them."""
 
+import datetime
 import unittest
 
 from aiohttp import test_utils
@@ -35,7 +36,10 @@
         taken = registration.Registration(
             self.targets, lambda service: 1, self._changed, self._refusal
         )
-        served = heartbeats.HeartbeatApi(taken, lambda: 1500)
+        # Later than all starts of these tests.
+        clock = clocks.ManualClock()
+        clock.advance(datetime.timedelta(minutes=1))
+        served = heartbeats.HeartbeatApi(taken, lambda: 1500, clock)
         self.client = test_utils.TestClient(
             test_utils.TestServer(served.application())
         )
@@ -105,6 +109,24 @@
         self.assertEqual(409, late)
         self.assertEqual({}, self.states())
 
+    async def test_a_leave_that_names_no_start_binds_a_home_that_knows_none(
+        self,
+    ):
+        """Requests reach a target three seconds after it has said it leaves.
+
+        Its home has just been restarted and knows no target. The leave says
+        nothing of the start that leaves; an announcement which was held up
+        comes three seconds later. Only a start after the leave is another.
+        """
+        async with self.client.post("/Instances.Deregister/i-1") as response:
+            self.assertEqual(200, response.status)
+
+        self.assertEqual(409, await self.beat(sequence=4))
+
+        self.assertEqual({}, self.states())
+        later = 10 * 365 * 86_400_000 * 10
+        self.assertEqual(200, await self.beat(sequence=1, born=later))
+
     async def test_a_new_start_at_the_same_address_takes_its_place(self):
         """The sender of a held-up heartbeat has crashed meanwhile."""
         await self.beat("i-1", born=1000)
