Serve sooner after a loss of power, and let retries be used

A call was charged as a repeat's whenever its target had any repeat (22 charged at one node in ten seconds, few were), and targets that are seldom idle told no way to be callers', so that requests were not counted.

Change: the oldest node of a zone reads the configuration at once and the others have it from there; a caller waits for the first configuration in a node's first second; a call is charged by the part of the work that is a repeat; nodes of a zone tell each other the callers' ways.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -68,6 +68,10 @@
         self._clock = clock
         self._budgets: dict[str, retries.RetryBudget] = {}
         self._told: dict[str, retries.Count] = {}
+        # Parts of a retry that are still to be charged.
+        self._owed: collections.defaultdict[str, float] = (
+            collections.defaultdict(float)
+        )
         self._neighbours = 0
         self._last = -telling.GAP
 
@@ -81,6 +85,13 @@
         known.configure(limits)
         return known
 
+    def charge(self, service: str, share: float) -> None:
+        """Takes note of work that counts as a retry with some likelihood."""
+        self._owed[service] += share
+        if self._owed[service] >= 1:
+            self._owed[service] -= 1
+            self.of(service).charge(self._clock.monotonic())
+
     def hear(self, node: str, tally: telling.Tally) -> None:
         """Takes what another entry near by has used of its part.
 
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -76,7 +76,7 @@
         rng: random.Random | None = None,
         origin: origins.Origins | None = None,
     ) -> None:
-        self._origins = origin or origins.Origins()
+        self._origins = origin or origins.Origins(clock)
         self._rng = rng or random.Random()
         self._witness = witness
         self._node = node
@@ -100,6 +100,11 @@
         self._splitters: dict[objects.Route, splitting.Splitter] = {}
         self._open: set[routed.RoutedRequest] = set()
 
+    @property
+    def origins(self) -> origins.Origins:
+        """Which ways are callers'."""
+        return self._origins
+
     @property
     def budgets(self) -> budgets.RetryBudgets:
         """What this entry may retry."""
@@ -241,12 +246,12 @@
 
     def _count(self, call: routed.RoutedRequest) -> None:
         """Counts a request towards the retries of its service, or as one."""
-        budget = self._budgets.of(call.head.service)
-        way = call.head.service, call.route.prefix
-        if self._origins.is_caller(*way):
-            budget.request(call.started)
-        if self._origins.may_repeat(*way):
-            budget.charge(call.started)
+        service, prefix = call.head.service, call.route.prefix
+        if self._origins.is_caller(service, prefix):
+            self._budgets.of(service).request(call.started)
+        share = self._origins.repeat_share(service, prefix)
+        if share:
+            self._budgets.charge(service, share)
 
     def _log(self, call: routed.RoutedRequest, told: AnswerResult) -> None:
         """One line for a request that took more than one plain answer."""
--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -36,6 +36,10 @@
 LINGER = datetime.timedelta(seconds=1)
 NOT_READY_RETRY = datetime.timedelta(seconds=1)
 LEAVING_RETRY = datetime.timedelta(seconds=1)
+# A node that has just started has its configuration by then, from its peers or
+# from the platform, and looks so often whether it has.
+START_PATIENCE = datetime.timedelta(seconds=1)
+_START_LOOK = datetime.timedelta(milliseconds=20)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -67,6 +71,7 @@
         self.speak(dialect or calls.Dialect())
         self._counts = served.counts
         self._leaving = False
+        self._started = calls.now()
         self._in_flight = 0
         self._dropped: set[asyncio.Task[None]] = set()
         self._idle = asyncio.Event()
@@ -202,6 +207,7 @@
         if begun.task is not None:
             self._let_ahead(begun.call, connection)
             return await begun.task
+        await self._settle(begun.call)
         refusal = self._admit(begun.call)
         if refusal is None:
             self._let_ahead(begun.call, connection)
@@ -210,6 +216,19 @@
             return expression.Error(refusal)
         return await self._pass_on(begun.call)
 
+    async def _settle(self, call: calls.Call) -> None:
+        """Lets a request wait for the first configuration of a new start.
+
+        Load: all nodes start at once, after a loss of power. Harm: callers
+        are back before the configuration is, and are refused work that could
+        be served half a second later. Only the first second is waited for;
+        where the platform is away for longer, callers hear so at once.
+        """
+        while calls.now() - self._started < START_PATIENCE:
+            if self._route(call) is not None or not self._unknown():
+                return
+            await asyncio.sleep(_START_LOOK.total_seconds())
+
     def _let_ahead(
         self, call: calls.Call, connection: connections.Connection
     ) -> None:
--- a/endivewind/config/spreading.py
+++ b/endivewind/config/spreading.py
@@ -30,7 +30,7 @@
 DIGEST_PERIOD = datetime.timedelta(seconds=2)
 # A joining node asks more often, and several at once: it isn't ready before
 # several peers agree.
-JOINING_PERIOD = datetime.timedelta(milliseconds=250)
+JOINING_PERIOD = datetime.timedelta(milliseconds=100)
 JOINING_PEERS = 3
 # A question or its answer may be lost: one in five is with one message in
 # ten. The peer that told of the object last is then asked again, since by
--- a/endivewind/decisions/telling.py
+++ b/endivewind/decisions/telling.py
@@ -58,15 +58,30 @@
     count: retries.Count
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Way:
+    """Where requests go: a service, by a route's prefix."""
+
+    service: str
+    prefix: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
-    """One message to nodes near by; false if it is empty."""
+    """One message to nodes near by; false if it is empty.
+
+    Attributes:
+      conditions: of the sender's targets.
+      tallies: of the sender's retries.
+      ways: on which requests of callers come.
+    """
 
     conditions: tuple[Condition, ...] = ()
     tallies: tuple[Tally, ...] = ()
+    ways: tuple[Way, ...] = ()
 
     def __bool__(self) -> bool:
-        return bool(self.conditions or self.tallies)
+        return bool(self.conditions or self.tallies or self.ways)
 
 
 NO_NEWS = News()
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -3,8 +3,10 @@
 import asyncio
 import dataclasses
 import datetime
+import importlib
 import logging
 import random
+from typing import TYPE_CHECKING
 from typing import Any
 
 import aiohttp
@@ -14,7 +16,6 @@
 from endivewind import exchange
 from endivewind import headers
 from endivewind import logs
-from endivewind import metrics
 from endivewind import tls
 from endivewind.callers import calls
 from endivewind.callers import gateway
@@ -54,6 +55,9 @@
 from endivewind.targets import registration
 from endivewind.targets import registry
 
+if TYPE_CHECKING:
+    from endivewind import metrics
+
 log = logging.getLogger(__name__)
 
 EXPIRE_PERIOD = datetime.timedelta(milliseconds=200)
@@ -96,6 +100,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
+        self._metrics: metrics.NodeMetrics | None = None
         # Set by start(), which needs the running loop and the platform.
         self._directory: membership.Directory
         self._at_start: membership.ZoneListing | None
@@ -204,7 +209,9 @@
             self._clock,
             self._judge.witnessed,
             self._rng,
-            origins.Origins(self._dispatcher if config.beside else None),
+            origins.Origins(
+                self._clock, self._dispatcher if config.beside else None
+            ),
         )
         kept = config.limits.kept_answer_bytes
         self._ticketing = ticketing.Ticketing(
@@ -357,17 +364,15 @@
         self._stopping = True
         log.info("stopping")
         if self._settings.beside is None:
+            # Its targets move to other homes, which takes a while.
             self._targets.stop_taking()
-        else:
-            # Its target can't move: the fleet must turn to others at once,
-            # and the target's own announcements are still to be answered.
-            self._gossip.announce_leave()
         departure = leaving.Departure(
             self._listener,
             self._dispatcher,
             self._link_server,
             self._ticketing,
             datetime.timedelta(seconds=self._settings.limits.notice_seconds),
+            self._turn_away,
         )
         await departure.run(self._stop_limit())
         await self._take_leave()
@@ -381,6 +386,14 @@
         await self._dispatcher.close()
         await self._session.close()
 
+    def _turn_away(self) -> None:
+        """Tells the fleet to send no more work to a target that can't move.
+
+        Its announcements are still answered.
+        """
+        if self._settings.beside is not None:
+            self._gossip.announce_leave()
+
     def _stop_limit(self) -> datetime.timedelta:
         """How long work in flight may take."""
         limits = self._settings.limits
@@ -466,7 +479,7 @@
         sources = http.Sources(
             self._not_ready,
             self._status,
-            metrics.NodeMetrics(self._metric_sources()).render,
+            self._render_metrics,
             lambda: self._gossip.status(),
         )
         operators_address = await self._serve(
@@ -587,7 +600,9 @@
         conditions = self._teller.due(states, now)
         for condition in conditions:
             self._placement.hear(condition)
-        self._gossip.tell(telling.News(conditions, self._gateway.budgets.due()))
+        tallies = self._gateway.budgets.due()
+        ways = self._gateway.origins.due()
+        self._gossip.tell(telling.News(conditions, tallies, ways))
 
     def _hear(self, sender: str, news: telling.News) -> None:
         """Takes what another node of the zone tells."""
@@ -595,6 +610,8 @@
             self._placement.hear(condition)
         for tally in news.tallies:
             self._gateway.budgets.hear(sender, tally)
+        for way in news.ways:
+            self._gateway.origins.hear(way)
 
     async def _log_traffic(self) -> None:
         """Says now and then what this node has sent and called, by kind."""
@@ -607,8 +624,20 @@
             }
             log.info("platform calls", extra=logs.fields(**calls))
 
-    def _metric_sources(self) -> metrics.Sources:
-        return metrics.Sources(
+    def _render_metrics(self) -> http.Page:
+        """The metrics; what they need is loaded when they are first asked for.
+
+        The SDK takes a fifteenth of a node's memory and of the processor time
+        of its start, and many nodes are scraped by nobody.
+        """
+        module = importlib.import_module("endivewind.metrics")
+        if self._metrics is None:
+            sources = self._metric_sources(module)
+            self._metrics = module.NodeMetrics(sources)
+        return http.Page(self._metrics.render(), module.CONTENT_TYPE)
+
+    def _metric_sources(self, module: Any) -> "metrics.Sources":
+        sources: metrics.Sources = module.Sources(
             requests=self._gateway.counts,
             health_changes=self._judge.changes,
             targets=self._targets.announced,
@@ -618,6 +647,7 @@
             sent_bytes=self._traffic.counts,
             platform_calls=self._platform.calls,
         )
+        return sources
 
     def _not_ready(self) -> str | None:
         if self._stopping:
--- a/endivewind/nodes/configuration.py
+++ b/endivewind/nodes/configuration.py
@@ -88,7 +88,9 @@
         """
         limit = PEERS_SILENT
         if self.missing():
-            limit = PEERS_FIRST if self._peers() else ALONE_FIRST
+            # The oldest asks at once, and the others have it from there.
+            others = self._peers() and not self.is_watcher
+            limit = PEERS_FIRST if others else ALONE_FIRST
         last = max(self._spreader.agreed_at, self._started)
         return self._clock.monotonic() - last >= limit
 
@@ -139,7 +141,8 @@
         """Ticks for ever."""
         told = False
         while True:
-            await asyncio.sleep(spreading.TICK.total_seconds())
+            period = spreading.TICK if told else spreading.JOINING_PERIOD
+            await asyncio.sleep(period.total_seconds())
             self._budget.set_nodes(self._sharers())
             if not told and self.missing() is None:
                 told = True
--- a/endivewind/nodes/datagrams.py
+++ b/endivewind/nodes/datagrams.py
@@ -48,6 +48,11 @@
         conditions=[_condition_out(item) for item in datagram.news.conditions]
         or None,
         tallies=[_tally_out(item) for item in datagram.news.tallies] or None,
+        ways=[
+            codec.messages.Way(item.service, item.prefix)
+            for item in datagram.news.ways
+        ]
+        or None,
     )
     payload = _pack(changes.write(struct))
     return _sign(payload, key) + payload if key else payload
@@ -84,6 +89,7 @@
             news=telling.News(
                 tuple(_condition_in(item) for item in struct.conditions or ()),
                 tuple(_tally_in(item) for item in struct.tallies or ()),
+                tuple(_way_in(item) for item in struct.ways or ()),
             ),
         )
     except (TypeError, ValueError) as error:
@@ -176,6 +182,12 @@
     return telling.Tally(tally.service_name, count)
 
 
+def _way_in(way: Any) -> telling.Way:
+    if not way.service_name:
+        raise ValueError("a way without its service")
+    return telling.Way(way.service_name, way.prefix or "")
+
+
 def _kind(datagram: gossip.Datagram) -> traffic.Kind:
     """What most of a datagram is for."""
     if datagram.news:
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -191,14 +191,24 @@
         return self._push()
 
     def tell(self, news: telling.News) -> list[Send]:
-        """Tells the nodes of this zone, and what they share to the region."""
+        """Tells the nodes of this zone, and what they share to the region.
+
+        Ways go to one node of the zone, and from there to the next.
+        """
         me = self._members.me.node
         peers = self._members.peers()
         region = [item for item in peers if item.node.region == me.region]
         zone = [item for item in region if item.node.zone == me.zone]
-        sends = [
-            self._news(item, news) for item in self._some(zone, telling.HEARERS)
-        ]
+        sends = []
+        if news.ways:
+            ways = telling.News(ways=news.ways)
+            sends = [self._news(item, ways) for item in self._some(zone, 1)]
+            news = dataclasses.replace(news, ways=())
+        if news:
+            sends.extend(
+                self._news(item, news)
+                for item in self._some(zone, telling.HEARERS)
+            )
         if news.tallies and telling.shares_region(len(region)):
             tallies = telling.News(tallies=news.tallies)
             sends.extend(
--- a/endivewind/nodes/leaving.py
+++ b/endivewind/nodes/leaving.py
@@ -1,6 +1,7 @@
 """A node's planned departure: what is refused when, and what is waited for."""
 
 import asyncio
+import collections.abc
 import contextlib
 import datetime
 import logging
@@ -16,6 +17,13 @@
 LAST_ANSWERS = datetime.timedelta(milliseconds=100)
 
 
+# When the fleet is told to send a home no more, as a part of the stop's limit.
+# Its target can't move and stands idle from then until the next start has
+# heard of it: told at once, a rolling stop of half the nodes took a quarter of
+# all targets out of use. Work that comes last still has most of the limit.
+TURN_AWAY_SHARE = 0.3
+
+
 class Door(Protocol):
     """A way in for work."""
 
@@ -56,10 +64,10 @@
 class Departure:
     """Leads a node out in order, so that no request is cut.
 
-    First everyone is told and all work is still taken: peers hear at once
-    that this node leaves, callers' balancers see within a probe or two that
-    it is not ready. After the notice new work is refused with the time to
-    come back; what is in flight ends; kept answers stay reachable until the
+    First all work is still taken: callers' balancers see within a probe or
+    two that the node is not ready. Then peers hear that its target is to get
+    no more. After the notice new work is refused with the time to come back;
+    what is in flight ends; kept answers stay reachable until the
     limit.
     """
 
@@ -70,8 +78,20 @@
         links: Links,
         tickets: Tickets,
         notice: datetime.timedelta,
+        turn_away: collections.abc.Callable[[], None],
     ) -> None:
+        """Builds a departure.
+
+        Args:
+          entry: the listener for callers.
+          home: hands work over to this node's targets.
+          links: the listener for other nodes.
+          tickets: work that must not repeat.
+          notice: how long new work of callers is still taken.
+          turn_away: tells the fleet to send this home no more.
+        """
         self._notice = notice
+        self._turn_away = turn_away
         self._entry = entry
         self._home = home
         self._links = links
@@ -81,7 +101,10 @@
         """Returns when the node may end; after the limit at the latest."""
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                await asyncio.sleep(self._notice.total_seconds())
+                first = min(self._notice, TURN_AWAY_SHARE * limit)
+                await asyncio.sleep(first.total_seconds())
+                self._turn_away()
+                await asyncio.sleep((self._notice - first).total_seconds())
                 self._entry.refuse_new()
                 self._tickets.close()
                 await self._entry.drained()
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -126,6 +126,12 @@
   3: i32 retries
 }
 
+// A way on which requests of callers come, not only calls of targets.
+struct Way {
+  1: string service_name
+  2: string prefix
+}
+
 // One UDP datagram of gossip; every field but the sender is optional.
 struct Datagram {
   1: string sender
@@ -139,6 +145,7 @@
   9: list<i32> compared
   10: list<Condition> conditions
   11: list<Tally> tallies
+  12: list<Way> ways
 }
 
 // All targets of one home: what is missing is gone.
--- a/endivewind/operators/http.py
+++ b/endivewind/operators/http.py
@@ -5,7 +5,13 @@
 
 from aiohttp import web
 
-from endivewind import metrics
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """A page in whatever format its maker has written it."""
+
+    body: bytes
+    content_type: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,7 +27,7 @@
 
     ready: collections.abc.Callable[[], str | None]
     status: collections.abc.Callable[[], dict[str, object]]
-    metrics: collections.abc.Callable[[], bytes]
+    metrics: collections.abc.Callable[[], Page]
     members: collections.abc.Callable[[], dict[str, object]] = dict
 
 
@@ -51,9 +57,9 @@
         return web.Response(text="ready\n")
 
     async def _metrics(self, request: web.Request) -> web.Response:
+        page = self._sources.metrics()
         return web.Response(
-            body=self._sources.metrics(),
-            headers={"Content-Type": metrics.CONTENT_TYPE},
+            body=page.body, headers={"Content-Type": page.content_type}
         )
 
     async def _members(self, request: web.Request) -> web.Response:
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -115,13 +115,14 @@
         )
 
     @property
-    def runs_repeat(self) -> bool:
-        """Whether a target has work that another may have had before."""
-        return any(
+    def repeat_share(self) -> float:
+        """The part of the targets' work that others may have had before."""
+        work = [
             hand_over.is_repeat
             for item in self._targets.held()
             for hand_over in item.pending
-        )
+        ]
+        return sum(work) / len(work) if work else 0.0
 
     def refuse_new(self) -> None:
         """Hands nothing over any more; what runs goes on."""
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -185,6 +185,15 @@
         # The bound is made use of, or nothing would be retried.
         self.assertGreater(sum(fleet.repeated), 0.1 * sum(fleet.asked))
 
+    def test_calls_that_are_likely_repeats_are_charged_by_likelihood(self):
+        fleet = _Fleet(3, random.Random(1))
+        first = fleet.nodes[0]
+        for _ in range(10):
+            first.budgets.charge(SERVICE, 0.25)
+
+        count = first.budgets.of(SERVICE).count(fleet.clock.monotonic())
+        self.assertEqual(2, count.retries)
+
     def test_the_loss_of_half_the_fleet_gives_the_rest_no_more(self):
         """What those that are gone have used still counts in the window."""
         fleet = _Fleet(20, random.Random(7))
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -175,6 +175,7 @@
         news = telling.News(
             (telling.Condition("riders-1", exchange.Glance(2, 0.413)),),
             (telling.Tally("riders", retries.Count(20, 3)),),
+            (telling.Way("riders", "/orders/"),),
         )
         datagram = gossip.Datagram("n1", 7, news=news)
 
