Let an acknowledged leave outlive its home; part the node by job

Cause: what a home has acknowledged was lost with its process.

Change: peers remember, over a home's starts, which of its targets have left or drain, and tell a start that asks for the fleet's state; the home waits half a second at most for that before it answers announcements, and passes a leave on before it acknowledges it. Tests: a home is ended in the moment of its acknowledgement (a late word was taken before), with leave and drain, and a target that stays after all.

--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import datetime
-import importlib
 import logging
 import random
 from typing import TYPE_CHECKING
@@ -12,10 +11,13 @@
 import aiohttp
 from aiohttp import web
 
+from endivewind import addresses
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import headers
 from endivewind import logs
+from endivewind import reading
+from endivewind import reports
 from endivewind import tls
 from endivewind.callers import calls
 from endivewind.callers import gateway
@@ -26,14 +28,13 @@
 from endivewind.callers import ticketing
 from endivewind.callers import tickets
 from endivewind.config import objects
+from endivewind.config import services
 from endivewind.config import settings
 from endivewind.config import store
-from endivewind.decisions import floor
 from endivewind.decisions import telling
 from endivewind.durable import audit
 from endivewind.durable import auditor
 from endivewind.durable import membership
-from endivewind.durable import watcher
 from endivewind.nodes import configuration
 from endivewind.nodes import leaving
 from endivewind.nodes import link_server
@@ -44,9 +45,7 @@
 from endivewind.operators import configuration as operators
 from endivewind.operators import http
 from endivewind.platform import client
-from endivewind.platform import configuration as operator_configuration
 from endivewind.platform import heartbeats
-from endivewind.platform import messages
 from endivewind.platform import names
 from endivewind.platform import readiness
 from endivewind.targets import api
@@ -56,10 +55,13 @@
 from endivewind.targets import registry
 
 if TYPE_CHECKING:
-    from endivewind import metrics
+    pass
 
 log = logging.getLogger(__name__)
 
+# An announcement that is answered within a second counts as taken.
+SETTLE_LIMIT = datetime.timedelta(milliseconds=500)
+SETTLE_LOOK = datetime.timedelta(milliseconds=20)
 EXPIRE_PERIOD = datetime.timedelta(milliseconds=200)
 TRAFFIC_PERIOD = datetime.timedelta(seconds=10)
 # Of the time until the platform ends the process: a second to cut what is
@@ -98,9 +100,10 @@
         self._link_server = link_server.LinkServer(self, self._traffic)
         self._teller = telling.Teller()
         self._tasks: list[asyncio.Task[None]] = []
-        self._runners: list[web.BaseRunner] = []
+        self._http = addresses.HttpServers()
+        self._services = services.ServiceSettings(self._configuration)
         self._stopping = False
-        self._metrics: metrics.NodeMetrics | None = None
+        self._began = clock.monotonic()
         # Set by start(), which needs the running loop and the platform.
         self._directory: membership.Directory
         self._at_start: membership.ZoneListing | None
@@ -114,7 +117,8 @@
         self._ticketing: ticketing.Ticketing
         self._platform: client.PlatformClient
         self._session: aiohttp.ClientSession
-        self._watchers: list[watcher.Watcher]
+        self._reader: reading.ConfigurationReader
+        self._reports: reports.Reports
         self._auditor: auditor.Auditor
         self._configuration_peer: configuration.ConfigurationPeer
         self._self_record: view.NodeRecord
@@ -150,19 +154,20 @@
         self._build_configuration()
         nodes = await self._bind_links()
         self._build_membership(nodes)
-        addresses = await self._bind(nodes)
+        self._build_reports()
+        bound = await self._bind(nodes)
         await self._link_server.serve()
         await self._gossip.start(nodes)
         for work in (
-            *(item.run() for item in self._watchers),
+            *(item.run() for item in self._reader.watchers()),
             self._auditor.run(),
             self._configuration_peer.run(),
             self._expire(),
             self._judge_often(),
-            self._log_traffic(),
+            self._reports.log_traffic(),
         ):
             self._tasks.append(asyncio.create_task(work))
-        return addresses
+        return bound
 
     async def _build_identity(self) -> None:
         """This start's incarnation, and the targets that it is home to."""
@@ -184,7 +189,7 @@
         config = self._settings
         self._judge = judge.Judge(
             self._targets,
-            self._profile,
+            self._services.profile,
             self._clock,
             self._targets_changed,
         )
@@ -194,10 +199,10 @@
         self._placement = placement.Placement(
             placement.Place(config.name, config.region, config.zone),
             self._fleet,
-            self._floor,
+            self._services.floor,
             self._clock,
             self._rng,
-            share_of=self._floor_share,
+            share_of=self._services.floor_share,
         )
         self._gateway = gateway.Gateway(
             config.name,
@@ -247,7 +252,7 @@
                 config.name, self._incarnation, "", config.region, config.zone
             ),
             self._configuration,
-            self._configuration_kinds,
+            reading.kinds_of(config.interface),
             self._fleet,
             self._pool,
             self._platform.budget,
@@ -255,55 +260,18 @@
             self._clock,
             self._rng,
         )
-        self._watchers = [
-            self._watcher(kind) for kind in self._configuration_kinds
-        ]
-
-    def _watcher(self, kind: str) -> watcher.Watcher:
-        seen, listed = self._configuration_peer.seen, None
-        if kind == names.CONFIGURATION_KIND:
-            seen, listed = self._operator_wrote, _not_by_listing
-        return watcher.Watcher(
+        self._reader = reading.ConfigurationReader(
+            lambda: self._settings,
             self._platform,
-            kind,
-            seen,
+            self._configuration_peer,
+            lambda: self._gossip.is_settled,
             self._rng,
-            listed or self._configuration_peer.listed,
-            self._role,
         )
 
-    def _role(self) -> watcher.Role:
-        """What this node has to read of the configuration now."""
-        if self._gossip.is_settled and self._configuration_peer.is_watcher:
-            return watcher.Role.ALWAYS
-        if self._configuration_peer.lacks_peers:
-            return watcher.Role.ONCE
-        return watcher.Role.NOTHING
-
-    def _operator_wrote(self, stored: messages.StoredObject) -> None:
-        """Takes the configuration that the platform's operator has written."""
-        if stored.name != names.CONFIGURATION_NAME or not stored.value:
-            return
-        decoded = operator_configuration.decode(stored, self._settings.defaults)
-        if decoded.is_error():
-            fields = logs.fields(revision=stored.version, problem=decoded.error)
-            log.error("configuration that can't be read", extra=fields)
-            return
-        self._configuration_peer.seen(decoded.ok)
-        # The first one is written some time after the nodes have started;
-        # a listing without it says nothing.
-        self._configuration_peer.listed(stored.kind)
-
     @property
     def _on_platform(self) -> bool:
         return self._settings.interface is settings.Interface.PLATFORM
 
-    @property
-    def _configuration_kinds(self) -> tuple[str, ...]:
-        if self._on_platform:
-            return (names.CONFIGURATION_KIND,)
-        return store.KINDS
-
     @property
     def _header_names(self) -> headers.Names:
         return names.HEADERS if self._on_platform else headers.OWN
@@ -379,8 +347,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._http.stop()
         await self._link_server.stop()
         self._pool.close()
         await self._dispatcher.close()
@@ -453,13 +420,32 @@
         self._gossip.frame(frame)
 
     async def _bind_links(self) -> str:
-        host, port = _split(self._settings.nodes)
+        host, port = addresses.split(self._settings.nodes)
         context = tls.server_context(self._settings.nodes_tls)
         return await self._link_server.bind(host, port, context)
 
+    def _build_reports(self) -> None:
+        """What operators are told."""
+        self._reports = reports.Reports(
+            reports.Parts(
+                self._settings.name,
+                self._incarnation,
+                self._configuration,
+                self._fleet,
+                self._targets,
+                self._judge,
+                self._gateway.counts,
+                lambda: self._listener.in_flight,
+                self._pool,
+                self._traffic,
+                self._platform,
+                self._gossip.status,
+            )
+        )
+
     async def _bind(self, nodes: str) -> Addresses:
         config = self._settings
-        callers = await self._serve(
+        callers = await self._http.serve(
             web.ServerRunner(
                 self._listener.server(),
                 shutdown_timeout=leaving.CUT_AFTER.total_seconds(),
@@ -467,40 +453,42 @@
             config.callers,
             tls.server_context(config.callers_tls),
         )
-        targets = await self._serve(
-            web.AppRunner(self._target_application(), access_log=None),
-            config.targets,
+        targets = await self._http.serve_application(
+            self._target_application(), config.targets
         )
         if config.readiness is not None:
-            application = readiness.application(self._not_ready)
-            await self._serve(
-                web.AppRunner(application, access_log=None), config.readiness
+            await self._http.serve_application(
+                readiness.application(self._not_ready), config.readiness
             )
-        sources = http.Sources(
-            self._not_ready,
-            self._status,
-            self._render_metrics,
-            lambda: self._gossip.status(),
-        )
-        operators_address = await self._serve(
-            web.AppRunner(self._operator_application(sources), access_log=None),
-            config.operators,
+        operators_address = await self._http.serve_application(
+            self._operator_application(), config.operators
         )
         return Addresses(callers, targets, nodes, operators_address)
 
     def _target_application(self) -> web.Application:
         taken = registration.Registration(
             self._targets,
-            self._default_slots,
+            self._services.slots,
             self._targets_changed,
             self._not_genuine,
         )
         if not self._on_platform:
             return api.TargetApi(taken).application()
         return heartbeats.HeartbeatApi(
-            taken, self._heartbeat_ms, self._clock
+            taken, self._heartbeat_ms, self._clock, self._settle
         ).application()
 
+    async def _settle(self) -> None:
+        """Waits until peers have told what they remember of this home.
+
+        They have within milliseconds; where all start at once nobody has
+        anything to tell, and targets are not kept waiting for long.
+        """
+        while self._gossip.not_ready() is not None:
+            if self._clock.monotonic() - self._began >= SETTLE_LIMIT:
+                return
+            await asyncio.sleep(SETTLE_LOOK.total_seconds())
+
     def _heartbeat_ms(self) -> int:
         beside = self._settings.beside
         return round(1000 * beside.heartbeat_seconds) if beside else 1000
@@ -517,12 +505,18 @@
             return ""
         if announcement.address != f"http://{beside.address}":
             return "no target of this node has that address"
-        known = self._configuration.service(announcement.service)
-        if known is None and announcement.service != beside.service:
+        known = self._services.is_known(announcement.service)
+        if not known and announcement.service != beside.service:
             return "no such service"
         return ""
 
-    def _operator_application(self, sources: http.Sources) -> web.Application:
+    def _operator_application(self) -> web.Application:
+        sources = http.Sources(
+            self._not_ready,
+            self._reports.status,
+            self._reports.metrics_page,
+            self._gossip.status,
+        )
         application = http.OperatorApi(sources).application()
         operators.add_route(
             application,
@@ -531,36 +525,6 @@
         )
         return application
 
-    async def _serve(
-        self,
-        runner: web.BaseRunner,
-        address: str,
-        context: Any = None,
-    ) -> str:
-        await runner.setup()
-        self._runners.append(runner)
-        host, port = _split(address)
-        site = web.TCPSite(runner, host, port, ssl_context=context)
-        await site.start()
-        return f"{host}:{runner.addresses[0][1]}"
-
-    def _default_slots(self, service: str) -> int:
-        found = self._configuration.service(service) or objects.Service()
-        return found.slots
-
-    def _floor(self, service: str) -> int:
-        found = self._configuration.service(service)
-        return found.floor_slots if found else 0
-
-    def _floor_share(self, service: str) -> float:
-        found = self._configuration.service(service)
-        percent = found.floor_percent if found else 0
-        return percent / 100 if percent else floor.DEFAULT_SHARE
-
-    def _profile(self, service: str) -> objects.Profile:
-        found = self._configuration.service(service) or objects.Service()
-        return found.profile
-
     def _targets_changed(self) -> None:
         self._gossip.targets_changed()
         self._auditor.targets(self._targets.announced(), self._judge.causes)
@@ -613,69 +577,7 @@
         for way in news.ways:
             self._gateway.origins.hear(way)
 
-    async def _log_traffic(self) -> None:
-        """Says now and then what this node has sent and called, by kind."""
-        while True:
-            await asyncio.sleep(TRAFFIC_PERIOD.total_seconds())
-            log.info("bytes sent", extra=logs.fields(**self._traffic.by_kind()))
-            calls = {
-                f"{call.word} {call.kind}": count
-                for call, count in self._platform.calls.items()
-            }
-            log.info("platform calls", extra=logs.fields(**calls))
-
-    def _render_metrics(self) -> http.Page:
-        """The metrics; what they need is loaded when they are first asked for.
-
-        The SDK takes a fifteenth of a node's memory and of the processor time
-        of its start, and many nodes are scraped by nobody.
-        """
-        module = importlib.import_module("endivewind.metrics")
-        if self._metrics is None:
-            sources = self._metric_sources(module)
-            self._metrics = module.NodeMetrics(sources)
-        return http.Page(self._metrics.render(), module.CONTENT_TYPE)
-
-    def _metric_sources(self, module: Any) -> "metrics.Sources":
-        sources: metrics.Sources = module.Sources(
-            requests=self._gateway.counts,
-            health_changes=self._judge.changes,
-            targets=self._targets.announced,
-            nodes=lambda: len(self._fleet.nodes),
-            idle_links=lambda: self._pool.idle,
-            version=lambda: self._configuration.version,
-            sent_bytes=self._traffic.counts,
-            platform_calls=self._platform.calls,
-        )
-        return sources
-
     def _not_ready(self) -> str | None:
         if self._stopping:
             return "stopping"
         return self._configuration_peer.missing() or self._gossip.not_ready()
-
-    def _status(self) -> dict[str, object]:
-        return {
-            "node": self._settings.name,
-            "incarnation": self._incarnation,
-            "version": self._configuration.version,
-            "nodes": sorted(self._fleet.nodes),
-            "members": self._gossip.status(),
-            "targets": [
-                {
-                    **dataclasses.asdict(item),
-                    "reason": self._judge.causes.get(item.id, ""),
-                }
-                for item in self._fleet.all_targets()
-            ],
-            "in_flight": self._listener.in_flight,
-        }
-
-
-def _not_by_listing(kind: str) -> None:
-    """A listing alone does not make this kind whole."""
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -82,12 +82,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetState:
-    """Part of what the sender knows; last ends the answer to a pull."""
+    """Part of what the sender knows.
+
+    Attributes:
+      sender: the node that answers.
+      members: nodes that it knows.
+      homes: their targets.
+      last: whether this ends the answer to a pull.
+      left: targets of the asking node, with their starts, that have told an
+        earlier start of it that they leave.
+    """
 
     sender: str
     members: tuple[membership.MemberRecord, ...]
     homes: tuple[view.HomeState, ...]
     last: bool = False
+    left: tuple[tuple[str, int], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +141,7 @@
         self._last_pull = clock.monotonic() - PULL_PERIOD
         self._joined = True
         self._has_state = False
+        self._left: list[tuple[str, int]] = []
         for record in members.members.values():
             self._apply(record)
 
@@ -161,6 +172,11 @@
         heard, self._heard = self._heard, []
         return heard
 
+    def take_left(self) -> list[tuple[str, int]]:
+        """Targets that have left an earlier start of this node."""
+        left, self._left = self._left, []
+        return left
+
     def take_turns(self) -> list[membership.MemberRecord]:
         """Members whose record has changed since the last call."""
         turns, self._turns = self._turns, []
@@ -188,7 +204,7 @@
     def leave(self) -> list[Send]:
         """Tells a few nodes at once that this one is leaving."""
         self._run(self._members.leave(), None)
-        return self._push()
+        return self.push()
 
     def tell(self, news: telling.News) -> list[Send]:
         """Tells the nodes of this zone, and what they share to the region.
@@ -225,7 +241,7 @@
     def tick(self) -> list[Send]:
         """Runs the timers; call it about every 100 ms."""
         sends = self._run(self._members.tick(), None)
-        sends.extend(self._push())
+        sends.extend(self.push())
         return sends
 
     def receive(self, address: str, message: Datagram) -> list[Send]:
@@ -285,6 +301,7 @@
             self._merge(member, pass_on=False)
         for home in state.homes:
             self._take_home(home)
+        self._left.extend(state.left)
         self._joined = self._joined or state.last
         self._has_state = self._has_state or state.last
         return []
@@ -296,7 +313,9 @@
         for start in range(0, len(names), HOMES_PER_FRAME):
             part = names[start : start + HOMES_PER_FRAME]
             last = start + HOMES_PER_FRAME >= len(names)
-            yield self._state(me, part, last=last and self.joined)
+            state = self._state(me, part, last=last and self.joined)
+            left = tuple(self._view.left(pull.sender).items())
+            yield dataclasses.replace(state, left=left) if last else state
 
     def _state(
         self, me: str, names: collections.abc.Iterable[str], *, last: bool
@@ -449,7 +468,8 @@
             changes=changes + self._queue.take(room, len(self._view.nodes)),
         )
 
-    def _push(self) -> list[Send]:
+    def push(self) -> list[Send]:
+        """Passes on what is queued to a few others."""
         if not len(self._queue):
             return []
         return [
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -156,12 +156,20 @@
   4: list<TargetChange> targets
 }
 
+// A target that has told its home that it leaves, up to which of its starts.
+struct Left {
+  1: string target
+  2: i64 incarnation
+}
+
 // Part of what the sender knows of the fleet; last ends an answer to a pull.
+// left tells the asking node what earlier starts of it have acknowledged.
 struct FleetState {
   1: string sender
   2: list<Member> members
   3: list<HomeState> homes
   4: bool last
+  5: list<Left> left
 }
 
 // Asks for the records of some nodes, or of all where names is absent.
--- a/endivewind/nodes/service.py
+++ b/endivewind/nodes/service.py
@@ -143,11 +143,20 @@
             self._answer(message)
             return
         self._dispatch(self._core.receive_state(message))
+        for target, incarnation in self._core.take_left():
+            self._state.targets.remember_left(target, incarnation)
         self._take_heard()
 
     def targets_changed(self) -> None:
-        """Spreads what has changed among this node's own targets."""
-        self._core.originate(self._state.targets.take_changes())
+        """Spreads what has changed among this node's own targets, at once.
+
+        A leave that is acknowledged must outlive this process, which may end
+        in the next moment; a few peers have it before the answer goes out.
+        """
+        changes = self._state.targets.take_changes()
+        self._core.originate(changes)
+        if changes:
+            self._dispatch(self._core.push())
 
     def tell(self, news: telling.News) -> None:
         """Tells the nodes of this zone."""
--- a/endivewind/nodes/states.py
+++ b/endivewind/nodes/states.py
@@ -22,6 +22,7 @@
         members=[changes.member_out(item) for item in message.members],
         homes=[_home_out(item) for item in message.homes],
         last=message.last,
+        left=[codec.messages.Left(*item) for item in message.left] or None,
     )
     return codec.messages.Frame(fleet_state=state)
 
@@ -61,6 +62,7 @@
         tuple(changes.member_in(item) for item in state.members or ()),
         tuple(_home_in(item) for item in state.homes or ()),
         bool(state.last),
+        tuple((item.target, item.incarnation) for item in state.left or ()),
     )
 
 
--- a/endivewind/nodes/view.py
+++ b/endivewind/nodes/view.py
@@ -10,6 +10,9 @@
 # A home whose changes have arrived with gaps holds their numbers until the
 # gap is filled; beyond this many the whole state is cheaper.
 MAX_AHEAD = 256
+# Targets of a home that have left are remembered for its next start, which
+# comes within seconds, and a home has few.
+MAX_LEFT = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +89,24 @@
         self._claims: dict[str, records.TargetRecord] = {}
         self._by_service: dict[str, dict[str, records.TargetRecord]] = {}
         self._revisions: collections.Counter[str] = collections.Counter()
+        self._left: dict[str, dict[str, int]] = {}
+
+    def left(self, home: str) -> collections.abc.Mapping[str, int]:
+        """Targets that have told a home that they leave, and their starts.
+
+        Failure: a home is ended after it has acknowledged that its target
+        leaves, and a heartbeat from before that is held up. Symptom: its next
+        start takes the target for ready, and sends it work past its drain
+        time. Its peers have heard of the leave, and remember it over starts.
+        """
+        return self._left.get(home, {})
+
+    def _note_left(self, record: records.TargetRecord) -> None:
+        known = self._left.setdefault(record.home, {})
+        known.pop(record.id, None)
+        known[record.id] = record.target_incarnation
+        if len(known) > MAX_LEFT:
+            del known[next(iter(known))]
 
     @property
     def nodes(self) -> collections.abc.Mapping[str, NodeRecord]:
@@ -158,6 +179,9 @@
         if home is None:
             return True
         if home.incarnation < record.incarnation:
+            for item in home.records.values():
+                if item.state is records.State.DRAINING:
+                    self._note_left(item)
             self.remove_home(record.name)
             return True
         for item in home.records.values():
@@ -249,7 +273,9 @@
         known = home.records.pop(record.id, None)
         if known is not None:
             self._unindex_one(known)
-        if not change.gone:
+        if change.gone:
+            self._note_left(record)
+        else:
             home.records[record.id] = record
             self._index(record)
         return True
--- a/endivewind/platform/heartbeats.py
+++ b/endivewind/platform/heartbeats.py
@@ -57,6 +57,13 @@
     born: pydantic.StrictInt = pydantic.Field(default=0, ge=0)
 
 
+Settled = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
+
+async def at_once() -> None:
+    """For a home that has nothing to wait for."""
+
+
 class HeartbeatApi:
     """Passes heartbeats and deregistrations on, in the project's words."""
 
@@ -65,6 +72,7 @@
         targets: registration.Registration,
         heartbeat_ms: collections.abc.Callable[[], int],
         clock: clocks.Clock,
+        settled: Settled = at_once,
     ) -> None:
         """Builds the API.
 
@@ -72,8 +80,11 @@
           targets: takes the announcements.
           heartbeat_ms: how often targets send one.
           clock: that of the target's VM, by which it numbers its starts.
+          settled: waits until this home knows what its peers remember of its
+            targets.
         """
         self._clock = clock
+        self._settled = settled
         self._targets = targets
         self._heartbeat_ms = heartbeat_ms
 
@@ -91,6 +102,7 @@
             announcement = self._announcement(given)
         except pydantic.ValidationError as error:
             return _bad(target, error)
+        await self._settled()
         refused = self._targets.announce(target, announcement)
         if refused is not None:
             return web.json_response({"title": refused}, status=409)
--- /dev/null
+++ b/endivewind/reports.py
@@ -0,0 +1,125 @@
+"""What a node tells its operators: status, metrics and regular log lines."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import datetime
+import importlib
+import logging
+from typing import TYPE_CHECKING
+from typing import Any
+
+from endivewind import logs
+from endivewind.callers import counts
+from endivewind.config import store
+from endivewind.nodes import links
+from endivewind.nodes import traffic
+from endivewind.nodes import view
+from endivewind.operators import http
+from endivewind.platform import client
+from endivewind.targets import judge
+from endivewind.targets import registry
+
+if TYPE_CHECKING:
+    from endivewind import metrics
+
+log = logging.getLogger(__name__)
+
+TRAFFIC_PERIOD = datetime.timedelta(seconds=10)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """The parts of a node that its reports read.
+
+    Attributes:
+      name: the node's name.
+      incarnation: this start of it.
+      configuration: what is in force.
+      fleet: nodes and targets that it knows.
+      targets: its own targets.
+      judge: verdicts on these.
+      requests: what callers asked.
+      in_flight: callers' requests being served now.
+      pool: links to other nodes.
+      traffic: bytes to other nodes.
+      platform: calls to the platform.
+      members: nodes by state.
+    """
+
+    name: str
+    incarnation: int
+    configuration: store.ConfigurationStore
+    fleet: view.FleetView
+    targets: registry.TargetRegistry
+    judge: judge.Judge
+    requests: counts.RequestCounts
+    in_flight: collections.abc.Callable[[], int]
+    pool: links.LinkPool
+    traffic: traffic.Traffic
+    platform: client.PlatformClient
+    members: collections.abc.Callable[[], dict[str, object]]
+
+
+class Reports:
+    """Status and metrics on demand, and a line now and then."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._metrics: metrics.NodeMetrics | None = None
+
+    def status(self) -> dict[str, object]:
+        """The node's status as JSON."""
+        parts = self._parts
+        return {
+            "node": parts.name,
+            "incarnation": parts.incarnation,
+            "version": parts.configuration.version,
+            "nodes": sorted(parts.fleet.nodes),
+            "members": parts.members(),
+            "targets": [
+                {
+                    **dataclasses.asdict(item),
+                    "reason": parts.judge.causes.get(item.id, ""),
+                }
+                for item in parts.fleet.all_targets()
+            ],
+            "in_flight": parts.in_flight(),
+        }
+
+    def metrics_page(self) -> http.Page:
+        """The metrics; what they need is loaded when they are first asked for.
+
+        The SDK takes a fifteenth of a node's memory and of the processor time
+        of its start, and many nodes are scraped by nobody.
+        """
+        module = importlib.import_module("endivewind.metrics")
+        if self._metrics is None:
+            self._metrics = module.NodeMetrics(self._sources(module))
+        return http.Page(self._metrics.render(), module.CONTENT_TYPE)
+
+    async def log_traffic(self) -> None:
+        """Says now and then what this node has sent and called, by kind."""
+        while True:
+            await asyncio.sleep(TRAFFIC_PERIOD.total_seconds())
+            sent = self._parts.traffic.by_kind()
+            log.info("bytes sent", extra=logs.fields(**sent))
+            calls = {
+                f"{call.word} {call.kind}": count
+                for call, count in self._parts.platform.calls.items()
+            }
+            log.info("platform calls", extra=logs.fields(**calls))
+
+    def _sources(self, module: Any) -> "metrics.Sources":
+        parts = self._parts
+        sources: metrics.Sources = module.Sources(
+            requests=parts.requests,
+            health_changes=parts.judge.changes,
+            targets=parts.targets.announced,
+            nodes=lambda: len(parts.fleet.nodes),
+            idle_links=lambda: parts.pool.idle,
+            version=lambda: parts.configuration.version,
+            sent_bytes=parts.traffic.counts,
+            platform_calls=parts.platform.calls,
+        )
+        return sources
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -30,6 +30,9 @@
 # Targets that have left, so that a late announcement of theirs brings none
 # back; a home has had few in the seconds that one may be late.
 MAX_DEPARTED = 64
+# An announcement is held up for seconds at most. After this a target that has
+# left is taken again, as one that stays after all.
+DEPARTED_FOR = datetime.timedelta(seconds=30)
 
 
 class Announcement(base.Model):
@@ -105,6 +108,14 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departed:
+    """Up to which of its starts a target has left, and how long that binds."""
+
+    incarnation: int
+    until: datetime.timedelta
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HomeIdentity:
     """The home that registry records name."""
@@ -159,7 +170,7 @@
         self._resumed: datetime.timedelta | None = None
         self._stopping = False
         self._moved: dict[str, str] = {}
-        self._departed: dict[str, int] = {}
+        self._departed: dict[str, _Departed] = {}
 
     @property
     def incarnation(self) -> int:
@@ -263,10 +274,22 @@
         ):
             return False
         known = item.record.target_incarnation if item else latest
-        self._departed[target] = max(known, incarnation)
+        self._note_departed(target, max(known, incarnation))
+        return self.withdraw(target)
+
+    def _note_departed(self, target: str, incarnation: int) -> None:
+        until = self._clock.monotonic() + DEPARTED_FOR
+        self._departed[target] = _Departed(incarnation, until)
         if len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
-        return self.withdraw(target)
+
+    def remember_left(self, target: str, incarnation: int) -> None:
+        """Takes that a target has left an earlier start of this home.
+
+        It may still say so itself; what else it said before is late.
+        """
+        if self._targets.get(target) is None and target not in self._departed:
+            self._note_departed(target, incarnation)
 
     def withdraw(self, target: str) -> bool:
         """Removes a target; False if it is not known."""
@@ -338,8 +361,7 @@
         known = self._targets.get(target)
         if known and known.record.target_incarnation > announcement.incarnation:
             return Refused.OLDER_START
-        left = self._departed.get(target)
-        if left is not None and announcement.incarnation <= left:
+        if self._has_left(target, announcement):
             # Starts that are not numbered can't be told apart: such a target
             # may announce itself again after it has left.
             if announcement.incarnation:
@@ -349,6 +371,16 @@
             return Refused.OLDER_START
         return self._beaten(target, announcement)
 
+    def _has_left(self, target: str, announcement: Announcement) -> bool:
+        """Whether this start has said that it leaves; it may say so again."""
+        left = self._departed.get(target)
+        if left is None or announcement.state is records.State.DRAINING:
+            return False
+        if self._clock.monotonic() >= left.until:
+            del self._departed[target]
+            return False
+        return announcement.incarnation <= left.incarnation
+
     def _has_successor(self, target: str, announcement: Announcement) -> bool:
         """Whether a later start at the same address is known.
 
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -264,6 +264,13 @@
         "        known = item.record.target_incarnation if item else 0\n",
         "platform.heartbeats_tests",
     ),
+    Mutant(
+        "peers forget the leaves that a home has acknowledged",
+        "nodes/view.py",
+        "        return self._left.get(home, {})\n",
+        "        return {}\n",
+        "nodes.gossip_tests",
+    ),
     Mutant(
         "an older configuration is taken",
         "config/store.py",
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -10,6 +10,7 @@
 from endivewind.nodes import gossip
 from endivewind.nodes import transmission
 from endivewind.targets import records
+from endivewind.targets import registry
 from endivewind.tests.nodes import network
 
 NAMES = [f"n{number}" for number in range(40)]
@@ -107,6 +108,53 @@
         self.assertEqual({13 * 16}, known)
 
 
+class LeaveOutlivesItsHomeTest(unittest.TestCase):
+    """A home acknowledges that its target leaves, and is ended at once.
+
+    A heartbeat of the target from before that is held up, and reaches the
+    home's next start. Taken, the target would get work past its drain time.
+    """
+
+    def setUp(self):
+        self.net = network.Network(NAMES[:12])
+        self.net.run(8)
+        self.home = self.net.nodes["n0"]
+        self.home.announce("t1", incarnation=5, lease_ms=60_000)
+        self.net.run(1)
+
+    def restart(self):
+        """Ends the home in the moment of its acknowledgement."""
+        self.home.spread()
+        self.net.push("n0")
+        self.net.crash("n0")
+        self.net.run(2)
+        self.home = self.net.start("n0")
+        self.net.run(0.3)
+
+    def test_what_has_left_does_not_come_back_by_a_late_word(self):
+        self.home.targets.depart("t1", 5)
+        self.restart()
+
+        self.assertFalse(self.home.announce("t1", incarnation=5))
+        self.assertTrue(self.home.announce("t1", incarnation=6))
+
+    def test_what_drains_does_not_come_back_by_a_late_word(self):
+        """It may say again that it leaves, which is acknowledged."""
+        draining = records.State.DRAINING
+        self.home.announce("t1", incarnation=5, state=draining)
+        self.restart()
+
+        self.assertFalse(self.home.announce("t1", incarnation=5))
+        self.assertTrue(self.home.announce("t1", incarnation=5, state=draining))
+
+    def test_one_that_stays_after_all_is_taken_again(self):
+        self.home.targets.depart("t1", 5)
+        self.restart()
+        self.net.run(registry.DEPARTED_FOR.total_seconds())
+
+        self.assertTrue(self.home.announce("t1", incarnation=5))
+
+
 def _place(name):
     """One of six zones in three regions, as a users' fleet has."""
     number = int(name[1:]) % 6
--- a/endivewind/tests/nodes/network.py
+++ b/endivewind/tests/nodes/network.py
@@ -49,9 +49,11 @@
         moves: int = 0,
         incarnation: int = 1,
         lease_ms: int = LEASE_MS,
+        state: records.State = records.State.READY,
     ) -> bool:
         """A target announces itself here; whether it is taken."""
         announcement = registry.Announcement(
+            state=state,
             service="riders",
             address="http://127.0.0.1:1",
             incarnation=incarnation,
@@ -133,6 +135,10 @@
         self.nodes[name] = node
         return node
 
+    def push(self, name: str) -> None:
+        """Passes on what a node has changed, as it does at once."""
+        self._send(name, self.nodes[name].core.push())
+
     def crash(self, name: str) -> None:
         """Ends a node without a word."""
         del self.nodes[name]
@@ -217,6 +223,8 @@
                 self._send(node.name, parts)
             else:
                 self._send(node.name, node.core.receive_state(frame))
+        for target, incarnation in node.core.take_left():
+            node.targets.remember_left(target, incarnation)
         for record in node.core.take_heard():
             node.targets.give_up(record)
         node.spread()
