--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -16,6 +16,7 @@
 from endivewind.callers import budgets
 from endivewind.callers import counts
 from endivewind.callers import crashes
+from endivewind.callers import hedging
 from endivewind.callers import origins
 from endivewind.callers import placement
 from endivewind.callers import routed
@@ -374,9 +375,9 @@
                 second = self._second(call)
                 if second is not None:
                     tasks.add(asyncio.create_task(second))
-            return await _first_good(tasks)
+            return await hedging.first_good(tasks)
         finally:
-            await _end(tasks)
+            await hedging.end(tasks)
 
     def _second(
         self, call: routed.RoutedRequest
@@ -503,27 +504,3 @@
     clearly worse than the entry believed.
     """
     return max(exchange.ACCEPTED_RISK, suspicion + RISK_MARGIN)
-
-
-async def _first_good(
-    tasks: set[asyncio.Task[AnswerResult]],
-) -> AnswerResult:
-    """The first result that is no failure; the last one if all are."""
-    waiting = set(tasks)
-    while True:
-        ended, waiting = await asyncio.wait(
-            waiting, return_when=asyncio.FIRST_COMPLETED
-        )
-        results = [task.result() for task in ended]
-        for result in results:
-            if result.is_ok() and result.ok.status not in routed.FAILED_STATUS:
-                return result
-        if not waiting:
-            return results[-1]
-
-
-async def _end(tasks: set[asyncio.Task[AnswerResult]]) -> None:
-    """Cancels what still runs, so that its target stops as well."""
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
--- a/endivewind/commands/control_fleet.py
+++ b/endivewind/commands/control_fleet.py
@@ -17,6 +17,7 @@
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
 from endivewind.nodes import gossip
+from endivewind.nodes import gossip_messages
 from endivewind.nodes import link_server
 from endivewind.nodes import links
 from endivewind.nodes import membership
@@ -111,10 +112,10 @@
         )
         self.core.originate([records.TargetChange(record)])
 
-    def send(self, sends: list[gossip.Send]) -> None:
+    def send(self, sends: list[gossip_messages.Send]) -> None:
         """Sends what a core wants sent."""
         for item in sends:
-            if isinstance(item.message, gossip.Datagram):
+            if isinstance(item.message, gossip_messages.Datagram):
                 self._socket.send(item.address, item.message)
             else:
                 self._fleet.link(item.address, states.frame_out(item.message))
@@ -124,7 +125,7 @@
         message = states.frame_in(frame)
         if message.sender == self._fleet.real_name:
             self._fleet.count_in(frame)
-        if isinstance(message, gossip.Pull):
+        if isinstance(message, gossip_messages.Pull):
             self._fleet.answer(message.address, self.core.answer(message))
             return
         self.send(self.core.receive_state(message))
@@ -154,7 +155,9 @@
         self._socket.stop()
         await self._server.stop()
 
-    def _received(self, address: str, datagram: gossip.Datagram) -> None:
+    def _received(
+        self, address: str, datagram: gossip_messages.Datagram
+    ) -> None:
         self.send(self.core.receive(address, datagram))
 
 
@@ -215,7 +218,7 @@
     def answer(
         self,
         address: str,
-        parts: collections.abc.Iterable[gossip.FleetState],
+        parts: collections.abc.Iterable[gossip_messages.FleetState],
     ) -> None:
         """Sends an answer's parts one after the other, as a real node does."""
         self._start(self._send_all(address, parts))
@@ -284,7 +287,7 @@
     async def _send_all(
         self,
         address: str,
-        parts: collections.abc.Iterable[gossip.FleetState],
+        parts: collections.abc.Iterable[gossip_messages.FleetState],
     ) -> None:
         for part in parts:
             await self._send(address, states.frame_out(part))
--- a/endivewind/nodes/datagrams.py
+++ b/endivewind/nodes/datagrams.py
@@ -14,7 +14,7 @@
 from endivewind.nodes import changes
 from endivewind.nodes import codec
 from endivewind.nodes import digests
-from endivewind.nodes import gossip
+from endivewind.nodes import gossip_messages
 from endivewind.nodes import traffic
 from endivewind.nodes import view
 
@@ -30,10 +30,10 @@
 # Several times what any datagram of ours holds.
 _MOST_UNPACKED = 65_536
 
-Received = collections.abc.Callable[[str, gossip.Datagram], None]
+Received = collections.abc.Callable[[str, gossip_messages.Datagram], None]
 
 
-def encode(datagram: gossip.Datagram, key: bytes = b"") -> bytes:
+def encode(datagram: gossip_messages.Datagram, key: bytes = b"") -> bytes:
     """A datagram as bytes, after its signature where there is a key."""
     struct = codec.messages.Datagram(
         sender=datagram.sender,
@@ -58,7 +58,7 @@
     return _sign(payload, key) + payload if key else payload
 
 
-def decode(data: bytes, key: bytes = b"") -> gossip.Datagram:
+def decode(data: bytes, key: bytes = b"") -> gossip_messages.Datagram:
     """A datagram from bytes.
 
     Without the signature anybody who can send UDP to a node could have its
@@ -76,7 +76,7 @@
     if not struct.sender:
         raise codec.FrameError("a datagram without sender")
     try:
-        return gossip.Datagram(
+        return gossip_messages.Datagram(
             struct.sender,
             struct.summary or 0,
             ping=struct.ping or 0,
@@ -188,7 +188,7 @@
     return telling.Way(way.service_name, way.prefix or "")
 
 
-def _kind(datagram: gossip.Datagram) -> traffic.Kind:
+def _kind(datagram: gossip_messages.Datagram) -> traffic.Kind:
     """What most of a datagram is for."""
     if datagram.news:
         return traffic.Kind.NEWS
@@ -233,7 +233,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def send(self, address: str, datagram: gossip.Datagram) -> None:
+    def send(self, address: str, datagram: gossip_messages.Datagram) -> None:
         """Sends a datagram; UDP may lose it, and gossip lives with that."""
         if self._transport is None or self._transport.is_closing():
             return
--- a/endivewind/nodes/service.py
+++ b/endivewind/nodes/service.py
@@ -17,6 +17,7 @@
 from endivewind.nodes import datagrams
 from endivewind.nodes import discovery
 from endivewind.nodes import gossip
+from endivewind.nodes import gossip_messages
 from endivewind.nodes import links
 from endivewind.nodes import membership
 from endivewind.nodes import states
@@ -139,7 +140,7 @@
         except codec.FrameError as error:
             log.warning("gossip frame dropped: %s", error)
             return
-        if isinstance(message, gossip.Pull):
+        if isinstance(message, gossip_messages.Pull):
             self._answer(message)
             return
         self._dispatch(self._core.receive_state(message))
@@ -227,7 +228,9 @@
             self._state.targets.stop_taking()
             log.error("a later start of this node is known; taking no targets")
 
-    def _received(self, address: str, datagram: gossip.Datagram) -> None:
+    def _received(
+        self, address: str, datagram: gossip_messages.Datagram
+    ) -> None:
         self._state.hear(datagram.sender, datagram.news)
         self._dispatch(self._core.receive(address, datagram))
         self._take_heard()
@@ -250,26 +253,28 @@
         held = [item.id for item in state.targets] if state else []
         log.debug("home heard", extra=logs.fields(home=home, targets=held))
 
-    def _dispatch(self, sends: list[gossip.Send]) -> None:
+    def _dispatch(self, sends: list[gossip_messages.Send]) -> None:
         for item in sends:
-            if isinstance(item.message, gossip.Datagram):
+            if isinstance(item.message, gossip_messages.Datagram):
                 self._socket.send(item.address, item.message)
             else:
                 self._start(self._send(item.address, item.message))
 
     async def _send(
-        self, address: str, message: gossip.FleetState | gossip.Pull
+        self,
+        address: str,
+        message: gossip_messages.FleetState | gossip_messages.Pull,
     ) -> None:
         await self._pool.send(address, states.frame_out(message))
 
-    def _answer(self, pull: gossip.Pull) -> None:
+    def _answer(self, pull: gossip_messages.Pull) -> None:
         if self._answering >= MAX_ANSWERS:
             # The other asks again, and another node, a second later.
             return
         self._answering += 1
         self._start(self._send_answer(pull))
 
-    async def _send_answer(self, pull: gossip.Pull) -> None:
+    async def _send_answer(self, pull: gossip_messages.Pull) -> None:
         try:
             for part in self._core.answer(pull):
                 frame = states.frame_out(part)
--- a/endivewind/nodes/states.py
+++ b/endivewind/nodes/states.py
@@ -5,18 +5,20 @@
 
 from endivewind.nodes import changes
 from endivewind.nodes import codec
-from endivewind.nodes import gossip
+from endivewind.nodes import gossip_messages
 from endivewind.nodes import view
 
 
 @functools.singledispatch
-def frame_out(message: gossip.FleetState | gossip.Pull) -> Any:
+def frame_out(
+    message: gossip_messages.FleetState | gossip_messages.Pull,
+) -> Any:
     """A message of gossip as a link frame."""
     raise TypeError(f"no frame for {type(message).__name__}")
 
 
 @frame_out.register
-def _(message: gossip.FleetState) -> Any:
+def _(message: gossip_messages.FleetState) -> Any:
     state = codec.messages.FleetState(
         sender=message.sender,
         members=[changes.member_out(item) for item in message.members],
@@ -28,7 +30,7 @@
 
 
 @frame_out.register
-def _(message: gossip.Pull) -> Any:
+def _(message: gossip_messages.Pull) -> Any:
     pull = codec.messages.Pull(
         sender=message.sender,
         address=message.address,
@@ -37,7 +39,7 @@
     return codec.messages.Frame(pull=pull)
 
 
-def frame_in(frame: Any) -> gossip.FleetState | gossip.Pull:
+def frame_in(frame: Any) -> gossip_messages.FleetState | gossip_messages.Pull:
     """A message of gossip from a link frame.
 
     Raises:
@@ -48,7 +50,7 @@
             return _state_in(frame.fleet_state)
         if frame.pull:
             pull = frame.pull
-            return gossip.Pull(
+            return gossip_messages.Pull(
                 pull.sender or "", pull.address, tuple(pull.names or ())
             )
     except (TypeError, ValueError) as error:
@@ -56,8 +58,8 @@
     raise codec.FrameError("not a frame of gossip")
 
 
-def _state_in(state: Any) -> gossip.FleetState:
-    return gossip.FleetState(
+def _state_in(state: Any) -> gossip_messages.FleetState:
+    return gossip_messages.FleetState(
         state.sender or "",
         tuple(changes.member_in(item) for item in state.members or ()),
         tuple(_home_in(item) for item in state.homes or ()),
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -7,7 +7,8 @@
 from endivewind.decisions import telling
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
-from endivewind.nodes import gossip
+from endivewind.nodes import gossip_messages
+from endivewind.nodes import repair
 from endivewind.nodes import transmission
 from endivewind.targets import records
 from endivewind.targets import registry
@@ -102,7 +103,7 @@
                     if node.name in NAMES[:13]:
                         node.announce(f"{node.name}-{number}")
                 self.assertLessEqual(node.core.queued, transmission.MAX_QUEUED)
-        self.assertLessEqual(self.net.largest, gossip.MAX_DATAGRAM)
+        self.assertLessEqual(self.net.largest, repair.MAX_DATAGRAM)
         self.assertTrue(self.net.agreed())
         known = {len(n.view.all_targets()) for n in self.net.nodes.values()}
         self.assertEqual({13 * 16}, known)
@@ -225,13 +226,15 @@
             (telling.Tally("riders", retries.Count(20, 3)),),
             (telling.Way("riders", "/orders/"),),
         )
-        datagram = gossip.Datagram("n1", 7, news=news)
+        datagram = gossip_messages.Datagram("n1", 7, news=news)
 
         self.assertEqual(datagram, datagrams.decode(datagrams.encode(datagram)))
 
     def test_wrong_or_missing_signature_is_no_message(self):
         """Nobody without the key can have a node taken for dead."""
-        datagram = gossip.Datagram("n1", 7, ping=3, changes=(b"x", b"\xff"))
+        datagram = gossip_messages.Datagram(
+            "n1", 7, ping=3, changes=(b"x", b"\xff")
+        )
         data = datagrams.encode(datagram, b"k" * 16)
         self.assertEqual(datagram, datagrams.decode(data, b"k" * 16))
         forged = datagrams.encode(datagram, b"z" * 16)
--- a/endivewind/tests/nodes/network.py
+++ b/endivewind/tests/nodes/network.py
@@ -12,6 +12,7 @@
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
 from endivewind.nodes import gossip
+from endivewind.nodes import gossip_messages
 from endivewind.nodes import membership
 from endivewind.nodes import states
 from endivewind.nodes import view
@@ -166,10 +167,10 @@
         node = self.nodes.pop(name)
         self._send(name, node.core.leave())
 
-    def _send(self, sender: str, sends: list[gossip.Send]) -> None:
+    def _send(self, sender: str, sends: list[gossip_messages.Send]) -> None:
         for item in sends:
             receiver = item.address.partition(":")[0]
-            if isinstance(item.message, gossip.Datagram):
+            if isinstance(item.message, gossip_messages.Datagram):
                 payload = datagrams.encode(item.message, b"k" * 16)
                 self.largest = max(self.largest, len(payload))
                 link = False
@@ -215,9 +216,9 @@
             self._send(node.name, sends)
         else:
             frame = states.frame_in(codec.decode(message.payload[4:]))
-            if isinstance(frame, gossip.Pull):
+            if isinstance(frame, gossip_messages.Pull):
                 parts = [
-                    gossip.Send(frame.address, part)
+                    gossip_messages.Send(frame.address, part)
                     for part in node.core.answer(frame)
                 ]
                 self._send(node.name, parts)
