--- a/endivewind/tests/known_red.py
+++ b/endivewind/tests/known_red.py
@@ -47,6 +47,23 @@
     return frozenset(failed)
 
 
+def keep(report: Report, directory: pathlib.Path) -> pathlib.Path:
+    """Writes the output of a failed run into a file of its own.
+
+    Args:
+      report: what failed.
+      directory: where the files of failures are; made if it is missing.
+
+    Returns:
+      The new file; one of an earlier failure stays as it is.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    earlier = len(list(directory.glob(f"{report.name}.*.txt")))
+    path = directory / f"{report.name}.{earlier}.txt"
+    path.write_text(report.output)
+    return path
+
+
 def judge(
     reports: collections.abc.Sequence[Report], listing: pathlib.Path
 ) -> Verdict:
--- a/endivewind/tests/known_red_tests.py
+++ b/endivewind/tests/known_red_tests.py
@@ -1,5 +1,6 @@
 """Tests of the verdict on a test run."""
 
+import dataclasses
 import pathlib
 import tempfile
 import unittest
@@ -41,5 +42,22 @@
         self.assertFalse(verdict.accepted)
 
 
+class KeepTest(unittest.TestCase):
+    """A failure that is seen once leaves what it printed."""
+
+    def test_each_failure_of_a_class_has_its_own_file(self):
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        first = dataclasses.replace(_report("a.B.c"), output="first")
+        second = dataclasses.replace(_report("a.B.c"), output="second")
+
+        paths = [
+            known_red.keep(item, folder / "new") for item in (first, second)
+        ]
+
+        self.assertEqual(
+            ["first", "second"], [path.read_text() for path in paths]
+        )
+
+
 def _report(*failed: str, ran: int = 2) -> known_red.Report:
     return known_red.Report("module", ran, frozenset(failed), 0, 0.1, "")
--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -17,6 +17,8 @@
 from endivewind.commands import children
 
 WAIT_SECONDS = 20
+# Lines of a process's log that a failure to see one shows.
+LINES_NOTED = 40
 # Connections leave from 127.0.0.1. A process that comes back at its old port
 # would find it taken by one of them now and then; at an address of their own
 # the processes that listen meet no such port.
@@ -54,7 +56,24 @@
         wanted: collections.abc.Callable[[dict[str, Any]], bool],
         since: int = 0,
     ) -> dict[str, Any]:
-        """Waits for a log line, one read since a mark included."""
+        """Waits for a log line, one read since a mark included.
+
+        Raises:
+          TimeoutError: it did not come; a note holds the last lines that did.
+          EOFError: the process ended without it.
+        """
+        try:
+            return await self._wait(wanted, since)
+        except TimeoutError as error:
+            last = "\n".join(str(line) for line in self._seen[-LINES_NOTED:])
+            error.add_note(f"the last lines of {self.name}:\n{last}")
+            raise
+
+    async def _wait(
+        self,
+        wanted: collections.abc.Callable[[dict[str, Any]], bool],
+        since: int,
+    ) -> dict[str, Any]:
         checked = since
         async with asyncio.timeout(WAIT_SECONDS):
             while True:
