Tell workspaces apart by keys

Nothing of keys existed on the platform's path.

Change: a workspace holds keys. What reads the platform turns each into a digest at once; the entry looks the digest up, answers 401 where nobody holds it, drops the key and whatever the caller says of its workspace, and the home names the workspace to its target. A workspace's rank goes before its route's.

--- a/endivewind/callers/calls.py
+++ b/endivewind/callers/calls.py
@@ -40,11 +40,27 @@
 class Call:
     """One request of a caller, and what is known of it so far."""
 
-    def __init__(self, request: web.BaseRequest, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        dialect: Dialect,
+        workspace: str | None = None,
+    ) -> None:
+        """Takes a request.
+
+        Args:
+          request: as it came.
+          dialect: how its caller speaks.
+          workspace: whose key it bears, empty if nobody's; None where
+            workspaces have no keys and callers name theirs.
+        """
         self.request = request
         self._dialect = dialect
         self.request_id = _request_id(request, dialect.names)
-        self.workspace = request.headers.get(headers.WORKSPACE, "")
+        self.has_key_checked = workspace is not None
+        self.workspace = workspace or ""
+        if workspace is None:
+            self.workspace = request.headers.get(headers.WORKSPACE, "")
         self.ticket = request.headers.get(headers.IDEMPOTENCY_KEY, "")
         self.once = False
         self.route: objects.Route
@@ -98,11 +114,13 @@
 
     Attributes:
       dropped: as bytes in lower case, since every header is compared.
+      key: where callers send their key; dropped where workspaces have keys.
       request_id: name of the request's id.
       added: what the system itself says to every target.
     """
 
     dropped: frozenset[bytes]
+    key: bytes
     request_id: bytes
     added: exchange.HeaderList
 
@@ -110,7 +128,12 @@
     def from_dialect(cls, dialect: Dialect) -> "RequestFields":
         """The fields for callers that speak so."""
         names = dialect.names
-        own = (names.request_id, names.caller_service, names.expected_target)
+        own = (
+            names.request_id,
+            names.caller_service,
+            names.expected_target,
+            names.workspace,
+        )
         dropped = frozenset(
             name.lower().encode()
             for name in (*headers.HOP_BY_HOP, "expect", *own)
@@ -120,13 +143,19 @@
         if names.caller_service and dialect.caller_service:
             name = names.caller_service.encode()
             added = ((name, dialect.caller_service.encode()),)
-        return cls(dropped, names.request_id.encode(), added)
+        key = headers.AUTHORIZATION.lower().encode()
+        return cls(dropped, key, names.request_id.encode(), added)
 
     def forwarded(
-        self, raw: exchange.HeaderList, request_id: str
+        self,
+        raw: exchange.HeaderList,
+        request_id: str,
+        *,
+        drop_key: bool = False,
     ) -> exchange.HeaderList:
-        """The headers that a target gets."""
-        named = [
+        """The headers that a target gets; its home adds the workspace."""
+        named = [self.key] if drop_key else []
+        named += [
             token.strip().lower()
             for name, value in raw
             if name.lower() == b"connection"
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -22,6 +22,7 @@
 from endivewind.callers import routed
 from endivewind.callers import routing
 from endivewind.callers import waiting
+from endivewind.callers import workspaces
 from endivewind.config import objects
 from endivewind.config import store
 from endivewind.decisions import admission
@@ -93,8 +94,7 @@
         )
         self._rates = admission.RateLimits()
         self._crashes = crashes.CrashWatch(clock)
-        self._workspaces: dict[str, objects.Workspace] = {}
-        self._shards: dict[str, frozenset[str]] = {}
+        self._workspaces = workspaces.Workspaces(configuration)
         self._waiting = waiting.WaitingRoom(placement, self._queue_limit, clock)
         self._counts = counts.RequestCounts(clock)
         self._limits: objects.CallerLimits | None = None
@@ -106,6 +106,11 @@
         """Which ways are callers'."""
         return self._origins
 
+    @property
+    def workspaces(self) -> workspaces.Workspaces:
+        """The workspaces in force."""
+        return self._workspaces
+
     @property
     def budgets(self) -> budgets.RetryBudgets:
         """What this entry may retry."""
@@ -126,16 +131,7 @@
             self._table.replace(name, document.routes if document else ())
             self._limits = document.limits if document else None
             self._splitters.clear()
-        elif kind == store.WORKSPACE_SHARD:
-            self._take_workspaces(name)
-
-    def _take_workspaces(self, name: str) -> None:
-        shard = self._configuration.workspace_shard(name)
-        found = shard.workspaces if shard else {}
-        for gone in self._shards.pop(name, frozenset()) - set(found):
-            self._workspaces.pop(gone, None)
-        self._workspaces.update(found)
-        self._shards[name] = frozenset(found)
+        self._workspaces.configure(kind, name)
 
     def _queue_limit(self, service: str) -> int:
         found = self._configuration.service(service) or objects.Service()
@@ -332,7 +328,7 @@
                 admission.Waiter(
                     call.head.workspace,
                     weight,
-                    waiting.level(call.route),
+                    call.head.level,
                     self._wait_until(call),
                 ),
                 len(call.body.held),
--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -151,7 +151,7 @@
         while the node leaves: it has not been read, and the caller sends it
         elsewhere once the connection is closed.
         """
-        call = calls.Call(request, self._dialect)
+        call = self._call(request)
         route = self._route(call)
         if self._leaving or route is None:
             return None
@@ -188,9 +188,21 @@
         self._in_flight += 1
         self._idle.clear()
         return connections.Begun(
-            call or calls.Call(request, self._dialect), self._counts.started()
+            call or self._call(request), self._counts.started()
         )
 
+    def _call(self, request: web.BaseRequest) -> calls.Call:
+        """A request with the workspace whose key it bears.
+
+        What a caller says of its workspace counts only where there are no
+        keys.
+        """
+        known = self._gateway.workspaces
+        if not known.have_keys:
+            return calls.Call(request, self._dialect)
+        given = request.headers.get(headers.AUTHORIZATION, "")
+        return calls.Call(request, self._dialect, known.holder(given))
+
     def _close(
         self, begun: connections.Begun, result: gateway.AnswerResult | None
     ) -> None:
@@ -244,14 +256,18 @@
             method=call.request.method,
             path=call.path,
             headers=self._fields.forwarded(
-                call.request.raw_headers, call.request_id
+                call.request.raw_headers,
+                call.request_id,
+                drop_key=call.has_key_checked,
             ),
             service=call.service,
             workspace=call.workspace,
             remaining=call.remaining(),
             ticket=call.work_name if call.once else "",
             aim=datetime.timedelta(milliseconds=route.aim_ms),
-            level=waiting.level(route),
+            level=waiting.level(
+                route, self._gateway.workspaces.get(call.workspace)
+            ),
         )
         if call.ticketed:
             return await self._tickets.serve(route, head, call.body)
@@ -275,6 +291,15 @@
         if route is None:
             detail = f"no route for {call.host}"
             return call.refuse(exchange.Reason.NO_ROUTE, detail)
+        refused = self._unauthenticated(call, route)
+        if refused is not None:
+            return refused
+        return self._admit_on(call, route)
+
+    def _admit_on(
+        self, call: calls.Call, route: objects.Route
+    ) -> exchange.Refusal | None:
+        """Takes the route of a request whose caller may use it."""
         call.route = route
         call.service = self._gateway.service_of(route)
         call.once = not routed.may_repeat(route, call.request.method)
@@ -294,6 +319,15 @@
         call.deadline = calls.now() + remaining
         return None
 
+    def _unauthenticated(
+        self, call: calls.Call, route: objects.Route
+    ) -> exchange.Refusal | None:
+        """A refusal where the route needs a key and none in force was sent."""
+        if not call.has_key_checked or route.anonymous or call.workspace:
+            return None
+        detail = "this route needs a key that a workspace holds"
+        return call.refuse(exchange.Reason.UNAUTHENTICATED, detail)
+
     def _remaining(
         self, request: web.BaseRequest, route: objects.Route
     ) -> datetime.timedelta | None:
--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -33,6 +33,7 @@
     exchange.Reason.ANSWER_NOT_KEPT: 409,
     exchange.Reason.SEALED: 409,
     exchange.Reason.RATE_LIMITED: 429,
+    exchange.Reason.UNAUTHENTICATED: 401,
     exchange.Reason.POISON: 503,
     exchange.Reason.CUT_SHORT: 504,
     exchange.Reason.INTERNAL: 500,
@@ -71,6 +72,8 @@
         id_field: request_id,
         "Content-Type": CONTENT_TYPE,
     }
+    if refusal.reason is exchange.Reason.UNAUTHENTICATED:
+        fields["WWW-Authenticate"] = "Bearer"
     if refusal.retry_after is not None:
         seconds = math.ceil(refusal.retry_after.total_seconds())
         fields["Retry-After"] = str(max(1, seconds))
--- a/endivewind/callers/waiting.py
+++ b/endivewind/callers/waiting.py
@@ -54,9 +54,14 @@
     placed: asyncio.Future[PlacedResult] | None = None
 
 
-def level(route: objects.Route) -> int:
-    """A route's place in queues; a higher one goes first."""
-    return _PRIORITIES[route.priority] * _RANKS - route.rank
+def level(
+    route: objects.Route, workspace: objects.Workspace | None = None
+) -> int:
+    """A request's place in queues; a higher one goes first."""
+    rank = route.rank
+    if workspace is not None and workspace.rank is not None:
+        rank = workspace.rank
+    return _PRIORITIES[route.priority] * _RANKS - rank
 
 
 class WaitingRoom:
--- a/endivewind/config/objects.py
+++ b/endivewind/config/objects.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from endivewind.config import base
+from endivewind.config import caller_keys
 from endivewind.config import references
 
 OptionalName = Annotated[
@@ -109,6 +110,7 @@
       service: name of the service; empty where the route has a split.
       split: services that share the requests, by weight.
       workspace: only this workspace; empty matches all.
+      anonymous: whether callers need no key, where workspaces have keys.
       repeat: which requests may run more than once.
       priority: refused last (high) or first (low).
       rank: order within the priority; 0 is served first and refused last.
@@ -125,6 +127,7 @@
     host: str = pydantic.Field(default="*", min_length=1, max_length=253)
     prefix: str = pydantic.Field(default="/", pattern=r"^/", max_length=512)
     workspace: str = ""
+    anonymous: pydantic.StrictBool = False
     repeat: Repeat = Repeat.SAFE_METHODS
     priority: Priority = Priority.NORMAL
     rank: pydantic.StrictInt = pydantic.Field(default=0, ge=0, le=1_000)
@@ -169,14 +172,19 @@
     Attributes:
       firm: the firm that the workspace belongs to.
       weight: share under saturation, relative to other workspaces.
-      rate: requests a second at one entry; 0 is no limit.
+      rate: requests a second over all nodes together; 0 is no limit.
       burst: requests that may come at once above the rate.
+      rank: goes before the rank of the routes that it uses; absent leaves
+        them as they are.
     """
 
     firm: Name
     weight: pydantic.StrictInt = pydantic.Field(default=1, ge=1, le=1000)
     rate: pydantic.StrictFloat = pydantic.Field(default=0, ge=0)
-    burst: pydantic.StrictInt = pydantic.Field(default=20, ge=1, le=100_000)
+    burst: pydantic.StrictInt = pydantic.Field(default=20, ge=0, le=100_000)
+    rank: pydantic.StrictInt | None = pydantic.Field(
+        default=None, ge=0, le=1_000
+    )
 
 
 class RouteGroup(base.Model):
@@ -189,20 +197,35 @@
     routes: tuple[Route, ...] = ()
 
 
-class WorkspaceShard(base.Model):
-    """Workspaces that are stored together; one object in the platform.
+class Workspaces(base.Model):
+    """Workspaces that are kept together, with the keys that they hold.
 
     Attributes:
-      workspaces: the workspaces, as callers name them in Endivewind-Workspace.
+      workspaces: the workspaces by name; where none has a key, callers name
+        theirs in Endivewind-Workspace.
+      keys: the workspace that holds each key, by the key's digest.
     """
 
     workspaces: dict[Name, Workspace] = {}
+    keys: dict[caller_keys.Digest, Name] = {}
+
+
+class WorkspaceShard(Workspaces):
+    """Workspaces that are stored together; one object in the platform.
+
+    Attributes:
+      workspaces: the workspaces by name; where none has a key, callers name
+        theirs in Endivewind-Workspace.
+      keys: the workspace that holds each key, by the key's digest.
+    """
 
 
-class Document(base.Model):
+class Document(Workspaces):
     """A whole configuration that is kept and replaced as one object.
 
     Attributes:
+      workspaces: the workspaces by name.
+      keys: the workspace that holds each key, by the key's digest.
       services: the services.
       routes: the routes, in any order.
       limits: what callers may send; absent leaves the node's settings.
--- a/endivewind/config/reference.py
+++ b/endivewind/config/reference.py
@@ -114,7 +114,12 @@
     ]
     if len(present) == 1:
         return _type(present[0])
-    words = {int: "whole number", float: "number", str: "text"}
+    words = {
+        bool: "true or false",
+        int: "whole number",
+        float: "number",
+        str: "text",
+    }
     return words.get(annotation, str(annotation))
 
 
@@ -137,6 +142,8 @@
         return f"`{default.value}`"
     if isinstance(default, pydantic.BaseModel):
         return "its defaults"
+    if isinstance(default, bool):
+        return f"`{str(default).lower()}`"
     if default is None or default in ((), {}, ""):
         return "empty"
     return f"`{default}`"
--- a/endivewind/config/references.py
+++ b/endivewind/config/references.py
@@ -48,6 +48,7 @@
     yield from _shadowed_routes(routes)
     yield from _floors(services)
     yield from _shared_workspaces(data)
+    yield from _keys(data)
 
 
 def _leading_nowhere(
@@ -128,6 +129,25 @@
                 )
 
 
+def _keys(data: object) -> collections.abc.Iterator[base.Problem]:
+    """Keys of workspaces that do not exist, and keys in two shards."""
+    first: dict[str, str] = {}
+    shards = _mapping(_mapping(data).get("workspace_shards"))
+    for shard, value in shards.items():
+        workspaces = _mapping(_mapping(value).get("workspaces"))
+        for digest, name in _mapping(_mapping(value).get("keys")).items():
+            place = ("workspace_shards", str(shard), "keys", str(digest))
+            if name not in workspaces:
+                yield base.Problem(
+                    place, "its workspace is not in this shard", name
+                )
+            known = first.setdefault(str(digest), str(shard))
+            if known != str(shard):
+                yield base.Problem(
+                    place, f"also in shard {known!r}: one workspace holds a key"
+                )
+
+
 def _routes(data: object) -> collections.abc.Iterator[_Route]:
     groups = _mapping(_mapping(data).get("route_groups"))
     for name, group in groups.items():
--- a/endivewind/config/store.py
+++ b/endivewind/config/store.py
@@ -324,7 +324,7 @@
             name: self._workspaces.setdefault(item, item)
             for name, item in shard.workspaces.items()
         }
-        return objects.WorkspaceShard.model_construct(workspaces=shared)
+        return shard.model_copy(update={"workspaces": shared})
 
     def _models(self, kind: str) -> list[Any]:
         return [
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -44,6 +44,7 @@
     ANSWER_NOT_KEPT = "answer-not-kept"
     SEALED = "sealed"
     RATE_LIMITED = "rate-limited"
+    UNAUTHENTICATED = "unauthenticated"
     POISON = "poison"
     CUT_SHORT = "cut-short"
     INTERNAL = "internal"
--- a/endivewind/headers.py
+++ b/endivewind/headers.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 WORKSPACE = "Endivewind-Workspace"
+AUTHORIZATION = "Authorization"
 OUTCOME = "Endivewind-Outcome"
 REASON = "Endivewind-Reason"
 IDEMPOTENCY_KEY = "Idempotency-Key"
@@ -23,6 +24,7 @@
         one refuses it unrun. Empty where targets don't know it.
       not_run: in a target's answer, says that it did not run the request.
         Empty where targets never say so.
+      workspace: the caller's workspace, as targets are told.
       answer_mark: in a target's answer, what marks it as its own. Empty where
         answers bear no mark.
     """
@@ -32,6 +34,7 @@
     caller_service: str = ""
     expected_target: str = ""
     not_run: str = ""
+    workspace: str = WORKSPACE
     answer_mark: str = ""
 
 
--- a/endivewind/operators/builder.py
+++ b/endivewind/operators/builder.py
@@ -10,6 +10,7 @@
 
 from endivewind import exceptions
 from endivewind.config import base
+from endivewind.config import caller_keys
 from endivewind.config import objects
 
 ModelT = TypeVar("ModelT", bound=base.Model)
@@ -30,6 +31,7 @@
         self._services: dict[str, objects.Service] = {}
         self._routes: list[objects.Route] = []
         self._workspaces: dict[str, objects.Workspace] = {}
+        self._keys: dict[str, str] = {}
 
     @property
     def name(self) -> str:
@@ -107,14 +109,18 @@
         weight: int = 1,
         rate: float = 0,
         burst: int = 20,
+        keys: collections.abc.Iterable[str] = (),
     ) -> str:
         """Adds a workspace of this firm, with its share and its limits.
 
         Args:
-          name: as callers name it in the header Endivewind-Workspace.
+          name: as callers name it in the header Endivewind-Workspace, where
+            no workspace has a key.
           weight: share under saturation, relative to other workspaces.
-          rate: requests a second at one entry; 0 is no limit.
+          rate: requests a second over all nodes together; 0 is no limit.
           burst: requests that may come at once above the rate.
+          keys: those that it holds, as callers send them; only their digests
+            are printed.
 
         Returns:
           The name, for routes of this workspace alone.
@@ -128,8 +134,20 @@
             "burst": burst,
         }
         self._workspaces[name] = _checked(objects.Workspace, name, values)
+        for index, key in enumerate(keys):
+            self._hold(name, index, key)
         return name
 
+    def _hold(self, workspace: str, index: int, key: str) -> None:
+        """Gives a key to a workspace; its place names it in an error."""
+        checked = caller_keys.checked_digest(key)
+        place = f"workspace {workspace!r}, key {index}"
+        if checked.is_error():
+            raise exceptions.UsageError(f"{place}: {checked.error}")
+        known = self._keys.setdefault(checked.ok, workspace)
+        if known != workspace:
+            raise exceptions.UsageError(f"{place}: {known!r} holds it as well")
+
     def configuration(self) -> objects.Configuration:
         """The whole, checked as `endivewind validate` checks a file."""
         loaded = base.load_text(self._text(), _SOURCE, objects.Configuration)
@@ -157,7 +175,9 @@
                 self._name: objects.RouteGroup(routes=tuple(self._routes))
             },
             workspace_shards={
-                self._name: objects.WorkspaceShard(workspaces=self._workspaces)
+                self._name: objects.WorkspaceShard(
+                    workspaces=self._workspaces, keys=self._keys
+                )
             },
         )
         value = whole.model_dump(mode="json", exclude_defaults=True)
--- a/endivewind/platform/configuration.py
+++ b/endivewind/platform/configuration.py
@@ -7,6 +7,7 @@
 import expression
 import pydantic
 
+from endivewind.config import caller_keys
 from endivewind.config import objects
 from endivewind.config import store
 from endivewind.platform import messages
@@ -50,6 +51,23 @@
     service: str = ""
     traffic_split: list[_Share] = []
     max_attempts: int = 0
+    anonymous: bool = False
+
+
+class _TenantSpec(pydantic.BaseModel):
+    """A workspace as the operator writes it.
+
+    Attributes:
+      api_keys: the keys that it holds, as callers send them.
+      priority: goes before that of the routes; 0 is the most important.
+      rate_per_s: requests a second over all nodes; 0 is no limit.
+      burst: requests besides.
+    """
+
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0
+    burst: int = 0
 
 
 class _ServiceSpec(pydantic.BaseModel):
@@ -81,12 +99,18 @@
     spec: _LimitsSpec
 
 
+class _Tenant(pydantic.BaseModel):
+    resource_type: Literal["tenants"]
+    metadata: _Metadata
+    spec: _TenantSpec
+
+
 class _Unknown(pydantic.BaseModel):
     """A resource of a later release; it is passed over."""
 
 
 _Resource = Annotated[
-    _Route | _Service | _Limits | _Unknown,
+    _Route | _Service | _Tenant | _Limits | _Unknown,
     pydantic.Field(union_mode="left_to_right"),
 ]
 
@@ -114,6 +138,10 @@
         nowhere = [item for item in document.routes if not _leads(item)]
         if nowhere:
             return expression.Error(f"{nowhere[0].prefix} leads nowhere")
+        held = _held_keys(given.resources)
+        if held.is_error():
+            return expression.Error(held.error)
+        document = document.model_copy(update={"keys": held.ok})
     except pydantic.ValidationError as error:
         return expression.Error(wire.problem_line(error))
     envelope = store.Envelope(
@@ -136,6 +164,7 @@
 ) -> objects.Document:
     services: dict[str, objects.Service] = {}
     routes: list[objects.Route] = []
+    workspaces: dict[str, objects.Workspace] = {}
     limits: objects.CallerLimits | None = None
     for item in resources:
         match item:
@@ -143,13 +172,43 @@
                 services[item.metadata.name] = _service(item.spec, defaults)
             case _Route():
                 routes.append(_route(item.spec))
+            case _Tenant():
+                name = item.metadata.name
+                workspaces[name] = _workspace(name, item.spec)
             case _Limits():
                 limits = _limits(item.spec)
     return objects.Document(
-        services=services, routes=tuple(routes), limits=limits
+        services=services,
+        routes=tuple(routes),
+        workspaces=workspaces,
+        limits=limits,
     )
 
 
+def _held_keys(
+    resources: list[Any],
+) -> expression.Result[dict[str, str], str]:
+    """The workspace that holds each key, by digest, or what is wrong.
+
+    Problems name the workspace and the key's place in its list, since a key
+    itself must not reach a log.
+    """
+    holders: dict[str, str] = {}
+    for item in resources:
+        if not isinstance(item, _Tenant):
+            continue
+        name = item.metadata.name
+        for index, key in enumerate(item.spec.api_keys):
+            place = f"tenants.{name}.api_keys.{index}"
+            checked = caller_keys.checked_digest(key)
+            if checked.is_error():
+                return expression.Error(f"{place}: {checked.error}")
+            known = holders.setdefault(checked.ok, name)
+            if known != name:
+                return expression.Error(f"{place}: {known} holds it as well")
+    return expression.Ok(holders)
+
+
 def _leads(route: objects.Route) -> bool:
     return bool(route.service or route.split)
 
@@ -163,6 +222,16 @@
     )
 
 
+def _workspace(name: str, spec: _TenantSpec) -> objects.Workspace:
+    """A workspace; on this platform each is a firm of its own."""
+    return objects.Workspace(
+        firm=name,
+        rate=spec.rate_per_s,
+        burst=spec.burst,
+        rank=spec.priority,
+    )
+
+
 def _route(spec: _RouteSpec) -> objects.Route:
     split = tuple(
         objects.Share(service=item.service, weight=item.weight)
@@ -178,6 +247,7 @@
         timeout_ms=_milliseconds(spec.timeout_s),
         aim_ms=_milliseconds(spec.target_latency_s),
         attempts=spec.max_attempts,
+        anonymous=spec.anonymous,
     )
 
 
--- a/endivewind/platform/names.py
+++ b/endivewind/platform/names.py
@@ -25,5 +25,6 @@
     caller_service="X-Caller-Service",
     expected_target="X-Expect-Instance",
     not_run="X-Not-Executed",
+    workspace="X-Tenant-Id",
     answer_mark="X-Response-Stamp",
 )
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -428,4 +428,6 @@
     fields[names.timeout_ms] = str(max(1, remaining))
     if names.expected_target:
         fields[names.expected_target] = target
+    if head.workspace:
+        fields[names.workspace] = head.workspace
     return fields
--- a/endivewind/tests/callers/pipelining_tests.py
+++ b/endivewind/tests/callers/pipelining_tests.py
@@ -20,8 +20,10 @@
 from endivewind.callers import connections
 from endivewind.callers import counts
 from endivewind.callers import listener
+from endivewind.callers import workspaces
 from endivewind.config import objects
 from endivewind.config import settings
+from endivewind.config import store
 
 LOOKUP = objects.Route(service="riders", repeat=objects.Repeat.ALWAYS)
 ORDER = objects.Route(service="riders", repeat=objects.Repeat.NEVER)
@@ -34,6 +36,7 @@
 
     def __init__(self):
         self.counts = counts.RequestCounts(clocks.SystemClock())
+        self.workspaces = workspaces.Workspaces(store.ConfigurationStore())
         self.begun = []
         self.left = []
         self.remaining = {}
--- a/endivewind/tests/callers/starting_tests.py
+++ b/endivewind/tests/callers/starting_tests.py
@@ -12,7 +12,9 @@
 from endivewind import exchange
 from endivewind.callers import calls
 from endivewind.callers import listener
+from endivewind.callers import workspaces
 from endivewind.config import settings
+from endivewind.config import store
 from endivewind.standins import virtual
 
 PATH = "/orders/"
@@ -27,6 +29,7 @@
         self.missing = MISSING
         gateway = mock.Mock()
         gateway.route = lambda host, path, workspace: self.route
+        gateway.workspaces = workspaces.Workspaces(store.ConfigurationStore())
         self.loop.run_until_complete(self._start(gateway))
 
     async def _start(self, gateway):
--- a/endivewind/tests/config/base_tests.py
+++ b/endivewind/tests/config/base_tests.py
@@ -176,6 +176,34 @@
             [(4, "workspace_shards.one.workspaces.crew.rate", "inf")], found
         )
 
+    def test_a_key_instead_of_its_digest(self):
+        found = _brief("""\
+            workspace_shards:
+              one:
+                workspaces: {crew: {firm: camerino}}
+                keys: {gjqnirth5mgjy5rcpihh: crew}
+            """)
+
+        self.assertEqual(4, found[0][0])
+        self.assertIn("workspace_shards.one.keys", found[0][1])
+
+    def test_keys_of_no_workspace_and_of_two(self):
+        digest = "0" * 32
+        found = _found(f"""\
+            workspace_shards:
+              one:
+                workspaces: {{crew: {{firm: camerino}}}}
+                keys: {{"{digest}": crew}}
+              two:
+                workspaces: {{venue: {{firm: camerino}}}}
+                keys: {{"{digest}": venue, "1{digest[1:]}": crew}}
+            """)
+
+        problems = {item.path: item.message for item in found}
+        place = "workspace_shards.two.keys."
+        self.assertIn("one workspace holds a key", problems[place + digest])
+        self.assertIn("not in this shard", problems[f"{place}1{digest[1:]}"])
+
     def test_allowed_values_are_named(self):
         found = _found("services: {riders: {profile: fast}}\n")
 
--- a/endivewind/tests/operators/builder_tests.py
+++ b/endivewind/tests/operators/builder_tests.py
@@ -10,6 +10,7 @@
 from endivewind import exceptions
 from endivewind import operators
 from endivewind.config import base
+from endivewind.config import caller_keys
 from endivewind.config import objects
 
 _EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
@@ -46,6 +47,29 @@
         service = loaded.ok.model.services["riders"]
         self.assertEqual((9, 2000), (service.floor_slots, service.timeout_ms))
 
+    def test_only_the_digests_of_keys_are_printed(self):
+        """Guards against keys in version control and in the platform."""
+        firm = operators.Firm("camerino")
+        key = "gjqnirth5mgjy5rcpihh"
+        firm.workspace("crew", keys=[key])
+
+        printed = firm.to_yaml()
+
+        loaded = base.load_text(printed, "f", objects.Configuration)
+        shard = loaded.ok.model.workspace_shards["camerino"]
+        self.assertEqual({caller_keys.digest(key): "crew"}, shard.keys)
+        self.assertNotIn(key, printed)
+
+    def test_keys_that_can_not_be_told_apart_are_refused(self):
+        firm = operators.Firm("camerino")
+        key = "gjqnirth5mgjy5rcpihh"
+        firm.workspace("crew", keys=[key])
+        for wrong in ([key], ["short"], [""]):
+            with self.assertRaises(exceptions.UsageError) as caught:
+                firm.workspace(f"venue-{len(wrong[0])}", keys=wrong)
+            self.assertIn("key 0", str(caught.exception))
+            self.assertNotIn(key, str(caught.exception))
+
     def test_wrong_value_is_found_where_it_is_given(self):
         firm = operators.Firm("camerino")
 
--- a/endivewind/tests/platform/configuration_tests.py
+++ b/endivewind/tests/platform/configuration_tests.py
@@ -3,6 +3,7 @@
 import copy
 import unittest
 
+from endivewind.config import caller_keys
 from endivewind.config import objects
 from endivewind.config import store
 from endivewind.platform import configuration
@@ -59,6 +60,8 @@
         },
     ],
 }
+KEY = "gjqnirth5mgjy5rcpihh"
+OTHER_KEY = "acruddedev3nax7u27gx"
 DEFAULTS = objects.Service(floor_percent=70, retry_percent=15)
 
 
@@ -146,3 +149,76 @@
         self.assertIn("version", _decode(broken).error)
         self.assertIn("/orders/", _decode(nowhere).error)
         self.assertTrue(_decode({}).is_error())
+
+
+class WorkspacesTest(unittest.TestCase):
+    """Workspaces come with digests of their keys; no key is passed on."""
+
+    def given(self, **tenants):
+        value = copy.deepcopy(GIVEN)
+        for name, spec in tenants.items():
+            item = {
+                "resource_type": "tenants",
+                "metadata": {"name": name},
+                "spec": spec,
+            }
+            value["resources"].append(item)
+        return value
+
+    def document(self, value):
+        decoded = _decode(value).ok
+        return objects.Document.model_validate(decoded.value["spec"])
+
+    def test_a_workspace_with_its_limits_and_keys(self):
+        spec = {
+            "api_keys": [KEY, OTHER_KEY],
+            "priority": 1,
+            "rate_per_s": 68,
+            "burst": 70,
+        }
+
+        found = self.document(self.given(crew=spec))
+
+        expected = objects.Workspace(firm="crew", rate=68, burst=70, rank=1)
+        self.assertEqual({"crew": expected}, found.workspaces)
+        held = {caller_keys.digest(key): "crew" for key in (KEY, OTHER_KEY)}
+        self.assertEqual(held, found.keys)
+
+    def test_no_key_is_passed_on(self):
+        """Guards against keys in gossip, logs and what operators are shown."""
+        decoded = _decode(self.given(crew={"api_keys": [KEY]})).ok
+
+        self.assertNotIn(KEY, repr(decoded))
+
+    def test_a_workspace_without_a_key_is_kept(self):
+        found = self.document(self.given(crew={}))
+
+        self.assertEqual(0, found.workspaces["crew"].rate)
+        self.assertEqual({}, found.keys)
+
+    def test_keys_that_can_not_be_told_apart_are_refused_with_their_place(self):
+        given = {
+            "tenants.venue.api_keys.1: crew holds it": [OTHER_KEY, KEY],
+            "tenants.venue.api_keys.0: a key is empty": [""],
+            "tenants.venue.api_keys.0: a key has 5 characters": ["short"],
+        }
+        for problem, keys in given.items():
+            with self.subTest(problem):
+                value = self.given(
+                    crew={"api_keys": [KEY]}, venue={"api_keys": keys}
+                )
+
+                found = _decode(value)
+
+                self.assertIn(problem, found.error)
+                self.assertNotIn(KEY, found.error)
+
+    def test_an_anonymous_route(self):
+        value = copy.deepcopy(GIVEN)
+        value["resources"][0]["spec"]["anonymous"] = True
+
+        found = self.document(value)
+
+        self.assertEqual(
+            [True, False], [item.anonymous for item in found.routes]
+        )
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -108,14 +108,14 @@
         """Takes a sample, as the observer."""
         self.samples.append(sample.kind)
 
-    def run_one(self, ticket="", attempt=0, incarnation=7):
+    def run_one(self, ticket="", attempt=0, incarnation=7, workspace=""):
         head = exchange.RequestHead(
             request_id="r",
             method="GET",
             path="/",
             headers=(),
             service="riders",
-            workspace="",
+            workspace=workspace,
             remaining=datetime.timedelta(seconds=2),
             ticket=ticket,
             attempt=attempt,
@@ -153,6 +153,13 @@
 
         self.assertEqual([evidence.Kind.TIMEOUT] * 3, self.samples[1:])
 
+    def test_the_target_is_told_the_workspace_by_its_home(self):
+        self.run_one(workspace="crew")
+        self.run_one()
+
+        told = [sent.get(headers.WORKSPACE) for sent in self.pooled.sent]
+        self.assertEqual(["crew", None], told)
+
     def test_no_connection_is_not_run(self):
         self.fresh.refuses = True
 
