Prove within the bound that a revoked key no longer works

Change: where revocation is strict a node serves keyed work only with a proof that its configuration was the newest within the bound. A proof begins with a reading of the platform and is passed on as question and answer, counted from the question in the asker's clock, which counts time asleep. One node reads once a fifth of the bound by asking for the store's revision alone; others stand in by the age of their own proof.

A watch is no proof: it may be cut off from changes.

Also here: quotas kept by all nodes together. Each zone has an equal share of a workspace's quota at one node of the zone, and borrows from the others; the lender takes it off first. The limit of an entry by itself is gone.

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -128,9 +128,7 @@
     "told load": lambda: _off(
         placement._TargetLoad, "others_now", lambda *_: 0.0
     ),
-    "care without retries": lambda: _off(
-        retries.RetryBudget, "has_any", False
-    ),
+    "care without retries": lambda: _off(retries.RetryBudget, "has_any", False),
     "refusal at half of the time": lambda: _off(gateway, "WAIT_SHARE", 1.0),
     "settling": lambda: _off(placement, "SETTLING", datetime.timedelta()),
     "crossing limit": lambda: _off(
--- a/endivewind/bench/virtual.py
+++ b/endivewind/bench/virtual.py
@@ -32,6 +32,10 @@
             self._span = datetime.timedelta(seconds=self.seconds)
         return self._span
 
+    def awake_or_asleep(self) -> datetime.timedelta:
+        """The same: nothing sleeps here."""
+        return self.monotonic()
+
     def after(self, seconds: float, event: Event) -> None:
         """Runs an event some seconds from now."""
         at = self.seconds + seconds
--- a/endivewind/callers/calls.py
+++ b/endivewind/callers/calls.py
@@ -40,27 +40,13 @@
 class Call:
     """One request of a caller, and what is known of it so far."""
 
-    def __init__(
-        self,
-        request: web.BaseRequest,
-        dialect: Dialect,
-        workspace: str | None = None,
-    ) -> None:
-        """Takes a request.
-
-        Args:
-          request: as it came.
-          dialect: how its caller speaks.
-          workspace: whose key it bears, empty if nobody's; None where
-            workspaces have no keys and callers name theirs.
-        """
+    def __init__(self, request: web.BaseRequest, dialect: Dialect) -> None:
         self.request = request
         self._dialect = dialect
         self.request_id = _request_id(request, dialect.names)
-        self.has_key_checked = workspace is not None
-        self.workspace = workspace or ""
-        if workspace is None:
-            self.workspace = request.headers.get(headers.WORKSPACE, "")
+        self.workspace = request.headers.get(headers.WORKSPACE, "")
+        # Whether its workspace is the holder of its key, not what it says.
+        self.is_keyed = False
         self.ticket = request.headers.get(headers.IDEMPOTENCY_KEY, "")
         self.once = False
         self.route: objects.Route
@@ -68,6 +54,16 @@
         self.body = exchange.RequestBody()
         self.deadline = datetime.timedelta()
 
+    def identify(self, holder: str) -> None:
+        """Takes whose key it bears, empty if nobody's."""
+        self.workspace = holder
+        self.is_keyed = True
+
+    @property
+    def key(self) -> str:
+        """What it sends to show whose it is."""
+        return self.request.headers.get(headers.AUTHORIZATION, "")
+
     @property
     def ticketed(self) -> bool:
         """Whether it must not repeat and needs a ticket."""
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -13,6 +13,7 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import logs
+from endivewind.callers import allowances
 from endivewind.callers import budgets
 from endivewind.callers import counts
 from endivewind.callers import crashes
@@ -77,6 +78,7 @@
         witness: Witness | None = None,
         rng: random.Random | None = None,
         origin: origins.Origins | None = None,
+        quota: allowances.Allowances | None = None,
     ) -> None:
         self._origins = origin or origins.Origins(clock)
         self._rng = rng or random.Random()
@@ -92,7 +94,7 @@
         self._budgets = budgets.RetryBudgets(
             configuration, fleet, placement.place, clock
         )
-        self._rates = admission.RateLimits()
+        self._quota = quota
         self._crashes = crashes.CrashWatch(clock)
         self._workspaces = workspaces.Workspaces(configuration)
         self._waiting = waiting.WaitingRoom(placement, self._queue_limit, clock)
@@ -180,14 +182,13 @@
         body: exchange.RequestBody,
     ) -> AnswerResult:
         """Places a request until a target has run it or may have run it."""
-        refused = self._over_rate(head.workspace)
-        refused = refused or self._crashes.refusal(head, body)
+        started = self._clock.monotonic()
+        deadline = started + head.remaining
+        refused = self._crashes.refusal(head, body)
+        refused = refused or await self._over_quota(head.workspace)
         if refused is not None:
             return expression.Error(refused)
-        started = self._clock.monotonic()
-        call = routed.RoutedRequest(
-            route, head, body, started + head.remaining, started
-        )
+        call = routed.RoutedRequest(route, head, body, deadline, started)
         call.task = asyncio.current_task()
         self._open.add(call)
         try:
@@ -198,6 +199,7 @@
             told = call.told_at_end()
         finally:
             self._open.discard(call)
+        self._return_quota(head.workspace, told)
         told = self._with_a_time(told)
         self._log(call, told)
         return told
@@ -395,21 +397,26 @@
         budget = self._budgets.of(call.head.service)
         return budget.spent(self._clock.monotonic())
 
-    def _over_rate(self, workspace: str) -> exchange.Refusal | None:
-        """A refusal where the workspace has used up its rate at this entry."""
-        owner = self._workspaces.get(workspace)
-        if owner is None:
+    async def _over_quota(self, workspace: str) -> exchange.Refusal | None:
+        """A refusal where the workspace has used up its quota."""
+        if self._quota is None or self._workspaces.quota(workspace) is None:
             return None
-        now = self._clock.monotonic()
-        refused = self._rates.take(workspace, owner.rate, owner.burst, now)
-        if refused is None:
+        wait = await self._quota.take(workspace)
+        if wait is None:
             return None
         return exchange.not_run(
             exchange.Reason.RATE_LIMITED,
-            refused.reason.value,
-            self._placement.come_back_after(refused.retry_after),
+            "the workspace is over its quota",
+            self._placement.come_back_after(max(wait, placement.LEAST_RETRY)),
         )
 
+    def _return_quota(self, workspace: str, told: AnswerResult) -> None:
+        """Gives the request back that no target has run."""
+        if self._quota is None or self._workspaces.quota(workspace) is None:
+            return
+        if told.is_error() and told.error.is_not_run:
+            self._quota.give_back(workspace)
+
     async def _attempt(
         self, call: routed.RoutedRequest, record: records.TargetRecord
     ) -> AnswerResult:
--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import datetime
 import logging
 from typing import Any
@@ -34,6 +35,8 @@
 # A caller that is answered before its body ends gets this long to read the
 # answer before its connection is closed.
 LINGER = datetime.timedelta(seconds=1)
+# Proofs come several times a second where the platform is reached.
+UNPROVED_RETRY = datetime.timedelta(seconds=1)
 NOT_READY_RETRY = datetime.timedelta(seconds=1)
 LEAVING_RETRY = datetime.timedelta(seconds=1)
 # A node that has just started has its configuration by then, from its peers or
@@ -43,6 +46,20 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Doubts:
+    """What this node may not know of the configuration.
+
+    Attributes:
+      missing: what it does not know yet; None once it knows all.
+      is_proved: whether what it knows was the newest a short while ago, so
+        that work which needs a key may be served.
+    """
+
+    missing: collections.abc.Callable[[], str | None]
+    is_proved: collections.abc.Callable[[], bool] = lambda: True
+
+
 class Listener:
     """Turns HTTP requests into exchanges and answers them."""
 
@@ -51,7 +68,7 @@
         served: gateway.Gateway,
         ticketed: ticketing.Ticketing,
         limits: settings.Limits,
-        unknown: collections.abc.Callable[[], str | None],
+        doubts: Doubts,
         dialect: calls.Dialect | None = None,
     ) -> None:
         """Serves nothing before server() is started.
@@ -60,14 +77,13 @@
           served: routes and places requests.
           ticketed: runs work that must not repeat.
           limits: bounds of this process.
-          unknown: what of the configuration the node does not know yet; None
-            once it knows all.
+          doubts: what this node may not know of the configuration.
           dialect: how callers speak; None for the project's own way.
         """
         self._gateway = served
         self._tickets = ticketed
         self._limits = limits
-        self._unknown = unknown
+        self._doubts = doubts
         self.speak(dialect or calls.Dialect())
         self._counts = served.counts
         self._leaving = False
@@ -151,7 +167,7 @@
         while the node leaves: it has not been read, and the caller sends it
         elsewhere once the connection is closed.
         """
-        call = self._call(request)
+        call = calls.Call(request, self._dialect)
         route = self._route(call)
         if self._leaving or route is None:
             return None
@@ -188,21 +204,9 @@
         self._in_flight += 1
         self._idle.clear()
         return connections.Begun(
-            call or self._call(request), self._counts.started()
+            call or calls.Call(request, self._dialect), self._counts.started()
         )
 
-    def _call(self, request: web.BaseRequest) -> calls.Call:
-        """A request with the workspace whose key it bears.
-
-        What a caller says of its workspace counts only where there are no
-        keys.
-        """
-        known = self._gateway.workspaces
-        if not known.have_keys:
-            return calls.Call(request, self._dialect)
-        given = request.headers.get(headers.AUTHORIZATION, "")
-        return calls.Call(request, self._dialect, known.holder(given))
-
     def _close(
         self, begun: connections.Begun, result: gateway.AnswerResult | None
     ) -> None:
@@ -237,7 +241,7 @@
         where the platform is away for longer, callers hear so at once.
         """
         while calls.now() - self._started < START_PATIENCE:
-            if self._route(call) is not None or not self._unknown():
+            if self._route(call) is not None or not self._doubts.missing():
                 return
             await asyncio.sleep(_START_LOOK.total_seconds())
 
@@ -258,7 +262,7 @@
             headers=self._fields.forwarded(
                 call.request.raw_headers,
                 call.request_id,
-                drop_key=call.has_key_checked,
+                drop_key=call.is_keyed,
             ),
             service=call.service,
             workspace=call.workspace,
@@ -274,13 +278,21 @@
         return await self._gateway.serve(route, head, call.body)
 
     def _route(self, call: calls.Call) -> objects.Route | None:
+        """The route of a request, as its workspace may use it.
+
+        Whose it is is looked up each time: a request that waited for the
+        first configuration came before any key was known here.
+        """
+        known = self._gateway.workspaces
+        if known.have_keys:
+            call.identify(known.holder(call.key))
         path = call.path.partition("?")[0]
         return self._gateway.route(call.host, path, call.workspace)
 
     def _admit(self, call: calls.Call) -> exchange.Refusal | None:
         """Routes a request whose head is in order; its body is unread."""
         route = self._route(call)
-        missing = self._unknown() if route is None else None
+        missing = self._doubts.missing() if route is None else None
         if missing:
             # Without its configuration a node can't tell a route that does
             # not exist from one that it has not heard of; a 404 would have
@@ -291,7 +303,7 @@
         if route is None:
             detail = f"no route for {call.host}"
             return call.refuse(exchange.Reason.NO_ROUTE, detail)
-        refused = self._unauthenticated(call, route)
+        refused = self._unauthorized(call, route)
         if refused is not None:
             return refused
         return self._admit_on(call, route)
@@ -319,14 +331,21 @@
         call.deadline = calls.now() + remaining
         return None
 
-    def _unauthenticated(
+    def _unauthorized(
         self, call: calls.Call, route: objects.Route
     ) -> exchange.Refusal | None:
-        """A refusal where the route needs a key and none in force was sent."""
-        if not call.has_key_checked or route.anonymous or call.workspace:
+        """A refusal where the route needs a key that is surely in force."""
+        if not call.is_keyed or route.anonymous:
+            return None
+        if not call.workspace:
+            detail = "this route needs a key that a workspace holds"
+            return call.refuse(exchange.Reason.UNAUTHENTICATED, detail)
+        if self._doubts.is_proved():
             return None
-        detail = "this route needs a key that a workspace holds"
-        return call.refuse(exchange.Reason.UNAUTHENTICATED, detail)
+        # The key may have been taken away since; another node, or this one in
+        # a moment, can tell.
+        detail = "no proof that the configuration in force is the newest"
+        return call.refuse(exchange.Reason.NOT_READY, detail, UNPROVED_RETRY)
 
     def _remaining(
         self, request: web.BaseRequest, route: objects.Route
--- a/endivewind/callers/workspaces.py
+++ b/endivewind/callers/workspaces.py
@@ -3,6 +3,7 @@
 from endivewind.config import caller_keys
 from endivewind.config import objects
 from endivewind.config import store
+from endivewind.decisions import quotas
 
 # The one scheme of RFC 6750 by which callers send their key.
 SCHEME = "bearer"
@@ -15,17 +16,28 @@
         self._configuration = configuration
         self._workspaces: dict[str, objects.Workspace] = {}
         self._holders: dict[str, str] = {}
+        self._has_keys = False
         self._sources: dict[store.Key, objects.Workspaces] = {}
 
     @property
     def have_keys(self) -> bool:
-        """Whether callers are told apart by keys."""
-        return bool(self._holders)
+        """Whether callers are told apart by keys.
+
+        Where the last key was taken away nobody may get in without one.
+        """
+        return self._has_keys
 
     def get(self, name: str) -> objects.Workspace | None:
         """A workspace in force."""
         return self._workspaces.get(name)
 
+    def quota(self, name: str) -> quotas.Quota | None:
+        """What a workspace may send; None where it has no limit."""
+        found = self._workspaces.get(name)
+        if found is None or not found.rate:
+            return None
+        return quotas.Quota(found.rate, found.burst)
+
     def named(self) -> list[str]:
         """The names of all workspaces in force."""
         return list(self._workspaces)
@@ -59,6 +71,9 @@
             self._sources[source] = found
             self._workspaces.update(found.workspaces)
             self._holders.update(found.keys)
+        self._has_keys = bool(self._holders) or any(
+            item.keyed for item in self._sources.values()
+        )
 
     def _forget(self, source: objects.Workspaces) -> None:
         for name in source.workspaces:
--- a/endivewind/clock.py
+++ b/endivewind/clock.py
@@ -14,6 +14,9 @@
     def monotonic(self) -> datetime.timedelta:
         """Time since an arbitrary start; never goes back."""
 
+    def awake_or_asleep(self) -> datetime.timedelta:
+        """Like monotonic(), but counts time in which the VM slept as well."""
+
 
 class SystemClock:
     """The machine's clock."""
@@ -27,6 +30,10 @@
         # By position it takes half as long as by name; a request asks often.
         return datetime.timedelta(0, time.monotonic())
 
+    def awake_or_asleep(self) -> datetime.timedelta:
+        """Time since an arbitrary start, time asleep included."""
+        return datetime.timedelta(0, time.clock_gettime(time.CLOCK_BOOTTIME))
+
 
 class ManualClock:
     """A clock that moves only when told; for tests and benches."""
@@ -43,6 +50,10 @@
         """The time advanced so far."""
         return self._elapsed
 
+    def awake_or_asleep(self) -> datetime.timedelta:
+        """The time advanced so far."""
+        return self._elapsed
+
     def advance(self, by: datetime.timedelta) -> None:
         """Moves time forward by a non-negative span."""
         if by < datetime.timedelta():
--- a/endivewind/config/objects.py
+++ b/endivewind/config/objects.py
@@ -204,10 +204,13 @@
       workspaces: the workspaces by name; where none has a key, callers name
         theirs in Endivewind-Workspace.
       keys: the workspace that holds each key, by the key's digest.
+      keyed: whether callers need a key, also while none is given out; where
+        any is they need one in any case.
     """
 
     workspaces: dict[Name, Workspace] = {}
     keys: dict[caller_keys.Digest, Name] = {}
+    keyed: pydantic.StrictBool = False
 
 
 class WorkspaceShard(Workspaces):
@@ -217,6 +220,8 @@
       workspaces: the workspaces by name; where none has a key, callers name
         theirs in Endivewind-Workspace.
       keys: the workspace that holds each key, by the key's digest.
+      keyed: whether callers need a key, also while none is given out; where
+        any is they need one in any case.
     """
 
 
@@ -226,6 +231,7 @@
     Attributes:
       workspaces: the workspaces by name.
       keys: the workspace that holds each key, by the key's digest.
+      keyed: whether callers need a key, also while none is given out.
       services: the services.
       routes: the routes, in any order.
       limits: what callers may send; absent leaves the node's settings.
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -1,5 +1,6 @@
 """Settings of one process, read from a YAML file at start."""
 
+import datetime
 import enum
 import math
 from typing import Annotated
@@ -8,6 +9,7 @@
 
 from endivewind.config import base
 from endivewind.config import objects
+from endivewind.decisions import quotas
 
 Address = Annotated[
     str, pydantic.Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")
@@ -158,11 +160,59 @@
         "service_defaults",
         "fleet_limits",
         "limits",
+        "revocation",
         "log_level",
     }
 )
 
 
+class Revocation(base.Model):
+    """How surely a key that is taken away stops working.
+
+    Attributes:
+      strict: whether a node refuses work that needs a key while it can't prove
+        that its configuration was the newest within the bound; else a node
+        that no news reaches serves on with what it has.
+      bound_seconds: how long after its removal a key may still work.
+    """
+
+    strict: pydantic.StrictBool = False
+    bound_seconds: pydantic.StrictFloat = pydantic.Field(
+        default=5, ge=1, le=3600
+    )
+
+    @property
+    def bound(self) -> datetime.timedelta | None:
+        """How old a proof may be; None where none is needed."""
+        if not self.strict:
+            return None
+        return datetime.timedelta(seconds=self.bound_seconds)
+
+
+class QuotaTolerance(base.Model):
+    """By how much a workspace's quota may be exceeded in any window.
+
+    Attributes:
+      window_seconds: the window in which its requests are counted.
+      overage: as a share of what the quota allows in the window.
+      requests: besides.
+    """
+
+    window_seconds: pydantic.StrictFloat = pydantic.Field(
+        default=5, gt=0, le=600
+    )
+    overage: pydantic.StrictFloat = pydantic.Field(default=0.1, ge=0, le=10)
+    requests: pydantic.StrictFloat = pydantic.Field(
+        default=20, ge=0, le=1_000_000
+    )
+
+    @property
+    def tolerance(self) -> quotas.Tolerance:
+        """The same for decisions."""
+        window = datetime.timedelta(seconds=self.window_seconds)
+        return quotas.Tolerance(window, self.overage, self.requests)
+
+
 class NodeSettings(base.Model):
     """Settings of `endivewind-node`.
 
@@ -188,6 +238,8 @@
         have no word for it; only for the platform's interface.
       fleet_limits: what all nodes together promise; goes before
         service_defaults.
+      quota_tolerance: by how much a workspace's quota may be exceeded.
+      revocation: how surely a key that is taken away stops working.
       platform: URL of the platform's object API.
       seeds: nodes to join by when the platform can't be asked.
       gossip_key: signs the datagrams between nodes; the same at every node.
@@ -214,6 +266,8 @@
     audit: Trail = Trail.PLATFORM
     service_defaults: objects.Service = objects.Service()
     fleet_limits: FleetLimits | None = None
+    quota_tolerance: QuotaTolerance = QuotaTolerance()
+    revocation: Revocation = Revocation()
     seeds: tuple[Address, ...] = ()
     gossip_key: str = pydantic.Field(default="", repr=False)
     callers_tls: Tls | None = None
@@ -230,6 +284,16 @@
             return self.service_defaults
         return self.fleet_limits.applied_to(self.service_defaults)
 
+    @pydantic.model_validator(mode="after")
+    def _proves_one_document(self) -> "NodeSettings":
+        # A proof names the one version of a whole configuration; elsewhere
+        # each object has a version of its own.
+        if self.revocation.strict and self.interface is Interface.OWN:
+            raise ValueError(
+                "strict revocation needs the interface of the platform"
+            )
+        return self
+
     @pydantic.field_validator("nodes_tls")
     @classmethod
     def _names_an_authority(cls, value: Tls | None) -> Tls | None:
--- a/endivewind/config/store.py
+++ b/endivewind/config/store.py
@@ -249,6 +249,18 @@
         item = self._objects.get(Key(DOCUMENT, name))
         return item.model if item else None
 
+    @property
+    def document_version(self) -> int:
+        """The version in force of the whole configuration; 0 if none is."""
+        return max(
+            (
+                item.in_force
+                for key, item in self._objects.items()
+                if key.kind == DOCUMENT
+            ),
+            default=0,
+        )
+
     def documents(self) -> list[objects.Document]:
         """All whole configurations in force."""
         return self._models(DOCUMENT)
--- a/endivewind/config/watchers.py
+++ b/endivewind/config/watchers.py
@@ -42,9 +42,9 @@
     watches itself.
     """
     zone = region = 0
-    mine = _start(me)
+    mine = start(me)
     for member in members:
-        if member.region != me.region or _start(member) >= mine:
+        if member.region != me.region or start(member) >= mine:
             continue
         region += 1
         zone += member.zone == me.zone
@@ -53,8 +53,8 @@
 
 def is_oldest(me: Member, members: collections.abc.Iterable[Member]) -> bool:
     """Whether a node has run for longest of its zone."""
-    mine = _start(me)
-    return all(_start(item) >= mine for item in members if item.zone == me.zone)
+    mine = start(me)
+    return all(start(item) >= mine for item in members if item.zone == me.zone)
 
 
 def sharers(me: Member, members: collections.abc.Collection[Member]) -> int:
@@ -73,5 +73,6 @@
     )
 
 
-def _start(member: Member) -> tuple[int, str]:
+def start(member: Member) -> tuple[int, str]:
+    """Orders nodes by when they started; names decide between equals."""
     return member.incarnation, member.name
--- a/endivewind/decisions/admission.py
+++ b/endivewind/decisions/admission.py
@@ -1,6 +1,5 @@
 """Who waits for a slot of a service at one entry, and who is refused."""
 
-import collections
 import dataclasses
 import datetime
 import enum
@@ -11,14 +10,11 @@
 _RATE_WEIGHT = 1 / 16
 # A gap longer than this says that the service was idle, not slow.
 _IDLE = datetime.timedelta(seconds=1)
-# How many workspaces' buckets are kept before full ones are dropped.
-_KEPT_BUCKETS = 1_000
 
 
 class Reason(enum.Enum):
     """Why a request is refused before any target sees it."""
 
-    RATE = "the workspace is over its rate"
     QUEUE_FULL = "the queue of the service is full"
     TOO_LATE = "the deadline would pass in the queue"
 
@@ -160,48 +156,3 @@
         self._levels.setdefault(waiter.priority, {})[waiter] = None
         entry = (-waiter.priority, start, next(self._numbers), waiter)
         heapq.heappush(self._heap, entry)
-
-
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    tokens: float
-    at: datetime.timedelta
-
-
-class RateLimits:
-    """A token bucket for each workspace that has a rate.
-
-    Load: one workspace sends far more than was agreed. Harm: it would take
-    slots and queue places of services that others need. Its excess is
-    refused before it costs more than a look-up.
-    """
-
-    def __init__(self) -> None:
-        self._buckets: collections.OrderedDict[str, _Bucket] = (
-            collections.OrderedDict()
-        )
-
-    def take(
-        self, workspace: str, rate: float, burst: int, now: datetime.timedelta
-    ) -> Refused | None:
-        """Takes a token; a rate of 0 is no limit."""
-        if rate <= 0:
-            return None
-        bucket = self._buckets.get(workspace)
-        if bucket is None:
-            bucket = self._buckets[workspace] = _Bucket(burst, now)
-            self._drop_oldest()
-        gained = rate * (now - bucket.at).total_seconds()
-        bucket.tokens = min(burst, bucket.tokens + gained)
-        bucket.at = now
-        self._buckets.move_to_end(workspace)
-        if bucket.tokens >= 1:
-            bucket.tokens -= 1
-            return None
-        missing = (1 - bucket.tokens) / rate
-        return Refused(Reason.RATE, datetime.timedelta(seconds=missing))
-
-    def _drop_oldest(self) -> None:
-        """Bounds the memory; a bucket long unused is full again."""
-        if len(self._buckets) > _KEPT_BUCKETS:
-            self._buckets.popitem(last=False)
--- a/endivewind/durable/watcher.py
+++ b/endivewind/durable/watcher.py
@@ -53,7 +53,7 @@
         self,
         platform: client.PlatformClient,
         kind: str,
-        seen: collections.abc.Callable[[messages.StoredObject], None],
+        seen: collections.abc.Callable[[messages.StoredObject], object],
         rng: random.Random,
         listed: collections.abc.Callable[[str], None] = _ignore,
         role: collections.abc.Callable[[], Role] = _always,
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -19,6 +19,7 @@
 from endivewind import reading
 from endivewind import reports
 from endivewind import tls
+from endivewind.callers import allowances
 from endivewind.callers import calls
 from endivewind.callers import gateway
 from endivewind.callers import listener
@@ -27,6 +28,7 @@
 from endivewind.callers import ticket_book
 from endivewind.callers import ticketing
 from endivewind.callers import tickets
+from endivewind.config import freshness
 from endivewind.config import objects
 from endivewind.config import services
 from endivewind.config import settings
@@ -39,6 +41,8 @@
 from endivewind.nodes import leaving
 from endivewind.nodes import link_server
 from endivewind.nodes import links
+from endivewind.nodes import proofs
+from endivewind.nodes import quotas
 from endivewind.nodes import service
 from endivewind.nodes import traffic
 from endivewind.nodes import view
@@ -102,6 +106,10 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._http = addresses.HttpServers()
         self._services = services.ServiceSettings(self._configuration)
+        self._proof = freshness.Freshness(
+            lambda: self._configuration.document_version,
+            config.revocation.bound,
+        )
         self._stopping = False
         self._began = clock.monotonic()
         # Set by start(), which needs the running loop and the platform.
@@ -123,6 +131,8 @@
         self._configuration_peer: configuration.ConfigurationPeer
         self._self_record: view.NodeRecord
         self._gossip: service.GossipService
+        self._proofs: proofs.ProofPeer
+        self._quotas: quotas.QuotaPeer
 
     @classmethod
     def from_settings(
@@ -162,6 +172,8 @@
             *(item.run() for item in self._reader.watchers()),
             self._auditor.run(),
             self._configuration_peer.run(),
+            self._proofs.run_reading(),
+            self._proofs.run_asking(),
             self._expire(),
             self._judge_often(),
             self._reports.log_traffic(),
@@ -217,6 +229,10 @@
             origins.Origins(
                 self._clock, self._dispatcher if config.beside else None
             ),
+            allowances.Allowances(
+                lambda workspace, count: self._quotas.grant(workspace, count),
+                self._clock,
+            ),
         )
         kept = config.limits.kept_answer_bytes
         self._ticketing = ticketing.Ticketing(
@@ -232,10 +248,17 @@
             self._gateway,
             self._ticketing,
             config.limits,
-            lambda: self._configuration_peer.missing(),
+            listener.Doubts(
+                lambda: self._configuration_peer.missing(),
+                self._is_proved,
+            ),
             self._dialect(),
         )
 
+    def _is_proved(self) -> bool:
+        """Whether the configuration in force was the newest lately."""
+        return self._proof.is_proved(self._clock.awake_or_asleep())
+
     def _build_configuration(self) -> None:
         """What keeps configuration in force, and the audit trail."""
         config = self._settings
@@ -265,6 +288,8 @@
             self._platform,
             self._configuration_peer,
             lambda: self._gossip.is_settled,
+            self._proof,
+            self._clock,
             self._rng,
         )
 
@@ -308,6 +333,31 @@
             self._rng,
             self._traffic,
         )
+        self._quotas = quotas.QuotaPeer(
+            self._self_record,
+            len(config.zones),
+            self._gateway.workspaces.quota,
+            self._fleet,
+            self._pool,
+            self._clock,
+            config.quota_tolerance.tolerance,
+        )
+        self._proofs = proofs.ProofPeer(
+            self._self_record,
+            self._proof,
+            self._fleet,
+            self._pool,
+            self._reader.prove,
+            lambda: self._gossip.is_settled,
+            self._clock,
+            self._rng,
+        )
+
+    async def answer(self, question: Any) -> Any:
+        """The answer to another node's question, both as frames."""
+        if question.quota_ask is not None:
+            return await self._quotas.answer(question.quota_ask)
+        return self._proofs.answer()
 
     def reload(self, config: settings.NodeSettings) -> None:
         """Takes what can change in a running node; names the rest."""
@@ -321,6 +371,7 @@
         self._platform.move(self._settings.platform)
         self._listener.speak(self._dialect())
         self._listener.limit(self._settings.limits)
+        self._proof.limit(self._settings.revocation.bound)
         logging.getLogger().setLevel(self._settings.log_level.upper())
         fields = logs.fields(
             taken=sorted(taken), left_until_restart=sorted(changed - set(taken))
--- a/endivewind/nodes/link_server.py
+++ b/endivewind/nodes/link_server.py
@@ -51,6 +51,10 @@
         """Takes a frame of another node's gossip."""
         raise NotImplementedError
 
+    async def answer(self, question: Any) -> Any:
+        """The answer to a question, both as frames."""
+        raise NotImplementedError
+
     def configuration(self, frame: Any) -> None:
         """Takes what a peer tells of its configuration, or asks."""
         raise NotImplementedError
@@ -164,6 +168,8 @@
                     self._home.configuration(frame)
                 elif frame.forward:
                     await self._counted(frame.forward, reader, writer)
+                elif frame.freshness_ask or frame.quota_ask:
+                    await self._answer(frame, writer)
                 elif frame.heartbeat:
                     # A question whether this end is there.
                     writer.write(codec.encode(frame))
@@ -177,6 +183,17 @@
         finally:
             writer.close()
 
+    async def _answer(
+        self, question: Any, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers a question on the link that it came on."""
+        data = codec.encode(await self._home.answer(question))
+        asker = writer.get_extra_info("peername")
+        if asker is not None:
+            kind = traffic.Kind.QUESTIONS
+            self._meter.sent(kind, asker[0], len(data))
+        writer.write(data)
+
     async def _counted(
         self,
         forward: Any,
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -187,6 +187,36 @@
         self._give_back(address, link)
         return True
 
+    async def ask(
+        self, address: str, question: Any, limit: datetime.timedelta
+    ) -> Any | None:
+        """Sends a question and returns its answer, both as frames.
+
+        Returns:
+          None where no answer came within the limit; the question may have
+          been taken nevertheless.
+        """
+        link = self._take_idle(address)
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                if link is None:
+                    link = await self._connect(address)
+                data = codec.encode(question)
+                self._meter.sent(traffic.Kind.QUESTIONS, address, len(data))
+                link.writer.write(data)
+                answer = await _next_frame(link)
+        except (EOFError, OSError, codec.FrameError) as error:
+            log.debug("%s gives no answer: %s", address, error or "silent")
+            if link is not None:
+                link.close()
+            return None
+        except BaseException:
+            if link is not None:
+                link.close()
+            raise
+        self._give_back(address, link)
+        return answer
+
     def _distrust(self, address: str) -> None:
         """Drops idle connections to a peer after one of them broke.
 
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -222,6 +222,32 @@
   4: list<ConfigurationStamp> in_force
 }
 
+// Asks a node for its proof that its configuration was the newest.
+struct FreshnessAsk {
+}
+
+// The proof: a version, and how long ago it was the newest; no version where
+// there is no proof. See config/freshness.py.
+struct FreshnessState {
+  1: i64 version
+  2: i32 age_ms
+}
+
+// Asks for requests of a workspace's quota. between: the sender shares out the
+// quota in another availability zone.
+struct QuotaAsk {
+  1: string workspace
+  2: i32 count
+  3: bool between
+}
+
+// Requests that the sender may run, taken from the answerer's share; where
+// they are none, when to ask again.
+struct QuotaGrant {
+  1: i32 count
+  2: i32 wait_ms
+}
+
 // Sent by a home while an exchange goes on: silence means a broken path.
 struct Heartbeat {
   1: i64 exchange
@@ -239,4 +265,9 @@
   22: optional ConfigurationState configuration_state
   30: optional FleetState fleet_state
   31: optional Pull pull
+  // A question and its answer on one link.
+  40: optional FreshnessAsk freshness_ask
+  41: optional FreshnessState freshness_state
+  42: optional QuotaAsk quota_ask
+  43: optional QuotaGrant quota_grant
 }
--- a/endivewind/nodes/traffic.py
+++ b/endivewind/nodes/traffic.py
@@ -14,7 +14,8 @@
     REQUESTS and ANSWERS are callers' work. STATE is pulled by nodes that
     join or have missed changes; CHANGES are news of members and targets;
     NEWS is what nodes near each other tell; PROBES ask who is alive, and
-    carry the digests that find what was missed.
+    carry the digests that find what was missed. QUESTIONS ask for proofs of
+    freshness and for parts of a quota.
     """
 
     REQUESTS = "requests"
@@ -24,6 +25,7 @@
     CHANGES = "changes"
     NEWS = "news"
     PROBES = "probes"
+    QUESTIONS = "questions"
 
 
 class Distance(enum.StrEnum):
--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -36,6 +36,8 @@
 _PROBE_GAP = datetime.timedelta(seconds=1)
 _LOST_PROBES = 2
 _SECOND = datetime.timedelta(seconds=1)
+# After every name that an object may have.
+_LAST_NAME = "~"
 
 AnswerT = TypeVar("AnswerT")
 Decode = collections.abc.Callable[[bytes], AnswerT]
@@ -153,6 +155,21 @@
         listing = messages.Listing(revision=revision, objects=tuple(objects))
         return expression.Ok(listing)
 
+    async def revision(
+        self, kind: str
+    ) -> expression.Result[int, messages.PlatformError]:
+        """The store's revision now: equal to an earlier one, nothing changed.
+
+        Asked for as the rest of a listing that has none, which costs a call
+        but no bytes. A watch will not do: it may be cut off from changes.
+        """
+        found = await self._call(
+            "GET",
+            _kind(kind, after=_LAST_NAME),
+            lambda body: wire.page_in(kind, body),
+        )
+        return found.map(lambda page: page.revision)
+
     async def put(
         self, kind: str, name: str, value: dict[str, Any], expected: int
     ) -> expression.Result[messages.StoredObject, messages.PlatformError]:
--- a/endivewind/platform/configuration.py
+++ b/endivewind/platform/configuration.py
@@ -181,6 +181,7 @@
         services=services,
         routes=tuple(routes),
         workspaces=workspaces,
+        keyed=bool(workspaces),
         limits=limits,
     )
 
--- a/endivewind/standins/virtual.py
+++ b/endivewind/standins/virtual.py
@@ -52,3 +52,7 @@
     def monotonic(self) -> datetime.timedelta:
         """Virtual time since the loop's start."""
         return datetime.timedelta(seconds=self._loop.time())
+
+    def awake_or_asleep(self) -> datetime.timedelta:
+        """The same: a virtual loop never sleeps."""
+        return self.monotonic()
--- a/endivewind/tests/callers/pipelining_tests.py
+++ b/endivewind/tests/callers/pipelining_tests.py
@@ -160,7 +160,7 @@
             self.gateway,
             None,
             settings.Limits(),
-            lambda: None,
+            listener.Doubts(lambda: None),
             calls.Dialect(tickets=False),
         )
 
--- a/endivewind/tests/callers/starting_tests.py
+++ b/endivewind/tests/callers/starting_tests.py
@@ -34,7 +34,10 @@
 
     async def _start(self, gateway):
         self.listener = listener.Listener(
-            gateway, mock.Mock(), settings.Limits(), lambda: self.missing
+            gateway,
+            mock.Mock(),
+            settings.Limits(),
+            listener.Doubts(lambda: self.missing),
         )
 
     def ask(self, at):
--- a/endivewind/tests/callers/workspaces_tests.py
+++ b/endivewind/tests/callers/workspaces_tests.py
@@ -82,6 +82,17 @@
 
         self.assertEqual("venue", self.workspaces.holder(f"Bearer {KEY}"))
 
+    def test_where_the_last_key_is_revoked_nobody_gets_in(self):
+        """Guards against a fleet that opens up with its last key."""
+        self.take(1, {"crew": KEY})
+        value = document(2, {})
+        value["spec"]["keyed"] = True
+        self.store.apply(store.DOCUMENT, "main", 2, value)
+        self.workspaces.configure(store.DOCUMENT, "main")
+
+        self.assertTrue(self.workspaces.have_keys)
+        self.assertEqual("", self.workspaces.holder(f"Bearer {KEY}"))
+
     def test_no_key_is_kept(self):
         """Guards against a memory dump or a log that gives keys away."""
         self.take(1, {"crew": KEY})
@@ -96,28 +107,33 @@
     def setUp(self):
         self.loop = virtual.VirtualLoop()
         self.addCleanup(self.loop.close)
-        configuration = store.ConfigurationStore()
-        value = document(1, {"crew": KEY}, rank=0)
-        configuration.apply(store.DOCUMENT, "main", 1, value)
-        known = workspaces.Workspaces(configuration)
-        known.configure(store.DOCUMENT, "main")
+        self.store = store.ConfigurationStore()
+        self.known = workspaces.Workspaces(self.store)
+        self.missing = None
         self.route = ROUTE
         gateway = mock.Mock()
         gateway.route = lambda host, path, workspace: self.route
         gateway.service_of = lambda route: route.service
         gateway.timeout = lambda route: None
-        gateway.workspaces = known
+        gateway.workspaces = self.known
         gateway.serve = self.serve
         self.heads = []
+        self.is_proved = True
         self.dialect = calls.Dialect(names.HEADERS, tickets=False)
         self.listener = self.loop.run_until_complete(self.start(gateway))
+        self.configure()
+
+    def configure(self):
+        value = document(1, {"crew": KEY}, rank=0)
+        self.store.apply(store.DOCUMENT, "main", 1, value)
+        self.known.configure(store.DOCUMENT, "main")
 
     async def start(self, gateway):
         return listener.Listener(
             gateway,
             mock.Mock(),
             settings.Limits(),
-            lambda: None,
+            listener.Doubts(lambda: self.missing, lambda: self.is_proved),
             self.dialect,
         )
 
@@ -135,7 +151,8 @@
             method="GET",
             raw_path="/a",
         )
-        call = self.listener._call(request)
+        call = calls.Call(request, self.dialect)
+        await self.listener._settle(call)
         refused = self.listener._admit(call)
         if refused is None:
             await self.listener._pass_on(call)
@@ -182,6 +199,37 @@
                 self.assertIsNone(refused.retry_after)
         self.assertEqual([], self.heads)
 
+    def test_a_request_that_came_before_the_first_configuration(self):
+        """Guards against a key passed on, and not checked, after a restart."""
+        self.known = workspaces.Workspaces(store.ConfigurationStore())
+        self.listener._gateway.workspaces = self.known
+        self.known._configuration = self.store
+        self.route = None
+        self.missing = "no configuration yet"
+
+        def arrive():
+            self.configure()
+            self.route = ROUTE
+            self.missing = None
+
+        self.loop.call_later(0.5, arrive)
+
+        refused = self.run_one(Authorization=f"Bearer {OTHER}")
+
+        self.assertEqual(401, problems.status(refused))
+        self.assertEqual([], self.heads)
+
+    def test_without_a_proof_keyed_work_is_refused_as_not_run(self):
+        """Guards against a revoked key at a node that no news reaches."""
+        self.is_proved = False
+
+        refused = self.run_one(Authorization=f"Bearer {KEY}")
+
+        self.assertEqual(503, problems.status(refused))
+        self.assertEqual(listener.UNPROVED_RETRY, refused.retry_after)
+        self.route = OPEN
+        self.assertIsNone(self.run_one())
+
     def test_an_anonymous_route_serves_without_a_key(self):
         """What the caller says of its workspace is dropped there as well."""
         self.route = OPEN
--- /dev/null
+++ b/endivewind/tests/config/freshness_tests.py
@@ -0,0 +1,176 @@
+"""Proofs that a configuration was the newest, against the users' bound."""
+
+import datetime
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from endivewind.config import freshness
+
+BOUND = datetime.timedelta(seconds=5)
+NODES = range(4)
+
+
+def seconds(number):
+    """A span of time."""
+    return datetime.timedelta(seconds=number)
+
+
+class FreshnessTest(unittest.TestCase):
+    def setUp(self):
+        self.version = 3
+        self.proof = freshness.Freshness(lambda: self.version, BOUND)
+
+    def test_without_a_reading_nothing_is_proved(self):
+        self.assertFalse(self.proof.is_proved(seconds(0)))
+        self.assertIsNone(self.proof.answer(seconds(0)))
+
+    def test_a_proof_runs_out(self):
+        self.proof.proved(3, seconds(10))
+
+        self.assertTrue(self.proof.is_proved(seconds(14.8)))
+        self.assertFalse(self.proof.is_proved(seconds(15)))
+
+    def test_an_answer_that_is_long_on_its_way_is_older(self):
+        """Guards against a delay that lengthens the life of a revoked key."""
+        answer = freshness.Answer(3, seconds(1))
+
+        self.proof.answered(answer, asked=seconds(10))
+
+        self.assertEqual(seconds(4), self.proof.age(seconds(13)))
+
+    def test_a_newer_version_counts_once_it_is_in_force(self):
+        """Guards against a proof for a configuration that is not here."""
+        self.proof.proved(4, seconds(10))
+        self.assertFalse(self.proof.is_proved(seconds(10)))
+
+        self.version = 4
+
+        self.assertTrue(self.proof.is_proved(seconds(10)))
+
+    def test_a_proof_of_an_older_version_holds_for_a_newer_one(self):
+        self.version = 9
+
+        self.proof.proved(3, seconds(10))
+
+        self.assertTrue(self.proof.is_proved(seconds(11)))
+
+    def test_an_older_proof_does_not_replace_a_younger_one(self):
+        self.proof.proved(3, seconds(10))
+        self.proof.proved(3, seconds(7))
+
+        self.assertEqual(seconds(1), self.proof.age(seconds(11)))
+
+    def test_a_lenient_node_needs_none(self):
+        self.proof.limit(None)
+
+        self.assertTrue(self.proof.is_proved(seconds(100)))
+
+
+class RevocationMachine(stateful.RuleBasedStateMachine):
+    """Nodes that read, ask, hear late, are cut off, sleep and restart.
+
+    Every version takes one key away. The oracle is the users' bound: no node
+    may serve the key of a version that was accepted longer ago than that.
+    Each node has a clock of its own; messages wait as long as they like.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = seconds(100)
+        # When each version was accepted; the last is the newest.
+        self.accepted = [self.now]
+        self.offsets = [seconds(7 * node) for node in NODES]
+        self.versions = [0 for _ in NODES]
+        self.proofs = [self.build(node) for node in NODES]
+        self.starts = [0 for _ in NODES]
+        self.messages = []
+
+    def build(self, node):
+        return freshness.Freshness(lambda: self.versions[node], BOUND)
+
+    def clock(self, node):
+        return self.now + self.offsets[node]
+
+    @stateful.rule(tenths=strategies.integers(1, 40))
+    def time_passes(self, tenths):
+        """Also that of nodes that are paused or asleep."""
+        self.now += seconds(tenths / 10)
+
+    @stateful.rule()
+    def a_key_is_taken_away(self):
+        self.accepted.append(self.now)
+
+    @stateful.rule(node=strategies.sampled_from(NODES))
+    def a_node_hears_of_the_newest(self, node):
+        self.versions[node] = len(self.accepted) - 1
+
+    @stateful.rule(node=strategies.sampled_from(NODES))
+    def a_node_begins_a_reading(self, node):
+        """The store reads later than it was asked, and answers later still."""
+        self.send("begun", node, self.clock(node))
+
+    @stateful.rule(
+        asker=strategies.sampled_from(NODES),
+        answerer=strategies.sampled_from(NODES),
+    )
+    def a_node_asks(self, asker, answerer):
+        self.send("asked", asker, self.clock(asker), answerer)
+
+    def send(self, word, node, moment, *more):
+        self.messages.append((word, node, self.starts[node], moment, *more))
+
+    @stateful.precondition(lambda self: self.messages)
+    @stateful.rule(data=strategies.data(), repeat=strategies.booleans())
+    def a_message_arrives(self, data, repeat):
+        index = data.draw(strategies.integers(0, len(self.messages) - 1))
+        message = self.messages[index]
+        if not repeat:
+            del self.messages[index]
+        getattr(self, message[0])(*message[1:])
+
+    def begun(self, node, start, moment):
+        newest = len(self.accepted) - 1
+        self.messages.append(("read", node, start, moment, newest))
+
+    def read(self, node, start, moment, version):
+        if start == self.starts[node]:
+            self.proofs[node].proved(version, moment)
+
+    def asked(self, node, start, moment, answerer):
+        answer = self.proofs[answerer].answer(self.clock(answerer))
+        if answer is not None:
+            self.messages.append(("told", node, start, moment, answer))
+
+    def told(self, node, start, moment, answer):
+        if start == self.starts[node]:
+            self.proofs[node].answered(answer, moment)
+
+    @stateful.precondition(lambda self: self.messages)
+    @stateful.rule(data=strategies.data())
+    def a_message_is_lost(self, data):
+        index = data.draw(strategies.integers(0, len(self.messages) - 1))
+        del self.messages[index]
+
+    @stateful.rule(node=strategies.sampled_from(NODES))
+    def a_node_restarts(self, node):
+        self.versions[node] = 0
+        self.proofs[node] = self.build(node)
+        self.starts[node] += 1
+
+    @stateful.invariant()
+    def no_revoked_key_works_beyond_the_bound(self):
+        for node in NODES:
+            if not self.proofs[node].is_proved(self.clock(node)):
+                continue
+            later = self.accepted[self.versions[node] + 1 :]
+            if later:
+                assert self.now - later[0] <= BOUND
+
+
+RevocationMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
+RevocationTest = RevocationMachine.TestCase
--- a/endivewind/tests/decisions/admission_tests.py
+++ b/endivewind/tests/decisions/admission_tests.py
@@ -185,25 +185,3 @@
 
         self.assertIsNone(queue.first())
         self.assertIsNone(queue.offer(_waiter(), datetime.timedelta()))
-
-
-class RateLimitsTest(unittest.TestCase):
-    def take(self, limits, now, rate=2.0, burst=3):
-        return limits.take("a", rate, burst, SECOND * now)
-
-    def test_burst_then_rate(self):
-        limits = admission.RateLimits()
-
-        taken = [self.take(limits, 0.0) is None for _ in range(5)]
-        refused = self.take(limits, 0.1)
-
-        self.assertEqual([True] * 3 + [False] * 2, taken)
-        self.assertEqual(SECOND * 0.4, refused.retry_after)
-        self.assertIsNone(self.take(limits, 0.5))
-
-    def test_no_rate_is_no_limit(self):
-        limits = admission.RateLimits()
-
-        self.assertTrue(
-            all(self.take(limits, 0.0, rate=0) is None for _ in range(100))
-        )
--- a/endivewind/tests/deploy_tests.py
+++ b/endivewind/tests/deploy_tests.py
@@ -9,6 +9,8 @@
 from endivewind.config import settings
 from endivewind.tests import style
 
+# A section is there where its value is.
+_SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 _PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 # What the platform fills in on one VM.
 FIELDS = {
@@ -33,18 +35,33 @@
         "budget_min_retries": 204.5,
         "budget_window_s": 10,
         "floor_share": 0.7,
+        "revoke_strict": True,
+        "revoke_s": 5,
+        "quota_window_s": 5,
+        "quota_overage": 0.1,
+        "quota_tolerance": 20,
     },
 }
 
 
-def _filled(text: str) -> str:
-    def value(match):
-        found = FIELDS
-        for key in match[1].split("."):
+def _filled(text: str, fields=FIELDS) -> str:
+    def look_up(path):
+        found = fields
+        for key in path.split("."):
             found = found[int(key) if isinstance(found, list) else key]
+        return found
+
+    def section(match):
+        try:
+            return match[2] if look_up(match[1]) else ""
+        except KeyError:
+            return ""
+
+    def value(match):
+        found = look_up(match[1])
         return json.dumps(found) if match[2] else str(found)
 
-    return _PLACEHOLDER.sub(value, text)
+    return _PLACEHOLDER.sub(value, _SECTION.sub(section, text))
 
 
 class DeployTest(unittest.TestCase):
--- /dev/null
+++ b/endivewind/tests/loads/quotas_tests.py
@@ -0,0 +1,130 @@
+"""Quotas that all entries keep together, in virtual time.
+
+The pattern: many workspaces that each send less than a request a second to an
+entry, one that multiplies its traffic, and keepers that end. The oracle is the
+users' bound on what runs in any window of five seconds.
+"""
+
+import unittest
+
+from endivewind.decisions import quotas
+from endivewind.tests.loads import quotas as loads
+
+SIZE = 30
+
+
+def workspaces(count, largest=20.0, headroom=1.6):
+    """Workspaces of falling size, each with a quota above what it sends."""
+    found = []
+    for number in range(count):
+        rate = max(0.4, largest / (number + 1))
+        quota = quotas.Quota(headroom * rate, max(1, round(headroom * rate)))
+        found.append(loads.Traffic(f"w{number}", rate, quota))
+    return found
+
+
+class QuotaLoadTest(unittest.TestCase):
+    def check(self, fleet, most_refused=0.01):
+        """No window beyond the bound, and few refused below it."""
+        through = refused = 0
+        for name, outcome in fleet.outcomes.items():
+            quota = fleet.quotas[name]
+            self.assertLessEqual(outcome.excess(quota), 0, name)
+            refused += outcome.refused_below(quota) * len(outcome.ran)
+            through += len(outcome.ran)
+        self.assertLessEqual(refused / through, most_refused)
+
+    def test_usual_traffic_is_not_refused(self):
+        for size in (3, SIZE, 102):
+            with self.subTest(size):
+                fleet = loads.Fleet(size, workspaces(20))
+
+                fleet.play(15)
+
+                self.check(fleet)
+
+    def test_one_workspace_sends_seven_times_its_usual(self):
+        traffic = workspaces(12)
+        for number in (0, 3, 11):
+            with self.subTest(number):
+                given = list(traffic)
+                item = traffic[number]
+                given[number] = loads.Traffic(
+                    item.workspace,
+                    item.per_second,
+                    item.quota,
+                    busy=(4, 14),
+                    times=7.5,
+                )
+                fleet = loads.Fleet(SIZE, given)
+
+                fleet.play(18)
+
+                self.check(fleet, most_refused=0.05)
+
+    def test_all_of_a_workspace_enters_in_one_zone(self):
+        """Its zone has a sixth of the quota, and borrows the rest."""
+        quota = quotas.Quota(32, 32)
+        given = [loads.Traffic("w", 20, quota, zone=2), *workspaces(5)]
+        fleet = loads.Fleet(SIZE, given)
+
+        fleet.play(15)
+
+        self.check(fleet, most_refused=0.02)
+
+    def test_a_quota_is_lowered_far_below_the_traffic(self):
+        low = quotas.Quota(3, 3)
+
+        def lower(fleet):
+            fleet.quotas["w"] = low
+
+        given = [loads.Traffic("w", 40, quotas.Quota(64, 64))]
+        fleet = loads.Fleet(SIZE, given)
+
+        fleet.play(18, [(5, lower)])
+
+        # It binds whole windows; the first begins when it is in force.
+        outcome = fleet.outcomes["w"]
+        began = outcome.asked[0]
+        outcome.ran = [at for at in outcome.ran if at - began > 5.1]
+        self.assertLessEqual(outcome.excess(low), 0)
+        self.assertGreater(len(outcome.ran), 30)
+
+    def test_keepers_are_killed_and_come_back(self):
+        """Half of the nodes end at once, while one workspace sends too much."""
+        names = [f"n{number}" for number in range(0, SIZE, 2)]
+
+        def kill(fleet):
+            for name in names:
+                fleet.kill(name)
+
+        def forget(fleet):
+            for name in names:
+                fleet.forget(name)
+
+        def restart(fleet):
+            for name in names:
+                fleet.restart(name)
+
+        traffic = workspaces(10)
+        traffic[0] = loads.Traffic(
+            "w0", 20, traffic[0].quota, busy=(0, 30), times=4
+        )
+        fleet = loads.Fleet(SIZE, traffic)
+
+        fleet.play(20, [(6, kill), (9, forget), (10, restart)])
+
+        self.check(fleet, most_refused=0.2)
+
+    def test_nodes_restart_one_after_the_other(self):
+        events = []
+        for number in range(SIZE):
+            name = f"n{number}"
+            at = 3 + number * 0.5
+            events.append((at, lambda f, n=name: (f.kill(n), f.forget(n))))
+            events.append((at + 1, lambda f, n=name: f.restart(n)))
+        fleet = loads.Fleet(SIZE, workspaces(12))
+
+        fleet.play(20, events)
+
+        self.check(fleet, most_refused=0.02)
