--- a/endivewind/decisions/quotas.py
+++ b/endivewind/decisions/quotas.py
@@ -9,14 +9,16 @@
 import dataclasses
 import datetime
 
-# The part of the quota's tolerance that zones hold from the start. The rest
-# is for shares that begin anew where a keeper has ended.
+# Parts of the quota's tolerance in a window: what zones hold besides the burst,
+# and what comes in besides the rate. The rest is for shares that begin anew
+# where a keeper has ended.
 HELD_TOLERANCE = 0.5
+RATE_TOLERANCE = 0.35
 # What a new keeper holds at once, as a part of a full share: what its
 # predecessor has spent in the window is not known.
-START_SHARE = 0.2
+START_SHARE = 0.1
 # The part of a full share that a zone keeps when others ask for some.
-KEPT_SHARE = 0.5
+KEPT_SHARE = 0.3
 # Below this part of a full share a zone asks others before it runs out.
 LOW_SHARE = 0.4
 # The part of a share's rate that a node has which stands in for its keeper.
@@ -86,12 +88,15 @@
         Load: 84 workspaces over a hundred entries, most of which send less
         than a request a second. Harm: a part for each entry is a fraction of
         a request, and refuses what is far below the quota. Of a few zones
-        each has whole requests, since a part of the tolerance is shared out.
+        each has whole requests, since a part of the tolerance is shared out:
+        no caller is refused for what the operator tolerates, as long as no
+        window can exceed it.
         """
         window = tolerance.window.total_seconds()
         spare = tolerance.overage * (rate * window + burst) + tolerance.requests
         capacity = burst + HELD_TOLERANCE * spare
-        return cls(rate / zones, max(1.0, capacity / zones))
+        served = rate + RATE_TOLERANCE * spare / window
+        return cls(served / zones, max(1.0, capacity / zones))
 
     def of_deputy(self) -> "Limit":
         """What a node has that stands in for the share's keeper."""
