Let silence speak against a target while nothing has ended

Cause: on the shifted work a spell is silence.

Change: every open request at a target speaks by its age against what its kind of work takes there, learnt from a weak prior. What is silent past its aim has failed, and a second target is asked out of all retries. A route that lets its callers wait for less than its aim is hedged within that. Orders leave their region only from a doubt of 0.6 on: bytes between regions are paid for.

Users pay for these bytes by volume; with an order and its answer they come to half of its worth on this deployment.

The first reading of a start is a proof of freshness: after a loss of power nodes waited for one.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -48,13 +48,19 @@
 # its work's length, so that these last for some lengths of it: an order with a
 # deadline of many lengths is not refused in the first of them.
 MAX_PLACINGS = 16
-# When a second target is asked: nineteen in twenty have answered by then, and
-# the second one still has time to.
+# When a second target is asked, as a part of the time that its answer has:
+# nineteen in twenty have answered by then, and the second one still has time
+# to.
 HEDGE_SHARE = 0.6
+# When it is asked although few retries are left: what is silent for so long has
+# failed, though nothing has ended.
+FAILED_SHARE = 1.0
 # Part of the retry budget that may be spent before doubtful targets are left
 # alone, and slow answers waited for: the rest is for requests that have
 # failed. One that is late is worth something, one that failed is not.
 CHOSEN_SPENT = 0.4
+# Each time to ask a second target, with the retries that may be spent before.
+_HEDGES = ((HEDGE_SHARE, CHOSEN_SPENT), (FAILED_SHARE, 1.0))
 # From this part on every retry has several takers.
 CARE_SPENT = 0.75
 # Part of the time left to a request that it may wait for a slot.
@@ -366,22 +372,32 @@
         """
         first = asyncio.create_task(self._attempt(call, record))
         tasks = {first}
+        started = self._clock.monotonic()
+        # A route may let its callers wait for less than its aim.
+        time = min(call.head.aim, HEDGE_SHARE * (call.deadline - started))
         try:
-            delay = HEDGE_SHARE * call.head.aim
-            await asyncio.wait(tasks, timeout=delay.total_seconds())
-            if not first.done():
-                second = self._second(call)
+            for share, spent in _HEDGES:
+                wait = started + share * time - self._clock.monotonic()
+                await asyncio.wait(tasks, timeout=wait.total_seconds())
+                second = None if first.done() else self._second(call, spent)
                 if second is not None:
                     tasks.add(asyncio.create_task(second))
+                if first.done() or second is not None:
+                    break
             return await hedging.first_good(tasks)
         finally:
             await hedging.end(tasks)
 
     def _second(
-        self, call: routed.RoutedRequest
+        self, call: routed.RoutedRequest, most_spent: float
     ) -> collections.abc.Coroutine[Any, Any, AnswerResult] | None:
-        """An attempt at another target with a free slot, if one may be made."""
-        if self._spent(call) > CHOSEN_SPENT:
+        """An attempt at another target with a free slot, if one may be made.
+
+        Args:
+          call: the request.
+          most_spent: the part of the retries that may be spent before.
+        """
+        if self._spent(call) > most_spent:
             return None
         demand = placing.Demand(True, call.tried, is_last=True)
         record = self._placement.choose(call.head.service, demand)
--- a/endivewind/config/proving.py
+++ b/endivewind/config/proving.py
@@ -35,7 +35,7 @@
 # Readers that are asked where a node's parent does not help.
 STAND_INS = 3
 # A node without any proof asks so often: its callers wait.
-FIRST_PERIOD = datetime.timedelta(milliseconds=100)
+FIRST_PERIOD = datetime.timedelta(milliseconds=50)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -122,7 +122,7 @@
 # The part of the fleet's retries that nodes take by themselves. The rest is for
 # what is spent twice while a count is on its way, for calls of repeats in the
 # moment before they are charged, and for windows that slide in steps.
-OWN_RETRIES = 0.85
+OWN_RETRIES = 0.75
 
 
 class FleetLimits(base.Model):
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -27,6 +27,10 @@
 # which pays up to about even odds.
 RISK_ONCE = 0.15
 RISK_REPEATABLE = 0.5
+# Beyond that, before it goes past its whole region. Between regions bytes are
+# paid for by volume, and those of an order and its answer may cost as much as
+# half of the orders are worth.
+RISK_FAR = 0.6
 # Between two good ones, this much of a slot's load for a sure sickness.
 DOUBT_ONCE = 3.0
 DOUBT_REPEATABLE = 0.5
@@ -182,14 +186,16 @@
     ZONE_QUEUED = 1
     REGION_FREE = 2
     REGION_QUEUED = 3
-    FAR_FREE = 4
-    NEAR_RISKY = 5
-    FAR_RISKY = 6
-    CUT = 7
+    NEAR_DOUBTFUL = 4
+    FAR_FREE = 5
+    NEAR_RISKY = 6
+    FAR_RISKY = 7
+    CUT = 8
 
 
 _FREE = (_Rank.ZONE_FREE, _Rank.REGION_FREE, _Rank.FAR_FREE)
 _QUEUED = (_Rank.ZONE_QUEUED, _Rank.REGION_QUEUED, None)
+_DOUBTFUL = (_Rank.NEAR_DOUBTFUL, _Rank.NEAR_DOUBTFUL, _Rank.FAR_RISKY)
 _RISKY = (_Rank.NEAR_RISKY, _Rank.NEAR_RISKY, _Rank.FAR_RISKY)
 # The worst rank that beats anything which the next tiers may have.
 _LAST_NEAR = (_Rank.ZONE_QUEUED, _Rank.REGION_QUEUED, _Rank.CUT)
@@ -218,7 +224,7 @@
     if found is None:
         return None
     rank, same = found
-    if rank in _RISKY:
+    if rank in _RISKY or rank in _DOUBTFUL:
         return min(same, key=lambda item: load.suspicion(item.id))
     return _better(same[:_CHOICES], demand, load)
 
@@ -264,8 +270,11 @@
     if not load.reaches(item.home):
         # Where every path has failed, a doubtful one is better than none.
         return _Rank.CUT if free else None
-    if load.suspicion(item.id) > demand.risk:
+    doubt = load.suspicion(item.id)
+    if doubt > max(demand.risk, RISK_FAR):
         return _RISKY[tier]
+    if doubt > demand.risk:
+        return _DOUBTFUL[tier]
     return _FREE[tier] if free else _QUEUED[tier]
 
 
@@ -292,7 +301,11 @@
         if load.told_ago(item.id) < gap:
             continue
         rank = _rank_of(item, 0, demand, load)
-        if rank in (_Rank.ZONE_FREE, _Rank.NEAR_RISKY):
+        if rank in (
+            _Rank.ZONE_FREE,
+            _Rank.NEAR_DOUBTFUL,
+            _Rank.NEAR_RISKY,
+        ):
             return item
     return None
 
--- a/endivewind/decisions/suspicion.py
+++ b/endivewind/decisions/suspicion.py
@@ -74,15 +74,31 @@
         """Ends of requests taken so far."""
         return self._signals
 
-    def probability(self, now: datetime.timedelta) -> float:
-        """How likely the target is sick at a moment."""
-        return drifted(self._probability, now - self._at)
+    def probability(
+        self, now: datetime.timedelta, silence: float = 1.0
+    ) -> float:
+        """How likely the target is sick at a moment.
+
+        Args:
+          now: the moment.
+          silence: how many times likelier it is at a sick target that what is
+            there now has no answer yet.
+        """
+        ended = drifted(self._probability, now - self._at)
+        return _weighed(ended, silence)
 
     def take(self, signal: Signal, now: datetime.timedelta) -> None:
         """Takes the end of one request."""
-        before = self.probability(now)
         sick, well = signal.value
-        after = before * sick / (before * sick + (1 - before) * well)
-        self._probability = min(max(after, LEAST), MOST)
+        self.weigh(sick / well, now)
+
+    def weigh(self, likelihood: float, now: datetime.timedelta) -> None:
+        """Takes what is so many times likelier at a sick target."""
+        self._probability = _weighed(self.probability(now), likelihood)
         self._at = now
         self._signals += 1
+
+
+def _weighed(probability: float, likelihood: float) -> float:
+    odds = probability * likelihood
+    return min(max(odds / (odds + 1 - probability), LEAST), MOST)
--- a/endivewind/durable/watcher.py
+++ b/endivewind/durable/watcher.py
@@ -37,6 +37,15 @@
     ALWAYS = "always"
 
 
+# Lists the objects; whether a state of some seconds ago will do.
+List = collections.abc.Callable[
+    [bool],
+    collections.abc.Awaitable[
+        expression.Result[messages.Listing, messages.PlatformError]
+    ],
+]
+
+
 def _ignore(kind: str) -> None:
     """Takes no notice of listings."""
 
@@ -57,12 +66,14 @@
         rng: random.Random,
         listed: collections.abc.Callable[[str], None] = _ignore,
         role: collections.abc.Callable[[], Role] = _always,
+        lists: List | None = None,
     ) -> None:
         self._platform = platform
         self._kind = kind
         self._seen = seen
         self._take_listing = listed
         self._role = role
+        self._list = lists or self._list_plainly
         self._backoff = retries.Backoff(rng)
         self._pause = FIRST_PAUSE
         self._stale_will_do = True
@@ -106,11 +117,14 @@
         what came since, only a fresh listing has it.
         """
         if self._revision is None or role is Role.ONCE:
-            return await self._platform.list(
-                self._kind, stale=self._stale_will_do
-            )
+            return await self._list(self._stale_will_do)
         return await self._platform.watch(self._kind, self._revision)
 
+    async def _list_plainly(
+        self, stale: bool
+    ) -> expression.Result[messages.Listing, messages.PlatformError]:
+        return await self._platform.list(self._kind, stale=stale)
+
     def _take(self, listing: messages.Listing) -> None:
         for item in listing.objects:
             self._seen(item)
--- a/endivewind/reading.py
+++ b/endivewind/reading.py
@@ -7,6 +7,8 @@
 import logging
 import random
 
+import expression
+
 from endivewind import clock as clocks
 from endivewind import logs
 from endivewind.config import freshness
@@ -75,12 +77,27 @@
     def _watcher(self, kind: str) -> watcher.Watcher:
         seen: collections.abc.Callable[[messages.StoredObject], object]
         seen, listed = self._peer.seen, self._peer.listed
+        lists: watcher.List | None = None
         if kind == names.CONFIGURATION_KIND:
             seen, listed = self._operator_wrote, _not_by_listing
+            lists = self._list
         return watcher.Watcher(
-            self._platform, kind, seen, self._rng, listed, self._role
+            self._platform, kind, seen, self._rng, listed, self._role, lists
         )
 
+    async def _list(
+        self, stale: bool
+    ) -> expression.Result[messages.Listing, messages.PlatformError]:
+        """Lists the operator's configuration; a fresh listing is a proof.
+
+        A node that starts and needs proofs has one by its first reading.
+        """
+        if stale and self._proof.bound is None:
+            return await self._platform.list(
+                names.CONFIGURATION_KIND, stale=True
+            )
+        return await self._read_whole()
+
     async def prove(self, limit: datetime.timedelta) -> bool:
         """Reads whether what is in force is the newest.
 
@@ -92,7 +109,9 @@
         """
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                return await self._is_unchanged() or await self._read_whole()
+                if await self._is_unchanged():
+                    return True
+                return (await self._read_whole()).is_ok()
         except TimeoutError:
             log.warning("the platform gives no proof in time")
             return False
@@ -107,18 +126,20 @@
         self._proof.proved(self._newest.version, began)
         return True
 
-    async def _read_whole(self) -> bool:
+    async def _read_whole(
+        self,
+    ) -> expression.Result[messages.Listing, messages.PlatformError]:
         began = self._clock.awake_or_asleep()
         listed = await self._platform.list(names.CONFIGURATION_KIND)
         if listed.is_error():
             log.warning("platform: %s", listed.error)
-            return False
+            return listed
         for stored in listed.ok.objects:
             version = self._operator_wrote(stored)
             if version is not None:
                 self._newest = _Newest(listed.ok.revision, version)
                 self._proof.proved(version, began)
-        return True
+        return listed
 
     def _role(self) -> watcher.Role:
         """What this node has to read now."""
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -250,7 +250,7 @@
         return result
 
     def look(self) -> None:
-        """Counts requests that are overdue; call it often.
+        """Counts requests without an aim that are overdue; call it often.
 
         A target that hangs ends nothing: without this nothing would speak
         against it until the first deadline has passed.
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import enum
+import math
 from typing import Any
 
 import expression
@@ -12,6 +13,7 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind.config import base
+from endivewind.decisions import silence
 from endivewind.decisions import suspicion
 from endivewind.decisions import telling
 from endivewind.targets import records
@@ -80,6 +82,7 @@
       pending: requests that are there now.
       left_off: when one of its requests last ended without an answer, so that
         it may still work on that; None if none has.
+      times: how long its answers take.
     """
 
     record: records.TargetRecord
@@ -90,6 +93,9 @@
     announced: int = 0
     pending: dict[Any, None] = dataclasses.field(default_factory=dict)
     left_off: datetime.timedelta | None = None
+    times: silence.AnswerTimes = dataclasses.field(
+        default_factory=silence.AnswerTimes
+    )
 
     @property
     def in_use(self) -> int:
@@ -98,13 +104,19 @@
 
     def glance(self, now: datetime.timedelta) -> exchange.Glance:
         """What entries are told of it."""
-        return exchange.Glance(self.slots.load, self.suspicion.probability(now))
+        silent = self._silence(now)
+        doubt = self.suspicion.probability(now, silent)
+        return exchange.Glance(self.slots.load, doubt)
+
+    def _silence(self, now: datetime.timedelta) -> float:
+        """How much likelier its present silence is if it is sick."""
+        return math.prod(item.silence(now) for item in self.pending)
 
     def state(self, now: datetime.timedelta) -> telling.State:
         """What the entries near by may have to be told of it."""
         return telling.State(
             telling.Condition(self.record.id, self.glance(now)),
-            self.suspicion.signals,
+            self.suspicion.signals + int(math.log2(self._silence(now))),
         )
 
 
--- a/endivewind/targets/working.py
+++ b/endivewind/targets/working.py
@@ -2,6 +2,7 @@
 
 import datetime
 import logging
+import math
 
 from endivewind import clock as clocks
 from endivewind import exchange
@@ -14,11 +15,11 @@
 
 log = logging.getLogger(__name__)
 
-# Most answers come well within their aim; at this part of it one in thirty is
-# still out at a well target, by the spread and the tail of work.
-OVERDUE_SHARE = 0.7
-# Where no aim is known, or a very short one: above a stall of the process.
-LEAST_OVERDUE = datetime.timedelta(milliseconds=300)
+# Where no aim tells how long answers take, they are overdue after this.
+OVERDUE = datetime.timedelta(milliseconds=300)
+# An answer at an age that is so many times likelier at a sick target does not
+# speak for it.
+LATE = 16.0
 _SIGNALS = {
     evidence.Kind.SUCCESS: suspicion.Signal.GOOD,
     evidence.Kind.ERROR: suspicion.Signal.FAILED,
@@ -28,6 +29,8 @@
     evidence.Kind.SHED: suspicion.Signal.SHED,
     evidence.Kind.CANCELLED: None,
 }
+# Ends that tell no more than the silence before them.
+_UNANSWERED = (evidence.Kind.TIMEOUT, evidence.Kind.CANCELLED)
 
 
 class HandOver:
@@ -90,11 +93,24 @@
             self.kind = evidence.Kind.CANCELLED
 
     def look(self, now: datetime.timedelta) -> None:
-        """Tells once that the answer is overdue."""
-        limit = max(OVERDUE_SHARE * self._head.aim, LEAST_OVERDUE)
-        if self._latency is None and now - self._started > limit:
+        """Tells once that the answer is overdue, where no aim is known."""
+        if self._head.aim or self._latency is not None:
+            return
+        if now - self._started > OVERDUE:
             self._tell(suspicion.Signal.OVERDUE)
 
+    def silence(self, now: datetime.timedelta) -> float:
+        """How many times likelier it is at a sick target that it is open.
+
+        What the target took long ago says little of how it is now.
+        """
+        if self._latency is not None:
+            return 1.0
+        age = now - self._started
+        likelihood = self.item.times.likelihood(self._head.aim, age)
+        beyond = max(age - self._head.aim, datetime.timedelta())
+        return likelihood ** math.exp(-beyond / suspicion.SICK_FOR)
+
     def _signal(self, kind: evidence.Kind) -> suspicion.Signal | None:
         """What an end says of the target.
 
@@ -114,6 +130,23 @@
         self._overdue = signal is suspicion.Signal.OVERDUE
         self.item.suspicion.take(signal, self._clock.monotonic())
 
+    def _tell_end(self, kind: evidence.Kind) -> None:
+        """Tells what its end says: by its age, where it got no answer."""
+        now = self._clock.monotonic()
+        aim = self._head.aim
+        if self._latency is None and aim and kind in _UNANSWERED:
+            silence = self.silence(now)
+            if silence > 1:
+                self.item.suspicion.weigh(silence, now)
+            return
+        signal = self._signal(kind)
+        if signal is suspicion.Signal.GOOD and self._latency is not None:
+            lateness = self.item.times.likelihood(aim, self._latency)
+            self.item.times.take(aim, self._latency)
+            if lateness > LATE:
+                signal = suspicion.Signal.OVERDUE
+        self._tell(signal)
+
     def end(self, kind: evidence.Kind | None = None) -> None:
         """Frees the slot and reports, once."""
         if self._ended:
@@ -123,7 +156,7 @@
         if self._latency is None:
             self.item.left_off = self._clock.monotonic()
         self.item.slots.free(self.item.record.slots)
-        self._tell(self._signal(kind or self.kind))
+        self._tell_end(kind or self.kind)
         latency = self._latency
         if latency is None:
             latency = self._clock.monotonic() - self._started
