--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import dataclasses
 import datetime
 import logging
 from typing import Any
@@ -18,6 +17,7 @@
 from endivewind import exchange
 from endivewind import headers
 from endivewind import logs
+from endivewind.callers import authorization
 from endivewind.callers import calls
 from endivewind.callers import connections
 from endivewind.callers import gateway
@@ -35,8 +35,6 @@
 # A caller that is answered before its body ends gets this long to read the
 # answer before its connection is closed.
 LINGER = datetime.timedelta(seconds=1)
-# Proofs come several times a second where the platform is reached.
-UNPROVED_RETRY = datetime.timedelta(seconds=1)
 NOT_READY_RETRY = datetime.timedelta(seconds=1)
 LEAVING_RETRY = datetime.timedelta(seconds=1)
 # A node that has just started has its configuration by then, from its peers or
@@ -46,20 +44,6 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Doubts:
-    """What this node may not know of the configuration.
-
-    Attributes:
-      missing: what it does not know yet; None once it knows all.
-      is_proved: whether what it knows was the newest a short while ago, so
-        that work which needs a key may be served.
-    """
-
-    missing: collections.abc.Callable[[], str | None]
-    is_proved: collections.abc.Callable[[], bool] = lambda: True
-
-
 class Listener:
     """Turns HTTP requests into exchanges and answers them."""
 
@@ -68,7 +52,7 @@
         served: gateway.Gateway,
         ticketed: ticketing.Ticketing,
         limits: settings.Limits,
-        doubts: Doubts,
+        doubts: authorization.Doubts,
         dialect: calls.Dialect | None = None,
     ) -> None:
         """Serves nothing before server() is started.
@@ -278,14 +262,8 @@
         return await self._gateway.serve(route, head, call.body)
 
     def _route(self, call: calls.Call) -> objects.Route | None:
-        """The route of a request, as its workspace may use it.
-
-        Whose it is is looked up each time: a request that waited for the
-        first configuration came before any key was known here.
-        """
-        known = self._gateway.workspaces
-        if known.have_keys:
-            call.identify(known.holder(call.key))
+        """The route of a request, as its workspace may use it."""
+        authorization.identify(call, self._gateway.workspaces)
         path = call.path.partition("?")[0]
         return self._gateway.route(call.host, path, call.workspace)
 
@@ -303,7 +281,7 @@
         if route is None:
             detail = f"no route for {call.host}"
             return call.refuse(exchange.Reason.NO_ROUTE, detail)
-        refused = self._unauthorized(call, route)
+        refused = authorization.refusal(call, route, self._doubts)
         if refused is not None:
             return refused
         return self._admit_on(call, route)
@@ -331,22 +309,6 @@
         call.deadline = calls.now() + remaining
         return None
 
-    def _unauthorized(
-        self, call: calls.Call, route: objects.Route
-    ) -> exchange.Refusal | None:
-        """A refusal where the route needs a key that is surely in force."""
-        if not call.is_keyed or route.anonymous:
-            return None
-        if not call.workspace:
-            detail = "this route needs a key that a workspace holds"
-            return call.refuse(exchange.Reason.UNAUTHENTICATED, detail)
-        if self._doubts.is_proved():
-            return None
-        # The key may have been taken away since; another node, or this one in
-        # a moment, can tell.
-        detail = "no proof that the configuration in force is the newest"
-        return call.refuse(exchange.Reason.NOT_READY, detail, UNPROVED_RETRY)
-
     def _remaining(
         self, request: web.BaseRequest, route: objects.Route
     ) -> datetime.timedelta | None:
--- a/endivewind/commands/demo.py
+++ b/endivewind/commands/demo.py
@@ -2,9 +2,11 @@
 
 Starts the platform's stand-in, two nodes and six targets on loopback. All six
 answer their health check; one of them fails part of its real work. Callers
-send work for some seconds. Printed are what callers saw, what each target ran
-and which targets were ejected or avoided. Exits 0 if every caller was answered
-or told that its work was not run, and the gray target alone lost its work.
+send work for some seconds. Printed are what callers saw, what each target ran,
+which targets were ejected or avoided, and what a workspace with a key and a
+quota got. Exits 0 if every caller was answered or told that its work was not
+run, the gray target alone lost its work, and only the key in force was served,
+within its quota.
 """
 
 import asyncio
@@ -32,6 +34,7 @@
 from endivewind.config import objects
 from endivewind.config import planning
 from endivewind.config import settings
+from endivewind.config import store
 from endivewind.platform import client
 from endivewind.standins import platform
 from endivewind.standins import target
@@ -59,6 +62,14 @@
 # A target in doubt gets a question now and then; the least used of the others
 # gave one in three of the mean.
 AVOIDED_SHARE = 0.2
+# The key whose digest the configuration holds, and the object that does.
+_KEY = "demo-key-of-the-crew"
+_SHARD = store.Key(store.WORKSPACE_SHARD, "camerino")
+# Requests that the workspace sends at once, several times its quota.
+_BURST = 80
+_REVOKED_SECONDS = 5
+_UNAUTHORIZED = 401
+_TOO_MANY = 429
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,6 +124,43 @@
         )
 
 
+@dataclasses.dataclass(slots=True)
+class Keyed:
+    """What a workspace with a key and a quota got, as HTTP statuses.
+
+    Attributes:
+      without_key: of a request that bears none.
+      with_key: of one that bears it.
+      served: of many at once, at both nodes, those that were not refused.
+      over_quota: of these, those that were.
+      revoked: of one with the key after it was taken away.
+    """
+
+    without_key: int
+    with_key: int
+    served: int
+    over_quota: int
+    revoked: int
+
+    @property
+    def is_right(self) -> bool:
+        """Whether only the key in force was served, within its quota."""
+        refused = self.without_key == self.revoked == _UNAUTHORIZED
+        served = self.with_key != _UNAUTHORIZED and self.served > 0
+        return refused and served and self.over_quota > 0
+
+    def as_table(self) -> str:
+        """The same for people."""
+        rows = [
+            ("without a key", self.without_key),
+            ("with its key", self.with_key),
+            (f"{_BURST} at once: served", self.served),
+            (f"{_BURST} at once: {_TOO_MANY}", self.over_quota),
+            ("after the key was taken away", self.revoked),
+        ]
+        return tables.table(("WORKSPACE", "STATUS OR COUNT"), rows)
+
+
 def main(arguments: list[str]) -> int:
     """Runs the demo and prints what came of it."""
     if arguments:
@@ -123,24 +171,29 @@
 
 async def _demo() -> int:
     async with contextlib.AsyncExitStack() as stack:
-        nodes = await _start(stack)
+        api = platform.PlatformStandin(platform.ObjectStore())
+        url = "http://" + await _serve(stack, api.application())
+        nodes = await _start(stack, url)
         seen = Seen()
         await _call(nodes, seen)
         ejected = await _ejected(nodes)
+        keyed = await _keyed(nodes, url)
     value = {
         "callers": seen.as_json(),
         "gray_target": _GRAY,
         "ejected": ejected,
         "avoided": seen.avoided,
+        "workspace": dataclasses.asdict(keyed),
     }
-    options.show(value, text(seen, ejected))
+    options.show(value, text(seen, ejected) + "\n\n" + keyed.as_table())
     without_work = set(ejected) | set(seen.avoided)
-    return 0 if not seen.unclear and without_work == {_GRAY} else 1
+    well = not seen.unclear and without_work == {_GRAY} and keyed.is_right
+    return 0 if well else 1
 
 
-async def _start(stack: contextlib.AsyncExitStack) -> list[node.Addresses]:
-    api = platform.PlatformStandin(platform.ObjectStore())
-    url = "http://" + await _serve(stack, api.application())
+async def _start(
+    stack: contextlib.AsyncExitStack, url: str
+) -> list[node.Addresses]:
     await _submit(url)
     members = [_node(name, zone, url) for name, zone in _NODES]
     nodes = [await member.start() for member in members]
@@ -164,10 +217,10 @@
 async def _submit(url: str) -> None:
     loaded = base.load_file(str(_CONFIGURATION), objects.Configuration)
     async with aiohttp.ClientSession() as session:
-        store = client.PlatformClient(url, session)
+        api = client.PlatformClient(url, session)
         for key, spec in planning.specs(loaded.ok.model).items():
             value = {"spec": spec, "operation": "demo", "author": "demo"}
-            written = await store.put(*key, value, 0)
+            written = await api.put(*key, value, 0)
             if written.is_error():
                 raise exceptions.UnavailableError(str(written.error))
 
@@ -259,6 +312,61 @@
             seen.first_half_failed += early
 
 
+async def _keyed(nodes: list[node.Addresses], url: str) -> Keyed:
+    """Uses a key at both nodes, and takes it away."""
+    async with aiohttp.ClientSession() as session:
+        without = await _plan(session, nodes[0], "")
+        with_key = await _plan(session, nodes[0], _KEY)
+        many = await asyncio.gather(
+            *(
+                _plan(session, nodes[number % len(nodes)], _KEY)
+                for number in range(_BURST)
+            )
+        )
+        await _revoke(url, session)
+        revoked = await _after_removal(session, nodes)
+    over = many.count(_TOO_MANY)
+    return Keyed(without, with_key, len(many) - over, over, revoked)
+
+
+async def _after_removal(
+    session: aiohttp.ClientSession, nodes: list[node.Addresses]
+) -> int:
+    """The status that all nodes come to within the time of a change."""
+    found: set[int] = set()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_REVOKED_SECONDS):
+            while found != {_UNAUTHORIZED}:
+                await asyncio.sleep(0.1)
+                found = {await _plan(session, item, _KEY) for item in nodes}
+    return min(found - {_UNAUTHORIZED}, default=_UNAUTHORIZED)
+
+
+async def _plan(
+    session: aiohttp.ClientSession, addresses: node.Addresses, key: str
+) -> int:
+    """The status of one request that needs a key."""
+    fields = {"Host": _HOST}
+    if key:
+        fields[headers.AUTHORIZATION] = f"Bearer {key}"
+    url = f"http://{addresses.callers}/plans/1"
+    async with session.get(url, headers=fields) as response:
+        return response.status
+
+
+async def _revoke(url: str, session: aiohttp.ClientSession) -> None:
+    """Submits the workspaces without their key."""
+    api = client.PlatformClient(url, session)
+    found = await api.get(*_SHARD)
+    if found.is_error():
+        raise exceptions.UnavailableError(str(found.error))
+    spec = {**found.ok.value["spec"], "keys": {}, "keyed": True}
+    value = {"spec": spec, "operation": "revoke", "author": "demo"}
+    written = await api.put(*_SHARD, value, found.ok.version)
+    if written.is_error():
+        raise exceptions.UnavailableError(str(written.error))
+
+
 async def _ejected(nodes: list[node.Addresses]) -> dict[str, str]:
     """Ejected targets by id, each with the reason that its home gives."""
     ejected: dict[str, str] = {}
--- a/endivewind/decisions/quotas.py
+++ b/endivewind/decisions/quotas.py
@@ -145,8 +145,8 @@
 
     def borrow(self, count: int, now: datetime.timedelta) -> None:
         """Adds what another zone has lent; no more is held than a share."""
+        self._held += count
         self._refill(now)
-        self._held = min(self._held + count, self._limit.capacity)
 
     def wanted(self, now: datetime.timedelta) -> int:
         """How many to borrow so that it is full, if it is low; else 0."""
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -20,6 +20,7 @@
 from endivewind import reports
 from endivewind import tls
 from endivewind.callers import allowances
+from endivewind.callers import authorization
 from endivewind.callers import calls
 from endivewind.callers import gateway
 from endivewind.callers import listener
@@ -248,7 +249,7 @@
             self._gateway,
             self._ticketing,
             config.limits,
-            listener.Doubts(
+            authorization.Doubts(
                 lambda: self._configuration_peer.missing(),
                 self._is_proved,
             ),
--- a/endivewind/tests/callers/pipelining_tests.py
+++ b/endivewind/tests/callers/pipelining_tests.py
@@ -16,6 +16,7 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind.callers import authorization
 from endivewind.callers import calls
 from endivewind.callers import connections
 from endivewind.callers import counts
@@ -160,7 +161,7 @@
             self.gateway,
             None,
             settings.Limits(),
-            listener.Doubts(lambda: None),
+            authorization.Doubts(lambda: None),
             calls.Dialect(tickets=False),
         )
 
--- a/endivewind/tests/callers/starting_tests.py
+++ b/endivewind/tests/callers/starting_tests.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from endivewind import exchange
+from endivewind.callers import authorization
 from endivewind.callers import calls
 from endivewind.callers import listener
 from endivewind.callers import workspaces
@@ -37,7 +38,7 @@
             gateway,
             mock.Mock(),
             settings.Limits(),
-            listener.Doubts(lambda: self.missing),
+            authorization.Doubts(lambda: self.missing),
         )
 
     def ask(self, at):
--- a/endivewind/tests/callers/workspaces_tests.py
+++ b/endivewind/tests/callers/workspaces_tests.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from endivewind import exchange
+from endivewind.callers import authorization
 from endivewind.callers import calls
 from endivewind.callers import listener
 from endivewind.callers import problems
@@ -133,7 +134,7 @@
             gateway,
             mock.Mock(),
             settings.Limits(),
-            listener.Doubts(lambda: self.missing, lambda: self.is_proved),
+            authorization.Doubts(lambda: self.missing, lambda: self.is_proved),
             self.dialect,
         )
 
@@ -226,7 +227,7 @@
         refused = self.run_one(Authorization=f"Bearer {KEY}")
 
         self.assertEqual(503, problems.status(refused))
-        self.assertEqual(listener.UNPROVED_RETRY, refused.retry_after)
+        self.assertEqual(authorization.UNPROVED_RETRY, refused.retry_after)
         self.route = OPEN
         self.assertIsNone(self.run_one())
 
--- a/endivewind/tests/commands/demo_tests.py
+++ b/endivewind/tests/commands/demo_tests.py
@@ -29,6 +29,11 @@
         self.assertLessEqual(set(value["ejected"]), {"riders-3"})
         without_work = {*value["ejected"], *value["avoided"]}
         self.assertEqual({"riders-3"}, without_work, child.stdout)
+        workspace = value["workspace"]
+        refused = (workspace["without_key"], workspace["revoked"])
+        self.assertEqual((401, 401), refused, child.stdout)
+        self.assertEqual(200, workspace["with_key"], child.stdout)
+        self.assertGreater(workspace["over_quota"], 0, child.stdout)
         self.assertEqual(0, child.returncode, child.stderr)
 
     def test_text_names_the_ejected(self):
--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -197,6 +197,14 @@
             for number in range(targets_per_zone):
                 self._add_target(f"{zone}-{number}", zone)
 
+    def draw(self, share):
+        """Each target with the same chance."""
+        return [
+            target
+            for target in self.targets.values()
+            if self.rng.random() < share
+        ]
+
     def join(self, name, zone):
         """Adds a target that nothing is known of; returns it."""
         self._add_target(name, zone)
--- a/endivewind/tests/loads/silence_tests.py
+++ b/endivewind/tests/loads/silence_tests.py
@@ -23,11 +23,7 @@
         seed, targets_per_zone=4, entries_per_zone=4, slots=8, retries=retries
     )
     for _ in range(SPELLS):
-        sick = [
-            target
-            for target in played.targets.values()
-            if played.rng.random() < SICK_SHARE
-        ]
+        sick = played.draw(SICK_SHARE)
         for target in sick:
             target.hangs = HANGS
         played.play(3, (LOOKUP, ORDER))
--- a/endivewind/tests/loads/spells_tests.py
+++ b/endivewind/tests/loads/spells_tests.py
@@ -24,11 +24,7 @@
     """Plays some spells; returns the fleet with its counts."""
     played = fleet.Fleet(seed, **fleet_options)
     for _ in range(SPELLS):
-        sick = [
-            target
-            for target in played.targets.values()
-            if played.rng.random() < SICK_SHARE
-        ]
+        sick = played.draw(SICK_SHARE)
         for target in sick:
             target.fails = FAILS
         played.play(SPELL_SECONDS, kinds)
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -41,6 +41,56 @@
 _BEATS = "platform.heartbeats_tests"
 
 MUTANTS = (
+    Mutant(
+        "a key that was taken away is still known",
+        "callers/workspaces.py",
+        "            self._holders.pop(digest, None)\n",
+        "            pass\n",
+        "callers.workspaces_tests",
+    ),
+    Mutant(
+        "a caller's key goes on to its target",
+        "callers/listener.py",
+        "                drop_key=call.is_keyed,\n",
+        "                drop_key=False,\n",
+        "callers.workspaces_tests",
+    ),
+    Mutant(
+        "keyed work is served without a proof",
+        "callers/authorization.py",
+        "    if doubts.is_proved():\n",
+        "    if True:\n",
+        "callers.workspaces_tests",
+    ),
+    Mutant(
+        "the age of another node's proof is forgotten",
+        "config/freshness.py",
+        "        return self.proved(answer.version, asked - age)\n",
+        "        return self.proved(answer.version, asked)\n",
+        "config.freshness_tests",
+    ),
+    Mutant(
+        "a proof counts for a version that is not in force here",
+        "config/freshness.py",
+        "        if version > self._in_force():\n",
+        "        if False:\n",
+        "config.freshness_tests",
+    ),
+    Mutant(
+        "a zone holds more than its share by borrowing",
+        "decisions/quotas.py",
+        "        self._held = min(self._held + max(0.0, gained), "
+        "self._limit.capacity)\n",
+        "        self._held += gained\n",
+        "decisions.quotas_tests",
+    ),
+    Mutant(
+        "what is open says nothing of its target",
+        "targets/registry.py",
+        "        return math.prod(item.silence(now) for item in self.pending)\n",
+        "        return 1.0\n",
+        "loads.silence_tests",
+    ),
     Mutant(
         "a pipelined order is begun before its turn",
         "callers/listener.py",
