Keep look-ups without a retry away from doubtful targets, near or far

Change: the limit holds for what must not repeat, which brings a body as well. Look-ups in their last try leave from 0.15 on, as before.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -13,6 +13,9 @@
 
 # How often the size of the fleet is noted for the window that ends now.
 _SIZE_PERIOD = datetime.timedelta(milliseconds=500)
+# How often neighbours are counted while as many nodes are known: each count
+# looks at every node.
+COUNT_PERIOD = datetime.timedelta(seconds=1)
 # The part of its reserve that a node has at once when it starts. What its
 # earlier start has used in the window is not known; where all have started
 # anew, both together keep within the fleet's bound.
@@ -73,6 +76,8 @@
             collections.defaultdict(float)
         )
         self._neighbours = 0
+        # For how many nodes they were counted, and when.
+        self._counted = (0, -COUNT_PERIOD)
         self._last = -telling.GAP
 
     def of(self, service: str) -> retries.RetryBudget:
@@ -109,8 +114,11 @@
 
         Call it often; how many there are is looked up here, too.
         """
-        self._neighbours = self._count_neighbours()
         now = self._clock.monotonic()
+        nodes, counted_at = self._counted
+        if len(self._fleet.nodes) != nodes or now - counted_at >= COUNT_PERIOD:
+            self._neighbours = self._count_neighbours()
+            self._counted = (len(self._fleet.nodes), now)
         if now - self._last < telling.GAP:
             return ()
         found = []
--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -27,9 +27,9 @@
 # which pays up to about even odds.
 RISK_ONCE = 0.15
 RISK_REPEATABLE = 0.5
-# Beyond that, before it goes past its whole region. Between regions bytes are
-# paid for by volume, and those of an order and its answer may cost as much as
-# half of the orders are worth.
+# What must not repeat goes past its whole region only where it would likelier
+# be lost than not: bytes between regions are paid for by volume, and it brings
+# a body besides its answer.
 RISK_FAR = 0.6
 # Between two good ones, this much of a slot's load for a sure sickness.
 DOUBT_ONCE = 3.0
@@ -138,6 +138,11 @@
         """How likely a target may be sick to count as a good one."""
         return RISK_REPEATABLE if self.may_fail else RISK_ONCE
 
+    @property
+    def far_risk(self) -> float:
+        """How likely one near by may be sick before it goes far instead."""
+        return self.risk if self.repeatable else RISK_FAR
+
 
 class Load(Protocol):
     """What the entry knows of its targets' load."""
@@ -271,7 +276,7 @@
         # Where every path has failed, a doubtful one is better than none.
         return _Rank.CUT if free else None
     doubt = load.suspicion(item.id)
-    if doubt > max(demand.risk, RISK_FAR):
+    if doubt > demand.far_risk:
         return _RISKY[tier]
     if doubt > demand.risk:
         return _DOUBTFUL[tier]
--- a/endivewind/nodes/configuration.py
+++ b/endivewind/nodes/configuration.py
@@ -32,6 +32,8 @@
 # Where nobody has answered by then, all start at once, and the first ones ask
 # the platform; until they have an answer their callers are refused.
 ALONE_FIRST = datetime.timedelta(milliseconds=150)
+# How long it holds who watches, while as many nodes are known.
+ROLE_LIFE = datetime.timedelta(seconds=1)
 # Digests go to one peer about every two seconds; one in ten is lost.
 PEERS_SILENT = datetime.timedelta(seconds=30)
 
@@ -67,6 +69,9 @@
         self._joining = joining.Joining(self._spreader, kinds)
         self._asking = asking.Asking(place.name, configuration, fleet, pool)
         self._sending: set[asyncio.Task[None]] = set()
+        # For how many nodes it was decided who watches, and when.
+        self._decided = (0, -ROLE_LIFE)
+        self._is_watcher = True
         self._started = clock.monotonic()
 
     @property
@@ -76,8 +81,19 @@
 
     @property
     def is_watcher(self) -> bool:
-        """Whether this node is to hold the platform's watch."""
-        return watchers.is_watcher(self._place, self._fleet.nodes.values())
+        """Whether this node is to hold the platform's watch.
+
+        Asked for many times a second, and each answer looks at every node: one
+        holds for a while as long as as many nodes are known.
+        """
+        now = self._clock.monotonic()
+        nodes = len(self._fleet.nodes)
+        if nodes != self._decided[0] or now - self._decided[1] >= ROLE_LIFE:
+            self._decided = (nodes, now)
+            self._is_watcher = watchers.is_watcher(
+                self._place, self._fleet.nodes.values()
+            )
+        return self._is_watcher
 
     @property
     def lacks_peers(self) -> bool:
