--- a/endivewind/decisions/placing.py
+++ b/endivewind/decisions/placing.py
@@ -27,10 +27,10 @@
 # which pays up to about even odds.
 RISK_ONCE = 0.15
 RISK_REPEATABLE = 0.5
-# What must not repeat goes past its whole region only from a higher risk on:
-# bytes between regions are paid for by volume, and it brings a body besides its
-# answer.
-RISK_FAR = 0.3
+# What must not repeat goes past its whole region only where it would likelier
+# be lost than not: bytes between regions are paid for by volume, and it brings
+# a body besides its answer.
+RISK_FAR = 0.6
 # Between two good ones, this much of a slot's load for a sure sickness.
 DOUBT_ONCE = 3.0
 DOUBT_REPEATABLE = 0.5
