Log and export the rate limit and the departure that a target reports

A home node ignored the headers in which a target states its rate limit or that it is about to stop, and no log line or metric showed that a target had sent them. The home now logs each change and exports the limit as a gauge. Nothing acts on it yet.

--- a/endivewind/headers.py
+++ b/endivewind/headers.py
@@ -9,6 +9,8 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 TIMEOUT_MS = "Endivewind-Timeout-Ms"
 REQUEST_ID = "Endivewind-Request-Id"
+RATE_LIMIT = "Endivewind-Rate-Limit"
+LEAVING = "Endivewind-Leaving"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +29,9 @@
       workspace: the caller's workspace, as sent to targets.
       response_marker: in a response, shows that the target itself wrote it.
         Empty if targets don't send it.
+      rate_limit: in a response, the requests per second that the target accepts
+        from all nodes together, as a decimal number.
+      leaving: in a response, "1" if the target is about to stop.
     """
 
     request_id: str = REQUEST_ID
@@ -36,6 +41,8 @@
     not_run: str = ""
     workspace: str = WORKSPACE
     response_marker: str = ""
+    rate_limit: str = RATE_LIMIT
+    leaving: str = LEAVING
 
 
 DEFAULT_NAMES = HeaderNames()
--- a/endivewind/metrics.py
+++ b/endivewind/metrics.py
@@ -34,6 +34,8 @@
       health_changes: numbers of status changes of this home's targets, by
         service and health.
       targets: returns the targets of this home.
+      rate_limits: returns the rate limits of this home's targets that set one,
+        by id.
       nodes: returns the number of known nodes, this one included.
       idle_links: returns the number of open links to other nodes that carry
         no request.
@@ -47,6 +49,9 @@
     targets: collections.abc.Callable[
         [], collections.abc.Iterable[records.TargetRecord]
     ]
+    rate_limits: collections.abc.Callable[
+        [], collections.abc.Mapping[str, float]
+    ]
     nodes: collections.abc.Callable[[], int]
     idle_links: collections.abc.Callable[[], int]
     version: collections.abc.Callable[[], int]
@@ -136,6 +141,11 @@
         yield api.Observation(count, labels)
 
 
+def _rate_limits(sources: Sources) -> Observations:
+    for target, limit in sources.rate_limits().items():
+        yield api.Observation(limit, {"target": target})
+
+
 def _version(sources: Sources) -> Observations:
     yield api.Observation(sources.version())
 
@@ -217,6 +227,14 @@
         "Targets of this home, by service, state and health.",
         _targets,
     ),
+    Instrument(
+        "endivewind.target.rate_limit",
+        InstrumentKind.GAUGE,
+        "{request}",
+        "Requests per second that a target of this home accepts, by target; "
+        "only for targets that set a limit.",
+        _rate_limits,
+    ),
     Instrument(
         "endivewind.configuration.version",
         InstrumentKind.GAUGE,
--- a/endivewind/platform/names.py
+++ b/endivewind/platform/names.py
@@ -26,4 +26,6 @@
     not_run="X-Not-Executed",
     workspace="X-Tenant-Id",
     response_marker="X-Response-Stamp",
+    rate_limit="Server-Limit",
+    leaving="Server-Leaving",
 )
--- a/endivewind/reports.py
+++ b/endivewind/reports.py
@@ -118,6 +118,7 @@
             requests=report_sources.requests,
             health_changes=report_sources.outlier_monitor.status_change_counts,
             targets=report_sources.targets.target_records,
+            rate_limits=report_sources.targets.rate_limits,
             nodes=lambda: len(report_sources.fleet.nodes),
             idle_links=lambda: report_sources.pool.idle_count,
             version=lambda: report_sources.configuration.version,
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -18,12 +18,14 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import headers
+from endivewind import logs
 from endivewind.targets import attempt_log
 from endivewind.targets import connections
 from endivewind.targets import evidence
 from endivewind.targets import records
 from endivewind.targets import registry
 from endivewind.targets import responses
+from endivewind.targets import self_reports
 from endivewind.targets import silent_connections
 from endivewind.targets import slots
 from endivewind.targets import target_request
@@ -348,6 +350,8 @@
             trace_request_ctx=progress,
         )
         self._check_response(head, response)
+        if not responses.is_misdirected(response, self._header_names):
+            self._record_self_report(request.home_target, response)
         refusal = responses.target_refusal(response, self._header_names)
         if refusal is not None:
             request.record_response_head(response.status)
@@ -385,6 +389,31 @@
             "response belongs to another request"
         )
 
+    def _record_self_report(
+        self, item: registry.HomeTarget, response: aiohttp.ClientResponse
+    ) -> None:
+        """Records what a response says of its target, and logs changes."""
+        is_leaving = self_reports.is_leaving(
+            response.headers, self._header_names
+        )
+        if is_leaving and not item.is_leaving:
+            item.is_leaving = True
+            log.info(
+                "target is leaving", extra=logs.fields(target=item.record.id)
+            )
+        limit = self_reports.rate_limit(response.headers, self._header_names)
+        if limit.is_error():
+            log.warning(
+                "target's rate limit ignored",
+                extra=logs.fields(target=item.record.id, problem=limit.error),
+            )
+        elif limit.ok != item.rate_limit:
+            item.rate_limit = limit.ok
+            log.info(
+                "target's rate limit changed",
+                extra=logs.fields(target=item.record.id, limit=limit.ok),
+            )
+
 
 def _timeout_refusal(request: target_request.TargetRequest) -> ResponseResult:
     if not request.may_have_been_sent:
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -92,6 +92,9 @@
       last_abandoned_at: when a request last ended without a response, so that
         the target may still be executing it; None if none has.
       latencies: distribution of its response times.
+      rate_limit: requests per second that it accepts from all nodes together,
+        as its latest response says; None if it sets no limit.
+      is_leaving: whether a response has said that it is about to stop.
     """
 
     record: records.TargetRecord
@@ -105,6 +108,8 @@
     latencies: response_times.ResponseTimes = dataclasses.field(
         default_factory=response_times.ResponseTimes
     )
+    rate_limit: float | None = None
+    is_leaving: bool = False
 
     @property
     def slots_in_use(self) -> int:
@@ -248,6 +253,14 @@
         """Returns the published records of all targets."""
         return [item.record for item in self._targets.values()]
 
+    def rate_limits(self) -> dict[str, float]:
+        """Returns the rate limits of the targets that set one, by id."""
+        return {
+            name: item.rate_limit
+            for name, item in self._targets.items()
+            if item.rate_limit is not None
+        }
+
     def take_changes(self) -> list[records.TargetChange]:
         """Returns and clears the changes since the last call, in order."""
         changes, self._changes = self._changes, []
--- a/endivewind/targets/responses.py
+++ b/endivewind/targets/responses.py
@@ -127,6 +127,15 @@
         response.close()
 
 
+def is_misdirected(
+    response: aiohttp.ClientResponse, header_names: headers.HeaderNames
+) -> bool:
+    """Returns whether another target has the address and rejected a request."""
+    return bool(
+        header_names.expected_target and response.status == _MISDIRECTED_REQUEST
+    )
+
+
 def target_refusal(
     response: aiohttp.ClientResponse, header_names: headers.HeaderNames
 ) -> exchange.Refusal | None:
@@ -136,7 +145,7 @@
       None if the target may have executed the request. It declares that it
       did not by the status 421 or the configured header.
     """
-    if header_names.expected_target and response.status == _MISDIRECTED_REQUEST:
+    if is_misdirected(response, header_names):
         return exchange.not_run_refusal(
             exchange.Reason.WRONG_TARGET, "address belongs to another target"
         )
