--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -14,6 +14,7 @@
 import random
 
 from endivewind import exchange
+from endivewind import headers as header_names
 from endivewind.callers import gateway
 from endivewind.callers import placement
 from endivewind.callers import request_queues
@@ -98,6 +99,9 @@
       slowdown: factor of the service times.
       hang_share: share of requests that never get a response.
       served_count: requests that it has served.
+      rate_limit: requests per second that its responses name as its limit;
+        None for no limit.
+      arrivals: when each request arrived, in seconds of virtual time.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -105,29 +109,37 @@
         self.slowdown = 1.0
         self.hang_share = 0.0
         self.served_count = 0
+        self.rate_limit: float | None = None
+        self.arrivals: list[float] = []
         self._rng = rng
 
     async def request(self, method, url, *, headers, trace_request_ctx, **_):
         """Stands in for `aiohttp.ClientSession.request`."""
         trace_request_ctx.has_connection = True
+        self.arrivals.append(asyncio.get_running_loop().time())
         draw = self._rng.random()
         if draw < self.hang_share:
             await asyncio.Event().wait()
         if draw < self.hang_share + self.failure_share:
             await asyncio.sleep(FAILURE_LATENCY_SECONDS)
-            return _Response(500)
+            return _Response(500, self._headers())
         await asyncio.sleep(float(headers["Work"]) * self.slowdown)
         self.served_count += 1
-        return _Response(200)
+        return _Response(200, self._headers())
+
+    def _headers(self):
+        if self.rate_limit is None:
+            return {}
+        return {header_names.RATE_LIMIT: str(self.rate_limit)}
 
 
 class _Response:
-    headers = {}
     raw_headers = ()
     content_length = 0
 
-    def __init__(self, status):
+    def __init__(self, status, headers):
         self.status = status
+        self.headers = headers
 
     async def read(self):
         return b""
