Keep the rate limits that targets name in their responses

Cause: nodes passed the header on to callers and read nothing from it. Entry nodes choose targets by free slots, latency and suspicion, which a target in need may all have in its favour. Its class: what a target says of itself in its responses was not evidence for anybody.

Fix: the home, the only node that sees all requests of a target, spaces them by the interval that the limit allows, and refuses the rest as not run. Each response and refusal reports to the entry node how long the target accepts nothing, so that it chooses others meanwhile. The check is made again once a request has a slot, since requests queue for slots when a limit is named. A crossed response, a 5xx or a 421 of another target does not lift a limit.

--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -156,6 +156,10 @@
         self.peer_load = max(0, status.load - self.own_requests)
         self.suspicion = status.suspicion
         self.reported_at = now
+        if status.rate_limit_wait:
+            self.cooldown_until = max(
+                self.cooldown_until, now + status.rate_limit_wait
+            )
 
     def remaining_peer_load(
         self, service_latency: float, now: datetime.timedelta
@@ -322,7 +326,7 @@
         if status is not None:
             known.update_status(status, now)
         if cooldown is not None:
-            known.cooldown_until = now + cooldown
+            known.cooldown_until = max(known.cooldown_until, now + cooldown)
         elif result.is_ok() and result.ok.status < _MIN_FAILURE_STATUS:
             seconds = latency.total_seconds()
             service_latency = service_latency or seconds
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -66,15 +66,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetReport:
-    """Load and suspicion of a target, attached to responses by its home node.
+    """Status of a target, attached to responses by its home node.
 
     Attributes:
       load: requests that are running at the target or queued for it.
       suspicion: probability that the target is unhealthy, from 0 to 1.
+      rate_limit_wait: time until its rate limit allows another request.
     """
 
     load: int
     suspicion: float
+    rate_limit_wait: datetime.timedelta = datetime.timedelta()
 
 
 @dataclasses.dataclass(slots=True)
--- a/endivewind/nodes/codec.py
+++ b/endivewind/nodes/codec.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import datetime
+import math
 import pathlib
 import struct
 from typing import Any
@@ -17,6 +19,7 @@
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 
 _LENGTH = struct.Struct("!I")
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 messages: Any = thriftpy2.load(
     str(pathlib.Path(__file__).with_name("messages.thrift")),
@@ -70,7 +73,11 @@
     """Converts a target report to a thrift struct."""
     if report is None:
         return None
-    return messages.TargetReport(report.load, round(100 * report.suspicion))
+    return messages.TargetReport(
+        report.load,
+        round(100 * report.suspicion),
+        math.ceil(report.rate_limit_wait / _MILLISECOND),
+    )
 
 
 def decode_target_report(report: Any) -> exchange.TargetReport | None:
@@ -78,7 +85,9 @@
     if report is None:
         return None
     return exchange.TargetReport(
-        report.load or 0, (report.suspicion or 0) / 100
+        report.load or 0,
+        (report.suspicion or 0) / 100,
+        max(0, report.limit_wait_ms or 0) * _MILLISECOND,
     )
 
 
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -35,11 +35,13 @@
   20: bool repeat
 }
 
-// Load and suspicion of a target, attached by its home node to each response.
+// Status of a target, attached by its home node to each response.
 // suspicion: probability that the target is unhealthy, in percent.
+// limit_wait_ms: time until the target's rate limit allows another request.
 struct TargetReport {
   1: i32 load
   2: i32 suspicion
+  3: i32 limit_wait_ms
 }
 
 // A part of a request or response body.
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -34,6 +34,9 @@
 
 BUSY_RETRY_AFTER = datetime.timedelta(milliseconds=200)
 _MIN_TIMEOUT = datetime.timedelta(milliseconds=1)
+# Failures may be responses of a proxy or a crashing process, which don't know
+# of the target's rate limit.
+_MIN_FAILURE_STATUS = 500
 # A target may continue for this long with a request that was abandoned.
 ABANDONED_WORK_TIME = datetime.timedelta(milliseconds=500)
 ResponseResult = expression.Result[exchange.Response, exchange.Refusal]
@@ -191,6 +194,8 @@
         if item is None:
             return expression.Error(self._unknown_target(target))
         refusal = self._check_availability(item, head)
+        if refusal is None and item.rate_limit_wait(self._clock.monotonic()):
+            refusal = self._rate_limit_refusal(item)
         if refusal is not None:
             return refusal
         waiter = slots.make_waiter(head.queue_priority, deadline)
@@ -201,8 +206,13 @@
                 BUSY_RETRY_AFTER,
                 self._report(item),
             )
-        # The target may have started draining while the request was queued.
+        # The target may have started draining while the request was queued, or
+        # requests may have passed it in the queue and used up the rate limit.
         refusal = self._check_availability(item, head)
+        if refusal is None and not item.rate_limit.take(
+            self._clock.monotonic()
+        ):
+            refusal = self._rate_limit_refusal(item)
         if refusal is not None:
             item.slots.release(item.record.slots)
             return refusal
@@ -233,6 +243,15 @@
             )
         return None
 
+    def _rate_limit_refusal(self, item: registry.HomeTarget) -> ResponseResult:
+        report = self._report(item)
+        return _refuse(
+            exchange.Reason.BUSY,
+            f"{item.record.id} is at its rate limit",
+            max(report.rate_limit_wait, _MIN_TIMEOUT),
+            report,
+        )
+
     def _report(self, item: registry.HomeTarget) -> exchange.TargetReport:
         return item.report(self._clock.monotonic())
 
@@ -351,7 +370,7 @@
         )
         self._check_response(head, response)
         if not responses.is_misdirected(response, self._header_names):
-            self._record_self_report(request.home_target, response)
+            self._record_self_report(request, response)
         refusal = responses.target_refusal(response, self._header_names)
         if refusal is not None:
             request.record_response_head(response.status)
@@ -390,9 +409,12 @@
         )
 
     def _record_self_report(
-        self, item: registry.HomeTarget, response: aiohttp.ClientResponse
+        self,
+        request: target_request.TargetRequest,
+        response: aiohttp.ClientResponse,
     ) -> None:
         """Records what a response says of its target, and logs changes."""
+        item = request.home_target
         is_leaving = self_reports.is_leaving(
             response.headers, self._header_names
         )
@@ -407,11 +429,18 @@
                 "target's rate limit ignored",
                 extra=logs.fields(target=item.record.id, problem=limit.error),
             )
-        elif limit.ok != item.rate_limit:
-            item.rate_limit = limit.ok
+            return
+        previous = item.rate_limit.rate
+        if limit.ok is not None:
+            item.rate_limit.set_rate(limit.ok, self._clock.monotonic())
+        elif response.status < _MIN_FAILURE_STATUS:
+            item.rate_limit.lift(request.started_at)
+        if item.rate_limit.rate != previous:
             log.info(
                 "target's rate limit changed",
-                extra=logs.fields(target=item.record.id, limit=limit.ok),
+                extra=logs.fields(
+                    target=item.record.id, limit=item.rate_limit.rate
+                ),
             )
 
 
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -18,6 +18,7 @@
 from endivewind import exchange
 from endivewind.config import base
 from endivewind.decisions import peer_updates
+from endivewind.decisions import rate_limits
 from endivewind.decisions import response_times
 from endivewind.decisions import suspicion
 from endivewind.targets import records
@@ -92,8 +93,7 @@
       last_abandoned_at: when a request last ended without a response, so that
         the target may still be executing it; None if none has.
       latencies: distribution of its response times.
-      rate_limit: requests per second that it accepts from all nodes together,
-        as its latest response says; None if it sets no limit.
+      rate_limit: the limit that its responses name.
       is_leaving: whether a response has said that it is about to stop.
     """
 
@@ -108,7 +108,9 @@
     latencies: response_times.ResponseTimes = dataclasses.field(
         default_factory=response_times.ResponseTimes
     )
-    rate_limit: float | None = None
+    rate_limit: rate_limits.RateLimit = dataclasses.field(
+        default_factory=rate_limits.RateLimit
+    )
     is_leaving: bool = False
 
     @property
@@ -120,7 +122,13 @@
         """Returns the report that is sent to entry nodes."""
         likelihood_ratio = self._pending_likelihood_ratio(now)
         probability = self.suspicion.probability(now, likelihood_ratio)
-        return exchange.TargetReport(self.slots.load, probability)
+        return exchange.TargetReport(
+            self.slots.load, probability, self.rate_limit_wait(now)
+        )
+
+    def rate_limit_wait(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns how long its rate limit delays a request that arrives now."""
+        return self.rate_limit.wait(now, self.slots.queue_length)
 
     def _pending_likelihood_ratio(self, now: datetime.timedelta) -> float:
         """Returns the likelihood ratio of all its pending requests."""
@@ -256,9 +264,9 @@
     def rate_limits(self) -> dict[str, float]:
         """Returns the rate limits of the targets that set one, by id."""
         return {
-            name: item.rate_limit
+            name: item.rate_limit.rate
             for name, item in self._targets.items()
-            if item.rate_limit is not None
+            if item.rate_limit.rate is not None
         }
 
     def take_changes(self) -> list[records.TargetChange]:
@@ -296,6 +304,8 @@
         known.address = announcement.address
         known.lease_expires_at = expires
         known.last_sequence = announcement.sequence
+        if record.target_incarnation != known.record.target_incarnation:
+            known.rate_limit = rate_limits.RateLimit()
         if _differs(known.record, record):
             known.record = record
             self._record_change(target)
--- a/endivewind/targets/slots.py
+++ b/endivewind/targets/slots.py
@@ -31,10 +31,15 @@
         """Number of slots in use."""
         return self._in_use
 
+    @property
+    def queue_length(self) -> int:
+        """Number of requests queued for a slot."""
+        return len(self._futures)
+
     @property
     def load(self) -> int:
         """Number of requests running at the target or queued for it."""
-        return self._in_use + len(self._futures)
+        return self._in_use + self.queue_length
 
     async def acquire(self, total_slots: int, waiter: admission.Waiter) -> bool:
         """Waits for a slot.
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -56,7 +56,7 @@
         self._clock = clock
         self._observer = observer
         self._silent_connections = connection_detector
-        self._started_at = clock.monotonic()
+        self.started_at = clock.monotonic()
         self._latency: datetime.timedelta | None = None
         self._is_finished = False
         self._has_counted_overdue = False
@@ -81,11 +81,11 @@
     def record_response_head(self, status: int) -> None:
         """Records the status and latency of the response."""
         self.result_kind = evidence.classify_status(status)
-        self._latency = self._clock.monotonic() - self._started_at
+        self._latency = self._clock.monotonic() - self.started_at
 
     def cancel(self) -> None:
         """Finishes the request after its caller disconnected or timed out."""
-        elapsed = self._clock.monotonic() - self._started_at
+        elapsed = self._clock.monotonic() - self.started_at
         is_timeout = (
             elapsed >= self._head.remaining_time and self._latency is None
         )
@@ -116,7 +116,7 @@
         """Reports an overdue response once if there is no latency objective."""
         if self._head.latency_objective or self._latency is not None:
             return
-        if now - self._started_at > DEFAULT_OVERDUE_TIME:
+        if now - self.started_at > DEFAULT_OVERDUE_TIME:
             self._observe(suspicion.SuspicionSignal.OVERDUE)
 
     def likelihood_ratio(self, now: datetime.timedelta) -> float:
@@ -128,7 +128,7 @@
         """
         if self._latency is not None:
             return 1.0
-        age = now - self._started_at
+        age = now - self.started_at
         likelihood = self.home_target.latencies.likelihood_ratio(
             self._head.latency_objective, age
         )
@@ -198,7 +198,7 @@
         self._observe_result(kind or self.result_kind)
         latency = self._latency
         if latency is None:
-            latency = self._clock.monotonic() - self._started_at
+            latency = self._clock.monotonic() - self.started_at
         self._observer.record_finish(
             evidence.Sample(
                 target=self.home_target.record.id,
--- a/endivewind/tests/callers/placement_tests.py
+++ b/endivewind/tests/callers/placement_tests.py
@@ -100,6 +100,28 @@
                 self.assertEqual({"riders-1"}, chosen)
                 self.assertEqual({"riders-0", "riders-1"}, later)
 
+    def test_target_at_its_rate_limit_is_not_chosen(self):
+        """A target has free slots, and its home reports a wait of a second.
+
+        Without this the entry node would choose it again and again, and each
+        refusal by the home costs a hop and one of the request's attempts.
+        """
+        targets = [_record(number) for number in range(2)]
+        self.put_targets(targets)
+        report = exchange.TargetReport(0, 0.0, datetime.timedelta(seconds=1))
+        response = exchange.Response(200, (), target_report=report)
+        self.placement.record_start(targets[0])
+        self.placement.record_end(
+            targets[0], expression.Ok(response), datetime.timedelta()
+        )
+
+        chosen = {self.choose_target() for _ in range(20)}
+        self.clock.advance(datetime.timedelta(seconds=1))
+        later = {self.choose_target() for _ in range(20)}
+
+        self.assertEqual({"riders-1"}, chosen)
+        self.assertEqual({"riders-0", "riders-1"}, later)
+
     def test_moved_target_does_not_cool_down(self):
         """The old home names the new one; a cooldown would only add delay."""
         targets = [_record(number) for number in range(2)]
--- a/endivewind/tests/loads/rate_limits_tests.py
+++ b/endivewind/tests/loads/rate_limits_tests.py
@@ -63,6 +63,28 @@
                             _highest_count(target.arrivals), _allowed(limit)
                         )
 
+    def test_other_targets_serve_the_requests_above_the_limits(self):
+        """Half of the targets limit themselves, and the others have room.
+
+        A caller must not be refused, or get its response late, because its
+        request was held for a target at its limit.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulated = _run(seed, (3.0,) * 6)
+
+                for stats in simulated.stats.values():
+                    self.assertLess(stats.lost_share, 0.03)
+                    self.assertGreater(stats.on_time_share, 0.95)
+
+    def test_refused_requests_say_when_to_retry(self):
+        """All targets limit themselves to half of the load."""
+        simulated = _run(SEEDS[0], (2.7,) * 12)
+
+        for stats in simulated.stats.values():
+            self.assertGreater(stats.refused, 0)
+            self.assertEqual(0, stats.refused_without_retry_after)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -164,6 +164,20 @@
         "",
         _TICKETS,
     ),
+    Mutant(
+        "a target gets more requests than the limit that it names",
+        "targets/dispatch.py",
+        "            item.rate_limit.set_rate(limit.ok, self._clock.monotonic())\n",
+        "            pass\n",
+        _DISPATCH,
+    ),
+    Mutant(
+        "requests that queue for a slot are sent in spite of the rate limit",
+        "targets/dispatch.py",
+        "        if refusal is None and not item.rate_limit.take(\n",
+        "        if refusal is None and False and not item.rate_limit.take(\n",
+        _DISPATCH,
+    ),
     Mutant(
         "the home's incarnation is not checked",
         "targets/dispatch.py",
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -87,7 +87,7 @@
     def setUp(self):
         self.loop = virtual_loop.VirtualLoop()
         self.addCleanup(self.loop.close)
-        clock = virtual_loop.LoopClock(self.loop)
+        clock = self._clock = virtual_loop.LoopClock(self.loop)
         home = registry.HomeIdentity("home", 7, "r", "z")
         self.targets = registry.TargetRegistry(home, clock)
         self.targets.announce("t", ANNOUNCEMENT, 2)
@@ -353,3 +353,144 @@
             "r", "GET", "/", (), "riders", "", datetime.timedelta(seconds=9)
         )
         return await self.dispatcher.run("t", head, exchange.RequestBody())
+
+
+class RateLimitTest(_Case):
+    """A target names a limit of one request per second."""
+
+    def respond(self, status=200, **fields):
+        """Sets the next response; header names are written with dashes."""
+        fields = {name.replace("_", "-"): text for name, text in fields.items()}
+        self.pooled.responses.append(
+            _Response(0, status, **{"Other": "x"}, **fields)
+        )
+
+    def name_limit(self, limit):
+        self.respond(Endivewind_Rate_Limit=limit)
+        self.assertTrue(self.run_one().is_ok())
+
+    def advance(self, seconds):
+        self.loop.advance(datetime.timedelta(seconds=seconds))
+
+    def rate(self):
+        return self.targets.get("t").rate_limit.rate
+
+    def test_requests_above_the_limit_are_refused_as_not_run(self):
+        """Guards against overloading a target that says how much it takes."""
+        self.name_limit("1")
+        results = [self.run_one() for _ in range(5)]
+
+        self.assertEqual(1, self.pooled.request_count)
+        for result in results:
+            self.assertIs(exchange.Reason.BUSY, result.error.reason)
+            self.assertTrue(result.error.was_not_run)
+            self.assertEqual(
+                datetime.timedelta(seconds=1), result.error.retry_after
+            )
+
+    def test_responses_report_the_wait_to_entry_nodes(self):
+        self.respond(Endivewind_Rate_Limit="1")
+        result = self.run_one()
+
+        self.assertEqual(
+            datetime.timedelta(seconds=1),
+            result.ok.target_report.rate_limit_wait,
+        )
+
+    def test_next_request_is_sent_after_the_wait(self):
+        self.name_limit("1")
+        self.advance(1)
+        self.respond(Endivewind_Rate_Limit="1")
+
+        self.assertTrue(self.run_one().is_ok())
+        self.assertTrue(self.run_one().is_error())
+
+    def test_limit_holds_until_a_response_names_none(self):
+        self.name_limit("1")
+        self.advance(1)
+        self.respond()
+        self.run_one()
+
+        self.assertIsNone(self.rate())
+        self.assertTrue(all(self.run_one().is_ok() for _ in range(5)))
+
+    def test_failure_without_a_limit_does_not_lift_it(self):
+        self.name_limit("1")
+        self.advance(1)
+        self.respond(status=500)
+        self.run_one()
+
+        self.assertEqual(1, self.rate())
+
+    def test_invalid_limit_changes_nothing(self):
+        self.name_limit("1")
+        self.advance(1)
+        self.name_limit("many")
+
+        self.assertEqual(1, self.rate())
+
+    def test_rejected_request_may_name_the_limit(self):
+        self.respond(status=503, Endivewind_Rate_Limit="2.5")
+        self.run_one()
+
+        self.assertEqual(2.5, self.rate())
+
+    def test_restarted_target_has_no_limit(self):
+        """The target keeps its id; its new incarnation has named no limit."""
+        self.name_limit("1")
+        restarted = ANNOUNCEMENT.model_copy(update={"incarnation": 2})
+        self.targets.announce("t", restarted, 2)
+
+        self.assertIsNone(self.rate())
+
+    def test_request_that_waited_for_a_slot_is_within_the_limit(self):
+        """Requests that queue for a slot when a limit is named wait for it.
+
+        Two requests run and two are queued. The first responses name a limit,
+        and the queued requests must not be sent at once.
+        """
+        self.pooled.is_silent = True
+
+        async def send_four():
+            tasks = [asyncio.ensure_future(self._send()) for _ in range(4)]
+            await asyncio.sleep(0.1)
+            item = self.targets.get("t")
+            item.rate_limit.set_rate(1, self._clock.monotonic())
+            for request in list(item.pending_requests):
+                request.finish()
+            await asyncio.sleep(0.1)
+            sent = self.pooled.request_count
+            for task in tasks:
+                task.cancel()
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            return sent, results
+
+        sent, results = self.loop.run_until_complete(send_four())
+
+        self.assertEqual(2, sent)
+        for result in results[2:]:
+            self.assertIs(exchange.Reason.BUSY, result.error.reason)
+
+    async def _send(self):
+        head = exchange.RequestHead(
+            "r", "GET", "/", (), "riders", "", datetime.timedelta(seconds=9)
+        )
+        return await self.dispatcher.run("t", head, exchange.RequestBody())
+
+
+class MisdirectedSelfReportTest(_Case):
+    """Another target uses the address and rejects the request."""
+
+    names = ResponseMarkerTest.names
+
+    def test_limit_of_another_target_is_ignored(self):
+        self.fresh.responses = [
+            _Response(
+                status=421,
+                **{"Own-Id": "r", headers.RATE_LIMIT: "1"},
+            )
+        ]
+
+        self.run_one("ticket", 1)
+
+        self.assertIsNone(self.targets.get("t").rate_limit.rate)
