--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -33,6 +33,7 @@
 ZONES = tuple(f"{region}-{part}" for region in "abc" for part in "xy")
 TARGETS_PER_ZONE = 2
 SLOTS_PER_TARGET = 3
+TARGET_INCARNATION = 1
 # One-way delay between zones of a region and between regions, as measured by
 # the users.
 SAME_REGION_DELAY_SECONDS = 0.0014
@@ -101,6 +102,7 @@
       served_count: requests that it has served.
       rate_limit: requests per second that its responses name as its limit;
         None for no limit.
+      is_leaving: whether its responses say that it is about to stop.
       arrivals: when each request arrived, in seconds of virtual time.
     """
 
@@ -110,6 +112,7 @@
         self.hang_share = 0.0
         self.served_count = 0
         self.rate_limit: float | None = None
+        self.is_leaving = False
         self.arrivals: list[float] = []
         self._rng = rng
 
@@ -128,9 +131,12 @@
         return _Response(200, self._headers())
 
     def _headers(self):
-        if self.rate_limit is None:
-            return {}
-        return {header_names.RATE_LIMIT: str(self.rate_limit)}
+        fields = {}
+        if self.rate_limit is not None:
+            fields[header_names.RATE_LIMIT] = str(self.rate_limit)
+        if self.is_leaving:
+            fields[header_names.LEAVING] = "1"
+        return fields
 
 
 class _Response:
@@ -207,7 +213,11 @@
         """
         self._retries = retries
         self._announcement = registry.Announcement(
-            service=SERVICE, address="http://t", lease_ms=60_000, slots=slots
+            service=SERVICE,
+            address="http://t",
+            incarnation=TARGET_INCARNATION,
+            lease_ms=60_000,
+            slots=slots,
         )
         self._sends_updates = sends_updates
         self._publishers = collections.defaultdict(
@@ -263,7 +273,25 @@
             self.join_target(name, zone)
 
     def _add_target(self, name, zone):
-        target = self.targets[name] = FakeTarget(self.rng)
+        self.targets[name] = FakeTarget(self.rng)
+        self._start_home(name, zone)
+        self._view.put_node(view.NodeRecord(name, 1, name, zone[0], zone))
+        record = samples.make_target_record(
+            name,
+            home=name,
+            region=zone[0],
+            zone=zone,
+            slots=self._announcement.slots,
+            target_incarnation=TARGET_INCARNATION,
+        )
+        self._view.put_home_state(name, 1, 1, [record])
+
+    def restart_home(self, name):
+        """Restarts a target's home node, which forgets what it knew."""
+        self._start_home(name, name.rpartition("-")[0])
+
+    def _start_home(self, name, zone):
+        target = self.targets[name]
         home = registry.HomeIdentity(name, 1, zone[0], zone)
         targets = self._registries[name] = registry.TargetRegistry(
             home, self.clock
@@ -276,15 +304,6 @@
             dispatch.NullObserver(),
             attempt_log.AttemptLog(),
         )
-        self._view.put_node(view.NodeRecord(name, 1, name, zone[0], zone))
-        record = samples.make_target_record(
-            name,
-            home=name,
-            region=zone[0],
-            zone=zone,
-            slots=self._announcement.slots,
-        )
-        self._view.put_home_state(name, 1, 1, [record])
 
     def _make_gateway(self, zone, number):
         place = load_balancing.Locality(f"entry-{zone}-{number}", zone[0], zone)
