Stop using targets whose responses say that they are leaving

Callers whose requests reach a target shortly before it stops get errors, and work that must not repeat is left in doubt. A target can say in its responses that it is about to stop; nodes passed the header on and read nothing from it. Its class is that of the rate limits: what a target says of itself in its responses counted for nothing, only its announcements did, which may be lost or late.

Fix: the home marks the incarnation of the target as leaving, publishes it as draining and keeps it so whatever the target announces. A restart of the home would forget that, so reports name the leaving incarnation, and each entry node that has got one does not choose that incarnation again.

Two mutants show that either safeguard is tested.

--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -61,6 +61,9 @@
 # A change of the pool starts slow start for its new targets only if they are
 # at most this share of the pool.
 MAX_SLOW_START_SHARE = 0.25
+# Departed targets that an entry node remembers. More than that many of a fleet
+# of 12,000 targets do not stop within the seconds that a departure takes.
+MAX_REMEMBERED_DEPARTURES = 1_024
 # The Retry-After of a refusal is a random time between a minimum, which is
 # MIN_RETRY_AFTER or more, and RETRY_AFTER_SPREAD times that minimum.
 MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
@@ -318,11 +321,7 @@
         cooldown = _cooldown_after(result, service_latency)
         known = self._load_of(record.id)
         now = self._clock.monotonic()
-        status = (
-            result.ok.target_report
-            if result.is_ok()
-            else result.error.target_report
-        )
+        status = _target_report(result)
         if status is not None:
             known.update_status(status, now)
         if cooldown is not None:
@@ -387,7 +386,12 @@
         self._rng = rng
         self._clock = clock
         self._started = clock.monotonic()
-        self._pools: dict[str, tuple[tuple[int, int], load_balancing.Pool]] = {}
+        self._pools: dict[
+            str, tuple[tuple[int, int, int], load_balancing.Pool]
+        ] = {}
+        # The latest incarnation of each target that has departed, by id.
+        self._departures: dict[str, int] = {}
+        self._departure_count = 0
         self._circuit_breakers = circuit_breakers.CircuitBreakers()
         self._cross_region_budget = cross_region.CrossRegionBudget(
             cross_region_bytes_per_second
@@ -439,6 +443,7 @@
         if result is None:
             return
         self._loads.record_result(record, result, latency)
+        self._record_departure(record, result)
         if result.is_ok():
             self._charge_traffic(record, _body_size(result.ok))
         if result.is_error() and result.error.reason in _HOME_FAILURE_REASONS:
@@ -448,6 +453,32 @@
         else:
             self._circuit_breakers.record_success(record.home)
 
+    def _record_departure(
+        self,
+        record: records.TargetRecord,
+        result: expression.Result[exchange.Response, exchange.Refusal],
+    ) -> None:
+        """Remembers a target whose responses say that it is about to stop.
+
+        Scenario: the target's home restarts and forgets the departure, and the
+        target still announces itself as ready. Risk: requests go to the target
+        when it stops, and are lost. So each entry node remembers the departure
+        for as long as the target's incarnation lasts.
+        """
+        report = _target_report(result)
+        if report is None or not report.leaving_incarnation:
+            return
+        known = self._departures.pop(record.id, 0)
+        self._departures[record.id] = max(known, report.leaving_incarnation)
+        if report.leaving_incarnation > known:
+            self._departure_count += 1
+        if len(self._departures) > MAX_REMEMBERED_DEPARTURES:
+            del self._departures[next(iter(self._departures))]
+
+    def _has_departed(self, record: records.TargetRecord) -> bool:
+        known = self._departures.get(record.id, 0)
+        return 0 < record.target_incarnation <= known
+
     def apply_update(self, update: peer_updates.TargetUpdate) -> None:
         """Stores a home's target update if the target is known."""
         if self._fleet.find_target(update.target) is not None:
@@ -494,7 +525,11 @@
         that the proxy may add to it.
         """
         floor_slots = self._floor_slots_of(service)
-        version = (self._fleet.revision(service), floor_slots)
+        version = (
+            self._fleet.revision(service),
+            floor_slots,
+            self._departure_count,
+        )
         known = self._pools.get(service)
         if known and known[0] == version:
             return known[1]
@@ -502,6 +537,7 @@
             _candidate(record)
             for record in self._fleet.targets(service).values()
             if record.state is not records.State.DRAINING
+            and not self._has_departed(record)
         ]
         pool = load_balancing.Pool.from_candidates(
             candidates,
@@ -536,6 +572,15 @@
             self._slow_start.start(target, now)
 
 
+def _target_report(
+    result: expression.Result[exchange.Response, exchange.Refusal],
+) -> exchange.TargetReport | None:
+    """Returns the report that the target's home attached to a result."""
+    if result.is_ok():
+        return result.ok.target_report
+    return result.error.target_report
+
+
 def _body_size(response: exchange.Response) -> int:
     """Returns the size of a response's body, as far as its headers tell."""
     if response.stream is None:
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -72,11 +72,14 @@
       load: requests that are running at the target or queued for it.
       suspicion: probability that the target is unhealthy, from 0 to 1.
       rate_limit_wait: time until its rate limit allows another request.
+      leaving_incarnation: its incarnation, if its responses have said that it
+        is about to stop; otherwise, or if it does not number them, 0.
     """
 
     load: int
     suspicion: float
     rate_limit_wait: datetime.timedelta = datetime.timedelta()
+    leaving_incarnation: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -229,6 +229,7 @@
             self._clock,
             self._outlier_monitor,
             self._header_names,
+            self._publish_target_changes,
         )
         self._placement = placement.Placement(
             placement.Locality(
--- a/endivewind/nodes/codec.py
+++ b/endivewind/nodes/codec.py
@@ -76,7 +76,9 @@
     return messages.TargetReport(
         report.load,
         round(100 * report.suspicion),
-        math.ceil(report.rate_limit_wait / _MILLISECOND),
+        # Fields that are None take no bytes; few targets need these.
+        math.ceil(report.rate_limit_wait / _MILLISECOND) or None,
+        report.leaving_incarnation or None,
     )
 
 
@@ -88,6 +90,7 @@
         report.load or 0,
         (report.suspicion or 0) / 100,
         max(0, report.limit_wait_ms or 0) * _MILLISECOND,
+        report.leaving_incarnation or 0,
     )
 
 
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -38,10 +38,13 @@
 // Status of a target, attached by its home node to each response.
 // suspicion: probability that the target is unhealthy, in percent.
 // limit_wait_ms: time until the target's rate limit allows another request.
+// leaving_incarnation: the target's incarnation, if its responses have said
+// that it is about to stop.
 struct TargetReport {
   1: i32 load
   2: i32 suspicion
   3: i32 limit_wait_ms
+  4: i64 leaving_incarnation
 }
 
 // A part of a request or response body.
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -53,6 +53,10 @@
         """Ignores the result of a request."""
 
 
+def _ignore_change() -> None:
+    """Does nothing; the default for a home node without peers."""
+
+
 class Dispatcher:
     """Executes requests at targets, within their slots."""
 
@@ -65,6 +69,7 @@
         observer: evidence.Observer,
         attempts: attempt_log.AttemptLog,
         header_names: headers.HeaderNames = headers.DEFAULT_NAMES,
+        on_change: collections.abc.Callable[[], None] = _ignore_change,
     ) -> None:
         """Initializes the dispatcher.
 
@@ -76,7 +81,9 @@
           observer: is notified of the start and result of each request.
           attempts: the log of attempts, against duplicate execution.
           header_names: names of the headers that targets know.
+          on_change: called when there is a change to publish to the fleet.
         """
+        self._on_change = on_change
         self._header_names = header_names
         self._targets = targets
         self._pooled = pooled
@@ -94,6 +101,7 @@
         clock: clocks.Clock | None = None,
         observer: evidence.Observer | None = None,
         header_names: headers.HeaderNames = headers.DEFAULT_NAMES,
+        on_change: collections.abc.Callable[[], None] = _ignore_change,
     ) -> "Dispatcher":
         """Creates a dispatcher with its own sessions."""
         pooled = connections.Connector(reuse=True)
@@ -106,6 +114,7 @@
             observer or NullObserver(),
             attempt_log.AttemptLog(),
             header_names,
+            on_change,
         )
 
     async def close(self) -> None:
@@ -228,12 +237,14 @@
         target = item.record.id
         if self._is_stopping:
             return _refuse(exchange.Reason.STOPPING, "home node is stopping")
+        report = self._report(item)
         is_gone = self._targets.get(target) is not item
         if is_gone or item.record.state is records.State.DRAINING:
             return _refuse(
-                exchange.Reason.STOPPING, f"{target} is draining or gone"
+                exchange.Reason.STOPPING,
+                f"{target} is draining or gone",
+                target_report=report,
             )
-        report = self._report(item)
         if head.ticket and report.suspicion > head.max_suspicion:
             return _refuse(
                 exchange.Reason.SUSPECT,
@@ -415,19 +426,19 @@
     ) -> None:
         """Records what a response says of its target, and logs changes."""
         item = request.home_target
-        is_leaving = self_reports.is_leaving(
+        target = item.record.id
+        if request.target_incarnation != item.record.target_incarnation:
+            return
+        if self_reports.is_leaving(
             response.headers, self._header_names
-        )
-        if is_leaving and not item.is_leaving:
-            item.is_leaving = True
-            log.info(
-                "target is leaving", extra=logs.fields(target=item.record.id)
-            )
+        ) and self._targets.mark_leaving(target):
+            log.info("target is leaving", extra=logs.fields(target=target))
+            self._on_change()
         limit = self_reports.rate_limit(response.headers, self._header_names)
         if limit.is_error():
             log.warning(
                 "target's rate limit ignored",
-                extra=logs.fields(target=item.record.id, problem=limit.error),
+                extra=logs.fields(target=target, problem=limit.error),
             )
             return
         previous = item.rate_limit.rate
@@ -438,9 +449,7 @@
         if item.rate_limit.rate != previous:
             log.info(
                 "target's rate limit changed",
-                extra=logs.fields(
-                    target=item.record.id, limit=item.rate_limit.rate
-                ),
+                extra=logs.fields(target=target, limit=item.rate_limit.rate),
             )
 
 
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -123,7 +123,10 @@
         likelihood_ratio = self._pending_likelihood_ratio(now)
         probability = self.suspicion.probability(now, likelihood_ratio)
         return exchange.TargetReport(
-            self.slots.load, probability, self.rate_limit_wait(now)
+            self.slots.load,
+            probability,
+            self.rate_limit_wait(now),
+            self.record.target_incarnation if self.is_leaving else 0,
         )
 
     def rate_limit_wait(self, now: datetime.timedelta) -> datetime.timedelta:
@@ -306,6 +309,9 @@
         known.last_sequence = announcement.sequence
         if record.target_incarnation != known.record.target_incarnation:
             known.rate_limit = rate_limits.RateLimit()
+            known.is_leaving = False
+        if known.is_leaving and record.target_incarnation:
+            record = dataclasses.replace(record, state=records.State.DRAINING)
         if _differs(known.record, record):
             known.record = record
             self._record_change(target)
@@ -413,6 +419,26 @@
         item.record = dataclasses.replace(item.record, health=health)
         self._record_change(target)
 
+    def mark_leaving(self, target: str) -> bool:
+        """Records that a target's response says that it is about to stop.
+
+        It counts as draining until it restarts, whatever it announces: its
+        announcements may be late. If its incarnations are not numbered, a
+        restart can't be distinguished, and its next announcement decides.
+
+        Returns:
+          False if the target is not registered or was marked before.
+        """
+        item = self._targets.get(target)
+        if item is None or item.is_leaving:
+            return False
+        item.is_leaving = True
+        item.record = dataclasses.replace(
+            item.record, state=records.State.DRAINING
+        )
+        self._record_change(target)
+        return True
+
     def _detect_pause(self) -> None:
         now = self._clock.monotonic()
         if now - self._last_check_at > MAX_TICK_GAP:
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -57,6 +57,7 @@
         self._observer = observer
         self._silent_connections = connection_detector
         self.started_at = clock.monotonic()
+        self.target_incarnation = item.record.target_incarnation
         self._latency: datetime.timedelta | None = None
         self._is_finished = False
         self._has_counted_overdue = False
--- a/endivewind/tests/callers/placement_tests.py
+++ b/endivewind/tests/callers/placement_tests.py
@@ -122,6 +122,36 @@
         self.assertEqual({"riders-1"}, chosen)
         self.assertEqual({"riders-0", "riders-1"}, later)
 
+    def test_departed_target_is_not_chosen_before_it_restarts(self):
+        """A home restarts and announces a target that is about to stop.
+
+        Responses have said so before; a later incarnation of the target is
+        used again.
+        """
+        targets = [
+            dataclasses.replace(_record(number), target_incarnation=5)
+            for number in range(2)
+        ]
+        self.put_targets(targets)
+        report = exchange.TargetReport(0, 0.0, leaving_incarnation=5)
+        refused = expression.Error(
+            exchange.not_run_refusal(
+                exchange.Reason.STOPPING, target_report=report
+            )
+        )
+        self.placement.record_start(targets[0])
+        self.placement.record_end(targets[0], refused, datetime.timedelta())
+        self.clock.advance(datetime.timedelta(minutes=1))
+        self.put_targets(targets)
+
+        chosen = {self.choose_target() for _ in range(20)}
+        restarted = dataclasses.replace(targets[0], target_incarnation=6)
+        self.put_targets([restarted, targets[1]])
+        later = {self.choose_target() for _ in range(20)}
+
+        self.assertEqual({"riders-1"}, chosen)
+        self.assertEqual({"riders-0", "riders-1"}, later)
+
     def test_moved_target_does_not_cool_down(self):
         """The old home names the new one; a cooldown would only add delay."""
         targets = [_record(number) for number in range(2)]
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -178,6 +178,20 @@
         "        if refusal is None and False and not item.rate_limit.take(\n",
         _DISPATCH,
     ),
+    Mutant(
+        "an announcement brings back a target that is leaving",
+        "targets/registry.py",
+        "        if known.is_leaving and record.target_incarnation:\n",
+        "        if False:\n",
+        "targets.registry_tests",
+    ),
+    Mutant(
+        "an entry node forgets that a target is leaving",
+        "callers/placement.py",
+        "            and not self._has_departed(record)\n",
+        "",
+        "loads.leaving_tests",
+    ),
     Mutant(
         "the home's incarnation is not checked",
         "targets/dispatch.py",
--- /dev/null
+++ b/endivewind/tests/nodes/codec_tests.py
@@ -0,0 +1,39 @@
+"""Tests the encoding of target reports."""
+
+import datetime
+import unittest
+
+from endivewind import exchange
+from endivewind.nodes import codec
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class TargetReportTest(unittest.TestCase):
+    def test_all_fields_arrive(self):
+        report = exchange.TargetReport(3, 0.25, 40 * _MILLISECOND, 1_700)
+
+        encoded = codec.encode_target_report(report)
+
+        self.assertEqual(report, codec.decode_target_report(encoded))
+
+    def test_wait_is_not_rounded_to_zero(self):
+        """Guards against sending to a target before its limit allows it."""
+        report = exchange.TargetReport(0, 0.0, _MILLISECOND / 4)
+
+        encoded = codec.encode_target_report(report)
+
+        self.assertEqual(
+            _MILLISECOND, codec.decode_target_report(encoded).rate_limit_wait
+        )
+
+    def test_report_of_an_earlier_release_has_no_limit_and_no_departure(self):
+        encoded = codec.messages.TargetReport(2, 50)
+
+        self.assertEqual(
+            exchange.TargetReport(2, 0.5), codec.decode_target_report(encoded)
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -72,6 +72,7 @@
         trace_request_ctx.is_reused = self.reused
         if self.is_silent:
             await asyncio.Event().wait()
+        await asyncio.sleep(0)
         return (
             self.responses.pop(0)
             if self.responses
@@ -94,6 +95,7 @@
         self.pooled = _Session(reused=True)
         self.fresh = _Session(reused=False)
         self.kinds = []
+        self.change_count = 0
         self.dispatcher = dispatch.Dispatcher(
             self.targets,
             self.pooled,
@@ -102,6 +104,7 @@
             self,
             attempt_log.AttemptLog(),
             self.names,
+            self.record_change,
         )
 
     def record_start(self, target, service):
@@ -112,6 +115,17 @@
         """Records how a request ended, as the observer."""
         self.kinds.append(sample.kind)
 
+    def record_change(self):
+        """Counts the changes to publish."""
+        self.change_count += 1
+
+    async def send(self):
+        """Sends an idempotent request."""
+        head = exchange.RequestHead(
+            "r", "GET", "/", (), "riders", "", datetime.timedelta(seconds=9)
+        )
+        return await self.dispatcher.run("t", head, exchange.RequestBody())
+
     def run_one(self, ticket="", attempt=0, incarnation=7, workspace=""):
         head = exchange.RequestHead(
             request_id="r",
@@ -331,7 +345,7 @@
         before = self.targets.get("t").report(self._now()).suspicion
 
         async def measure_while_pending():
-            task = asyncio.ensure_future(self._run())
+            task = asyncio.ensure_future(self.send())
             await asyncio.sleep(1)
             self.dispatcher.check_overdue()
             self.dispatcher.check_overdue()
@@ -348,12 +362,6 @@
     def _now(self):
         return virtual_loop.LoopClock(self.loop).monotonic()
 
-    async def _run(self):
-        head = exchange.RequestHead(
-            "r", "GET", "/", (), "riders", "", datetime.timedelta(seconds=9)
-        )
-        return await self.dispatcher.run("t", head, exchange.RequestBody())
-
 
 class RateLimitTest(_Case):
     """A target names a limit of one request per second."""
@@ -452,7 +460,7 @@
         self.pooled.is_silent = True
 
         async def send_four():
-            tasks = [asyncio.ensure_future(self._send()) for _ in range(4)]
+            tasks = [asyncio.ensure_future(self.send()) for _ in range(4)]
             await asyncio.sleep(0.1)
             item = self.targets.get("t")
             item.rate_limit.set_rate(1, self._clock.monotonic())
@@ -471,11 +479,42 @@
         for result in results[2:]:
             self.assertIs(exchange.Reason.BUSY, result.error.reason)
 
-    async def _send(self):
-        head = exchange.RequestHead(
-            "r", "GET", "/", (), "riders", "", datetime.timedelta(seconds=9)
+
+class LeavingTargetTest(_Case):
+    """A target says in its responses that it is about to stop."""
+
+    def setUp(self):
+        super().setUp()
+        self.targets.announce(
+            "t", ANNOUNCEMENT.model_copy(update={"incarnation": 3}), 2
         )
-        return await self.dispatcher.run("t", head, exchange.RequestBody())
+        self.pooled.responses = [_Response(**{headers.LEAVING: "1"})] * 2
+
+    def test_next_request_is_refused_as_not_run(self):
+        """Guards against losing requests at a target that stops."""
+        first = self.run_one()
+        second = self.run_one("ticket", 1)
+
+        self.assertEqual(3, first.ok.target_report.leaving_incarnation)
+        self.assertIs(exchange.Reason.STOPPING, second.error.reason)
+        self.assertTrue(second.error.was_not_run)
+        self.assertEqual(3, second.error.target_report.leaving_incarnation)
+        self.assertEqual(1, self.change_count)
+
+    def test_response_to_a_request_before_a_restart_does_not_count(self):
+        """The target restarts under its id while a response is on its way."""
+
+        async def restart_meanwhile():
+            task = asyncio.ensure_future(self.send())
+            await asyncio.sleep(0)
+            self.targets.announce(
+                "t", ANNOUNCEMENT.model_copy(update={"incarnation": 4}), 2
+            )
+            return await task
+
+        result = self.loop.run_until_complete(restart_meanwhile())
+
+        self.assertEqual(0, result.ok.target_report.leaving_incarnation)
 
 
 class MisdirectedSelfReportTest(_Case):
@@ -483,14 +522,19 @@
 
     names = ResponseMarkerTest.names
 
-    def test_limit_of_another_target_is_ignored(self):
+    def test_headers_of_another_target_are_ignored(self):
         self.fresh.responses = [
             _Response(
                 status=421,
-                **{"Own-Id": "r", headers.RATE_LIMIT: "1"},
+                **{
+                    "Own-Id": "r",
+                    headers.RATE_LIMIT: "1",
+                    headers.LEAVING: "1",
+                },
             )
         ]
 
         self.run_one("ticket", 1)
 
         self.assertIsNone(self.targets.get("t").rate_limit.rate)
+        self.assertFalse(self.targets.get("t").is_leaving)
--- a/endivewind/tests/targets/registry_tests.py
+++ b/endivewind/tests/targets/registry_tests.py
@@ -53,6 +53,44 @@
             moves=moves,
         )
 
+    def test_leaving_target_stays_draining_whatever_it_announces(self):
+        """Guards against using a target again that is about to stop.
+
+        Its response says that it is leaving, and announcements from before
+        that arrive later.
+        """
+        self._announce()
+
+        self.assertTrue(self.targets.mark_leaving("t1"))
+        self.assertFalse(self.targets.mark_leaving("t1"))
+        self._announce()
+
+        item = self.targets.get("t1")
+        self.assertIs(records.State.DRAINING, item.record.state)
+        states = [change.record.state for change in self.targets.take_changes()]
+        self.assertEqual([records.State.READY, records.State.DRAINING], states)
+
+    def test_restarted_target_is_no_longer_leaving(self):
+        self._announce()
+        self.targets.mark_leaving("t1")
+
+        self._announce(incarnation=2)
+
+        item = self.targets.get("t1")
+        self.assertIs(records.State.READY, item.record.state)
+        self.assertEqual(
+            0, item.report(self.clock.monotonic()).leaving_incarnation
+        )
+
+    def test_without_incarnations_the_next_announcement_decides(self):
+        """A restart of the target can't be distinguished otherwise."""
+        self._announce(incarnation=0)
+        self.targets.mark_leaving("t1")
+
+        self._announce(incarnation=0)
+
+        self.assertIs(records.State.READY, self.targets.get("t1").record.state)
+
     def test_new_home_of_a_moved_target_is_known(self):
         self._announce()
         self.targets.release_if_moved(self._record_elsewhere(moves=1))
