Log evidence against a target that is dismissed

Two end-to-end tests of ejection fail now and then on a busy machine: a target that fails all requests is not judged within 20 s. Its log shows the failures, but not whether the sequential test had reached its threshold and the verdict was dismissed because of another cause. Each dismissal is now logged, with the test and the reason.

--- a/endivewind/decisions/outlier_detection.py
+++ b/endivewind/decisions/outlier_detection.py
@@ -73,6 +73,28 @@
     badness: int
 
 
+class DismissalReason(enum.StrEnum):
+    """Why evidence against a target is dismissed."""
+
+    SHARED_FAULT = "the service has a fault"
+    SINGLE_WORKSPACE = "only one workspace's requests fail"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dismissal:
+    """Evidence that would have ejected a target, but has another cause.
+
+    Attributes:
+      target: id of the target.
+      test: name of the test that had reached its threshold.
+      reason: why the evidence was dismissed.
+    """
+
+    target: str
+    test: str
+    reason: DismissalReason
+
+
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
     """A request that the target has not finished.
@@ -251,6 +273,7 @@
         self._targets: dict[str, _TargetState] = {}
         self._peer_summaries: dict[str, baseline.TargetSummary] = {}
         self._remote_targets: dict[str, _TargetState] = {}
+        self._dismissals: list[Dismissal] = []
 
     @property
     def settings(self) -> ejection_settings.EjectionSettings:
@@ -273,6 +296,11 @@
         for state in self._targets.values():
             state.ejection.configure(settings)
 
+    def take_dismissals(self) -> list[Dismissal]:
+        """Returns and clears the dismissals since the last call, in order."""
+        dismissals, self._dismissals = self._dismissals, []
+        return dismissals
+
     def status(self, target: str) -> ejection.Status:
         """Returns the ejection status of a target."""
         state = self._targets.get(target)
@@ -560,18 +588,22 @@
         for index, hypothesis in enumerate(sequential_test.FAULT_HYPOTHESES):
             if state.evidence[index] < self._threshold:
                 continue
-            if self._has_external_cause(state, index, now):
+            reason = self._dismissal_reason(state, index, now)
+            if reason is not None:
                 state.dismiss_evidence(hypothesis.signal, now)
+                self._dismissals.append(
+                    Dismissal(target, hypothesis.name, reason)
+                )
                 continue
             state.ejection.eject(now)
             state.clear()
             return self._status_change(target, state, hypothesis.name)
         return None
 
-    def _has_external_cause(
+    def _dismissal_reason(
         self, state: _TargetState, index: int, now: datetime.timedelta
-    ) -> bool:
-        """Returns whether something other than the target is the cause.
+    ) -> DismissalReason | None:
+        """Returns why something other than the target is the cause, if so.
 
         Scenario: a fault of the whole service, or one workspace whose requests
         fail at every target. Risk: healthy targets would be ejected one by
@@ -579,11 +611,13 @@
         """
         self._refresh_baseline(now)
         if self._baseline.is_shared_fault:
-            return True
+            return DismissalReason.SHARED_FAULT
         hypothesis = sequential_test.FAULT_HYPOTHESES[index]
         if hypothesis.signal is not sequential_test.OutlierSignal.FAILED:
-            return False
-        return state.workspace_failures.is_single_workspace_fault()
+            return None
+        if state.workspace_failures.is_single_workspace_fault():
+            return DismissalReason.SINGLE_WORKSPACE
+        return None
 
     def _record_trial(
         self,
--- a/endivewind/targets/outlier_monitor.py
+++ b/endivewind/targets/outlier_monitor.py
@@ -127,6 +127,7 @@
         )
         if change is not None:
             self._apply(change)
+        self._log_dismissals(self.detector_for(sample.service))
 
     def record_remote(
         self,
@@ -167,6 +168,18 @@
                 self._ejection_causes.pop(target, None)
             for change in detector.run_periodic_checks(now):
                 self._apply(change)
+            self._log_dismissals(detector)
+
+    def _log_dismissals(
+        self, detector: outlier_detection.OutlierDetector
+    ) -> None:
+        for dismissal in detector.take_dismissals():
+            fields = logs.fields(
+                target=dismissal.target,
+                test=dismissal.test,
+                reason=dismissal.reason.value,
+            )
+            log.info("evidence dismissed", extra=fields)
 
     def _settings_for(self, name: str) -> ejection_settings.EjectionSettings:
         return _SETTINGS[self._profile_of(name)]
