Add a failing test for verdicts that slow peers excuse

With one slow response in fifteen at its three peers, a target that fails all of its requests is not ejected after four of them, as it is beside quiet peers, but after twelve.

--- a/endivewind/tests/decisions/outlier_detection_tests.py
+++ b/endivewind/tests/decisions/outlier_detection_tests.py
@@ -117,6 +117,25 @@
         self.assertLess(simulation.request_count, baseline.MIN_HISTORY_REQUESTS)
         self.assertEqual(["riders-2"], simulation.ejected())
 
+    def test_failures_count_although_peers_are_slow_now_and_then(self):
+        """Guards against a failing target that is never ejected.
+
+        On a busy VM one response in fifteen of each healthy target is slow.
+        The target that fails gets a request every few seconds only, because
+        suspicion keeps others away. Its peers' latencies must not excuse its
+        failures: four in a row eject it.
+        """
+        simulation = self.simulation(target_ids=TARGETS[:4])
+        for _ in range(4):
+            simulation.request("riders-2", FAILED)
+            for number in range(30):
+                is_slow = number % 15 == 14
+                for target in ("riders-0", "riders-1", "riders-3"):
+                    simulation.request(target, factor=3.0 if is_slow else 1.0)
+            simulation.wait(datetime.timedelta(seconds=1.5))
+
+        self.assertEqual(["riders-2"], simulation.ejected())
+
     def test_all_requests_fail(self):
         simulation = self.simulation()
 
