Report departures of withdrawn targets, too

A target may withdraw while its last responses are on their way. Its home no longer has it then, and did not pass its departure on to the entry node, which would use the target again if a restarted home accepted an announcement from before the withdrawal. The recording of what a response says is split by what it is about.

--- a/endivewind/decisions/rate_limits.py
+++ b/endivewind/decisions/rate_limits.py
@@ -6,8 +6,8 @@
 
 import datetime
 
-# Requests of this long may be sent at once after a pause, but at least one. A
-# limit is a rate per second, so that a whole second's requests are no excess.
+# After a pause, the requests of this time may be sent at once, but at least one.
+# Limits are rates per second, so that the requests of a second are no excess.
 BURST = datetime.timedelta(seconds=1)
 # Lower limits count as this one. A target that accepts nothing still gets one
 # request in ten seconds: only a response can show that the limit is lifted.
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -424,32 +424,45 @@
         request: target_request.TargetRequest,
         response: aiohttp.ClientResponse,
     ) -> None:
-        """Records what a response says of its target, and logs changes."""
+        """Records what a response says of its target."""
         item = request.home_target
-        target = item.record.id
         if request.target_incarnation != item.record.target_incarnation:
             return
-        if self_reports.is_leaving(
-            response.headers, self._header_names
-        ) and self._targets.mark_leaving(target):
-            log.info("target is leaving", extra=logs.fields(target=target))
-            self._on_change()
-        limit = self_reports.rate_limit(response.headers, self._header_names)
-        if limit.is_error():
+        if self_reports.is_leaving(response.headers, self._header_names):
+            self._record_departure(item)
+        self._record_rate_limit(request, response)
+
+    def _record_departure(self, item: registry.HomeTarget) -> None:
+        if item.is_leaving:
+            return
+        self._targets.mark_leaving(item)
+        log.info("target is leaving", extra=logs.fields(target=item.record.id))
+        self._on_change()
+
+    def _record_rate_limit(
+        self,
+        request: target_request.TargetRequest,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        """Sets or lifts the target's rate limit, and logs a change."""
+        target = request.home_target.record.id
+        rate_limit = request.home_target.rate_limit
+        named = self_reports.rate_limit(response.headers, self._header_names)
+        if named.is_error():
             log.warning(
                 "target's rate limit ignored",
-                extra=logs.fields(target=target, problem=limit.error),
+                extra=logs.fields(target=target, problem=named.error),
             )
             return
-        previous = item.rate_limit.rate
-        if limit.ok is not None:
-            item.rate_limit.set_rate(limit.ok, self._clock.monotonic())
+        previous = rate_limit.rate
+        if named.ok is not None:
+            rate_limit.set_rate(named.ok, self._clock.monotonic())
         elif response.status < _MIN_FAILURE_STATUS:
-            item.rate_limit.lift(request.started_at)
-        if item.rate_limit.rate != previous:
+            rate_limit.lift(request.started_at)
+        if rate_limit.rate != previous:
             log.info(
                 "target's rate limit changed",
-                extra=logs.fields(target=target, limit=item.rate_limit.rate),
+                extra=logs.fields(target=target, limit=rate_limit.rate),
             )
 
 
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -307,10 +307,8 @@
         known.address = announcement.address
         known.lease_expires_at = expires
         known.last_sequence = announcement.sequence
-        if record.target_incarnation != known.record.target_incarnation:
-            known.rate_limit = rate_limits.RateLimit()
-            known.is_leaving = False
-        if known.is_leaving and record.target_incarnation:
+        self._discard_outdated_self_reports(known, record.target_incarnation)
+        if known.is_leaving:
             record = dataclasses.replace(record, state=records.State.DRAINING)
         if _differs(known.record, record):
             known.record = record
@@ -419,25 +417,32 @@
         item.record = dataclasses.replace(item.record, health=health)
         self._record_change(target)
 
-    def mark_leaving(self, target: str) -> bool:
+    def _discard_outdated_self_reports(
+        self, item: HomeTarget, incarnation: int
+    ) -> None:
+        """Discards what an earlier incarnation's responses have said.
+
+        Incarnations that are not numbered can't be told apart, so that a later
+        announcement as ready outweighs an earlier response.
+        """
+        if incarnation != item.record.target_incarnation:
+            item.rate_limit = rate_limits.RateLimit()
+        if incarnation != item.record.target_incarnation or not incarnation:
+            item.is_leaving = False
+
+    def mark_leaving(self, item: HomeTarget) -> None:
         """Records that a target's response says that it is about to stop.
 
         It counts as draining until it restarts, whatever it announces: its
         announcements may be late. If its incarnations are not numbered, a
         restart can't be distinguished, and its next announcement decides.
-
-        Returns:
-          False if the target is not registered or was marked before.
         """
-        item = self._targets.get(target)
-        if item is None or item.is_leaving:
-            return False
         item.is_leaving = True
         item.record = dataclasses.replace(
             item.record, state=records.State.DRAINING
         )
-        self._record_change(target)
-        return True
+        if self._targets.get(item.record.id) is item:
+            self._record_change(item.record.id)
 
     def _detect_pause(self) -> None:
         now = self._clock.monotonic()
