--- a/endivewind/standins/target.py
+++ b/endivewind/standins/target.py
@@ -14,6 +14,7 @@
 import aiohttp
 from aiohttp import web
 
+from endivewind import headers
 from endivewind import logs
 
 log = logging.getLogger(__name__)
@@ -49,7 +50,9 @@
 
     `PUT /standin/fault` sets the faults of all requests: {"errors": share of
     requests that fail, "delay_ms": extra latency, "hang": true, "draining":
-    true}. The header Standin-Fault names a fault of one request.
+    true, "rate_limit": requests per second that its responses name as its
+    limit, "leaving": whether its responses say that it is about to stop}. The
+    header Standin-Fault names a fault of one request.
     """
 
     def __init__(self, name: str, service: str, nodes: list[str]) -> None:
@@ -64,6 +67,8 @@
         self._delay_seconds = 0.0
         self._hang = False
         self._draining = False
+        self._rate_limit: float | None = None
+        self._leaving = False
         self._current_node: str | None = None
         self._moves = 0
         self._incarnation = int(
@@ -156,17 +161,29 @@
         if int((number + 1) * self._error_share) > int(
             number * self._error_share
         ):
-            return web.Response(status=500, text="failed on demand")
+            return web.Response(
+                status=500, text="failed on demand", headers=self._self_report()
+            )
         return web.json_response(
-            {
+            headers=self._self_report(),
+            data={
                 "target": self._name,
                 "method": request.method,
                 "path": request.path_qs,
                 "work": work_id,
                 "bytes": length,
-            }
+            },
         )
 
+    def _self_report(self) -> dict[str, str]:
+        """Returns the headers by which responses describe the target."""
+        fields = {}
+        if self._rate_limit is not None:
+            fields[headers.RATE_LIMIT] = str(self._rate_limit)
+        if self._leaving:
+            fields[headers.LEAVING] = "1"
+        return fields
+
     async def _apply_fault(
         self, fault: RequestFault, request: web.Request
     ) -> web.StreamResponse | None:
@@ -206,6 +223,8 @@
         self._delay_seconds = float(fault.get("delay_ms", 0)) / 1000
         self._hang = bool(fault.get("hang", False))
         self._draining = bool(fault.get("draining", False))
+        self._rate_limit = fault.get("rate_limit")
+        self._leaving = bool(fault.get("leaving", False))
         return web.Response(status=204)
 
 
