Catch two surviving mutants of the shared retry budget

Neither mutant failed a test any more: that every node may use all remaining shared retries at once, and that the other nodes retry twice as much after the loss of half the fleet. Each has a test of its own now. A mutant whose tests take too long is reported as timed out in place of a traceback that ends the run. The benchmark of silent paths imports the relay from where it is.

--- a/benchmarks/silent_path.py
+++ b/benchmarks/silent_path.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from endivewind.tests import relay
+from endivewind.standins import relay
 from endivewind.tests.proofs import partition_tests
 
 PHASE_SECONDS = 20
@@ -22,9 +22,9 @@
     async with partition_tests.fleet() as (_, entry, broken_link):
         address = entry.listening_line["callers"]
         report = {"healthy": await _measure_phase(address)}
-        broken_link.from_upstream = relay.Mode.DROP
+        broken_link.from_upstream = relay.DirectionMode.DROP
         report["one direction lost"] = await _measure_phase(address)
-        broken_link.from_upstream = relay.Mode.PASS
+        broken_link.from_upstream = relay.DirectionMode.PASS
         report["mended"] = await _measure_phase(address)
     print(json.dumps(report, indent=2))
 
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -213,6 +213,39 @@
 
         self.assertLessEqual(fleet.max_excess(), 0)
 
+    def test_nodes_that_act_at_once_do_not_spend_the_same_retries(self):
+        """Guards against several nodes borrowing the same shared retries.
+
+        All nodes see failures at the same moment, before any has received the
+        others' counts.
+        """
+        fleet = _Fleet(4, random.Random(1))
+        for node in fleet.nodes:
+            node.update_view(fleet.nodes)
+            node.budgets.for_service(SERVICE)
+            node.budgets.take_due_updates()
+
+        taken = sum(_take_all(node, fleet.clock) for node in fleet.nodes)
+
+        self.assertLessEqual(taken, RESERVE_PER_NODE * len(fleet.nodes))
+        self.assertGreater(taken, 0)
+
+    def test_share_does_not_grow_while_retries_of_lost_nodes_count(self):
+        """Guards against twice the retries after the loss of half the fleet.
+
+        The retries that the lost nodes made still count in the window.
+        """
+        fleet = _Fleet(20, random.Random(1))
+        first = fleet.nodes[0]
+        first.update_view(fleet.nodes)
+        first.budgets.for_service(SERVICE)
+        for node in fleet.nodes[10:]:
+            node.ticks_down = 8
+        fleet.clock.advance(TICK_INTERVAL)
+        first.update_view(fleet.nodes)
+
+        self.assertLessEqual(_take_all(first, fleet.clock), RESERVE_PER_NODE)
+
     def test_usage_of_restarted_neighbour_still_counts(self):
         fleet = _Fleet(2, random.Random(1))
         first, second = fleet.nodes
@@ -230,6 +263,15 @@
         )
 
 
+def _take_all(node, clock):
+    """Takes retries until none is left; returns how many."""
+    budget = node.budgets.for_service(SERVICE)
+    taken = 0
+    while budget.take(clock.monotonic(), may_borrow=True):
+        taken += 1
+    return taken
+
+
 def _make_usage(request_count, retry_count):
     return peer_updates.RetryUsage(
         SERVICE, budgets.retry_budget.RequestCounts(request_count, retry_count)
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 import os
 import pathlib
 import shutil
@@ -17,6 +18,14 @@
 _TIMEOUT_SECONDS = 120
 
 
+class _Result(enum.Enum):
+    """What the tests of a mutant showed."""
+
+    CAUGHT = "caught"
+    SURVIVED = "SURVIVED"
+    TIMED_OUT = "TIMED OUT"
+
+
 @dataclasses.dataclass(frozen=True)
 class Mutant:
     """A change to the code that removes one safeguard.
@@ -429,9 +438,9 @@
         root = pathlib.Path(folder)
         if not _write_mutated_copy(mutant, root):
             return False
-        caught = _tests_fail(root, f"endivewind.tests.{mutant.tests}")
-    print(f"{'caught  ' if caught else 'SURVIVED'} {mutant.name}", flush=True)
-    return caught
+        result = _run_tests(root, f"endivewind.tests.{mutant.tests}")
+    print(f"{result.value:<9} {mutant.name}", flush=True)
+    return result is _Result.CAUGHT
 
 
 def _run_soak(wanted: list[str]) -> int:
@@ -490,24 +499,29 @@
     return True
 
 
-def _tests_fail(root: pathlib.Path, tests: str) -> bool:
-    """Returns whether the tests ran and failed.
+def _run_tests(root: pathlib.Path, tests: str) -> _Result:
+    """Runs the tests of a mutant.
 
-    A mutant that can't be imported counts as not caught.
+    A mutant that can't be imported counts as not caught, and so does one whose
+    tests take too long: they may hang for a reason of their own.
     """
     environment = {**os.environ, "PYTHONPATH": str(root)}
-    ran = subprocess.run(
-        [sys.executable, "-m", "endivewind.tests", tests],
-        cwd=root,
-        env=environment,
-        capture_output=True,
-        text=True,
-        timeout=_TIMEOUT_SECONDS,
-        check=False,
-    )
+    try:
+        ran = subprocess.run(
+            [sys.executable, "-m", "endivewind.tests", tests],
+            cwd=root,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=_TIMEOUT_SECONDS,
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        return _Result.TIMED_OUT
     output = ran.stdout + ran.stderr
     broken = "ImportError" in output or "SyntaxError" in output
-    return ran.returncode == 1 and not broken
+    is_caught = ran.returncode == 1 and not broken
+    return _Result.CAUGHT if is_caught else _Result.SURVIVED
 
 
 if __name__ == "__main__":
