Keep a target's rate limit when it rejects a request

A target that is over its limit may reject requests with 429 and need not name the limit in the rejection. The home took that for the end of the limit, and the next requests went out without one. Only a successful response lifts a limit now; the test failed before with 429.

--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -34,9 +34,9 @@
 
 BUSY_RETRY_AFTER = datetime.timedelta(milliseconds=200)
 _MIN_TIMEOUT = datetime.timedelta(milliseconds=1)
-# Failures may be responses of a proxy or a crashing process, which don't know
-# of the target's rate limit.
-_MIN_FAILURE_STATUS = 500
+# Errors and rejections may be written by a proxy, or by a process that crashes
+# or is overloaded, and need not name the target's rate limit.
+_MIN_ERROR_STATUS = 400
 # A target may continue for this long with a request that was abandoned.
 ABANDONED_WORK_TIME = datetime.timedelta(milliseconds=500)
 ResponseResult = expression.Result[exchange.Response, exchange.Refusal]
@@ -457,7 +457,7 @@
         previous = rate_limit.rate
         if named.ok is not None:
             rate_limit.set_rate(named.ok, self._clock.monotonic())
-        elif response.status < _MIN_FAILURE_STATUS:
+        elif response.status < _MIN_ERROR_STATUS:
             rate_limit.lift(request.started_at)
         if rate_limit.rate != previous:
             log.info(
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -422,13 +422,16 @@
         self.assertIsNone(self.rate())
         self.assertTrue(all(self.run_one().is_ok() for _ in range(5)))
 
-    def test_failure_without_a_limit_does_not_lift_it(self):
+    def test_error_without_a_limit_does_not_lift_it(self):
+        """A target that rejects a request as too many still has its limit."""
         self.name_limit("1")
-        self.advance(1)
-        self.respond(status=500)
-        self.run_one()
+        for status in (429, 500):
+            with self.subTest(status):
+                self.advance(1)
+                self.respond(status=status)
+                self.run_one()
 
-        self.assertEqual(1, self.rate())
+                self.assertEqual(1, self.rate())
 
     def test_invalid_limit_changes_nothing(self):
         self.name_limit("1")
