--- a/endivewind/tests/loads/rate_limits_tests.py
+++ b/endivewind/tests/loads/rate_limits_tests.py
@@ -63,6 +63,26 @@
                             _highest_count(target.arrivals), _allowed(limit)
                         )
 
+    def test_limit_holds_when_the_home_restarts(self):
+        """Guards against a burst at a target whose home has forgotten its limit.
+
+        Until the first response names the limit again, the restarted home
+        sends as many requests as the target has slots.
+        """
+        for seed, limit in itertools.product(SEEDS, (0.5, 1.0, 3.6)):
+            with self.subTest(seed=seed, limit=limit):
+                simulated = _run(seed, (limit,) * 2)
+                for name, target in simulated.targets.items():
+                    if target.rate_limit is not None:
+                        simulated.restart_home(name)
+                simulated.run(MEASURED_SECONDS, KINDS)
+
+                for target in simulated.targets.values():
+                    if target.rate_limit is not None:
+                        self.assertLessEqual(
+                            _highest_count(target.arrivals), _allowed(limit)
+                        )
+
     def test_other_targets_serve_the_requests_above_the_limits(self):
         """Half of the targets limit themselves, and the others have room.
 
