--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -9,7 +9,6 @@
 import datetime
 import logging
 import random
-from typing import TYPE_CHECKING
 from typing import Any
 
 import aiohttp
@@ -63,9 +62,6 @@
 from endivewind.targets import registration
 from endivewind.targets import registry
 
-if TYPE_CHECKING:
-    pass
-
 log = logging.getLogger(__name__)
 
 # The longest time that an announcement waits until this node has received what
