--- a/endivewind/standins/target.py
+++ b/endivewind/standins/target.py
@@ -127,6 +127,10 @@
             log.warning("announcement to %s failed: %s", node, error)
             return False
 
+    @property
+    def _self_report(self) -> dict[str, str]:
+        return self_report_headers(self._rate_limit, self._leaving)
+
     async def _work(self, request: web.Request) -> web.StreamResponse:
         work_id = request.headers.get("Work-Id", "")
         try:
@@ -162,10 +166,10 @@
             number * self._error_share
         ):
             return web.Response(
-                status=500, text="failed on demand", headers=self._self_report()
+                status=500, text="failed on demand", headers=self._self_report
             )
         return web.json_response(
-            headers=self._self_report(),
+            headers=self._self_report,
             data={
                 "target": self._name,
                 "method": request.method,
@@ -175,15 +179,6 @@
             },
         )
 
-    def _self_report(self) -> dict[str, str]:
-        """Returns the headers by which responses describe the target."""
-        fields = {}
-        if self._rate_limit is not None:
-            fields[headers.RATE_LIMIT] = str(self._rate_limit)
-        if self._leaving:
-            fields[headers.LEAVING] = "1"
-        return fields
-
     async def _apply_fault(
         self, fault: RequestFault, request: web.Request
     ) -> web.StreamResponse | None:
@@ -228,6 +223,23 @@
         return web.Response(status=204)
 
 
+def self_report_headers(
+    rate_limit: float | None, is_leaving: bool
+) -> dict[str, str]:
+    """Returns the headers in which a target's responses describe it.
+
+    Args:
+      rate_limit: requests per second that it accepts; None for no limit.
+      is_leaving: whether it is about to stop.
+    """
+    fields = {}
+    if rate_limit is not None:
+        fields[headers.RATE_LIMIT] = str(rate_limit)
+    if is_leaving:
+        fields[headers.LEAVING] = "1"
+    return fields
+
+
 async def _slow_stream(request: web.Request) -> web.StreamResponse:
     """Sends a chunked response slowly, chunk by chunk."""
     response = web.StreamResponse()
--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -14,7 +14,6 @@
 import random
 
 from endivewind import exchange
-from endivewind import headers as header_names
 from endivewind.callers import gateway
 from endivewind.callers import placement
 from endivewind.callers import request_queues
@@ -23,6 +22,7 @@
 from endivewind.decisions import load_balancing
 from endivewind.decisions import peer_updates
 from endivewind.nodes import view
+from endivewind.standins import target as standin
 from endivewind.standins import virtual_loop
 from endivewind.targets import attempt_log
 from endivewind.targets import dispatch
@@ -131,12 +131,7 @@
         return _Response(200, self._headers())
 
     def _headers(self):
-        fields = {}
-        if self.rate_limit is not None:
-            fields[header_names.RATE_LIMIT] = str(self.rate_limit)
-        if self.is_leaving:
-            fields[header_names.LEAVING] = "1"
-        return fields
+        return standin.self_report_headers(self.rate_limit, self.is_leaving)
 
 
 class _Response:
