Keep cooldowns as they were where no target is limited

The rate limits had also changed when a cooldown ends: a shorter one no longer replaced a longer one. That is not needed to keep limits, and changed every deployment. The time of a limit is now kept apart from the cooldown.

--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -125,6 +125,7 @@
       latency: Moving average of the latency in seconds.
       latency_updated_at: When the latency was last updated.
       cooldown_until: No request is sent to the target before this time.
+      limited_until: Nor before this time, because of its rate limit.
       peer_load: Requests of other entry nodes, as last reported by the home.
       slots: The target's slots.
       suspicion: The suspicion last reported.
@@ -137,6 +138,7 @@
         "latency",
         "peer_load",
         "cooldown_until",
+        "limited_until",
         "slots",
         "suspicion",
         "reported_at",
@@ -147,6 +149,7 @@
         self.latency = 0.0
         self.latency_updated_at = datetime.timedelta()
         self.cooldown_until = datetime.timedelta()
+        self.limited_until = datetime.timedelta()
         self.peer_load = 0
         self.slots = 0
         self.suspicion = suspicion.PRIOR_SUSPICION
@@ -159,10 +162,7 @@
         self.peer_load = max(0, status.load - self.own_requests)
         self.suspicion = status.suspicion
         self.reported_at = now
-        if status.rate_limit_wait:
-            self.cooldown_until = max(
-                self.cooldown_until, now + status.rate_limit_wait
-            )
+        self.limited_until = now + status.rate_limit_wait
 
     def remaining_peer_load(
         self, service_latency: float, now: datetime.timedelta
@@ -288,10 +288,13 @@
         return self._budget.allows(region, self._clock.monotonic())
 
     def is_cooling_down(self, target: str) -> bool:
-        """Returns whether the target is cooling down after a refusal."""
+        """Returns whether the target is cooling down or at its rate limit."""
         known = self._loads.get(target)
+        if known is None:
+            return False
         return (
-            known is not None and known.cooldown_until > self._clock.monotonic()
+            max(known.cooldown_until, known.limited_until)
+            > self._clock.monotonic()
         )
 
     def is_reachable(self, home: str) -> bool:
@@ -325,7 +328,7 @@
         if status is not None:
             known.update_status(status, now)
         if cooldown is not None:
-            known.cooldown_until = max(known.cooldown_until, now + cooldown)
+            known.cooldown_until = now + cooldown
         elif result.is_ok() and result.ok.status < _MIN_FAILURE_STATUS:
             seconds = latency.total_seconds()
             service_latency = service_latency or seconds
