Log the time limit of a request, and whether it was taken for a call

A request that ends early leaves one line, which told neither the time that the request had nor whether it was taken for a call of the target on the VM. So an attempt that a stop or a judgement ends could not be told from one whose time limit is too short. `explain` prints the time limit.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -367,6 +367,10 @@
             once=not request.is_idempotent,
             result=routed_request.describe_result(result),
             milliseconds=routed_request.milliseconds(elapsed),
+            time_limit_ms=routed_request.milliseconds(
+                request.deadline - request.started
+            ),
+            inherits=request.head.goes_ahead,
             tries=[step.as_log_fields() for step in request.attempts],
         )
         log.info("request", extra=fields)
--- a/endivewind/commands/explain.py
+++ b/endivewind/commands/explain.py
@@ -11,6 +11,7 @@
 import datetime
 import pathlib
 import sys
+from typing import Any
 
 from absl import flags
 
@@ -65,7 +66,8 @@
         f"{retry_note}",
         f"received {_format_time(request.start)}, "
         f"ended {_format_time(request.end)} after "
-        f"{fields['milliseconds']} ms: {fields.get('result')}",
+        f"{fields['milliseconds']} ms{_format_time_limit(fields)}: "
+        f"{fields.get('result')}",
         _format_attempts(request),
     ]
     for line in trace.refusals:
@@ -85,6 +87,12 @@
     return "\n".join(parts)
 
 
+def _format_time_limit(fields: dict[str, Any]) -> str:
+    """Returns the time limit; empty if a node of another release wrote none."""
+    limit = fields.get("time_limit_ms")
+    return "" if limit is None else f" of {limit} ms"
+
+
 def _format_attempts(request: request_trace.LoggedRequest) -> str:
     if not request.attempts:
         return "no target was tried: the request was refused at its entry node"
--- a/endivewind/tests/callers/gateway_tests.py
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -56,6 +56,18 @@
         self.assertTrue(result.is_ok(), result)
         self.assertEqual([("old", "t1", 1), ("new", "t1", 2)], pool.sent)
 
+    async def test_log_tells_the_time_limit_and_whether_it_is_a_call(self):
+        """Guards against an early refusal whose cause no log line shows."""
+        lost = exchange.unknown_outcome_refusal(exchange.Reason.HOME_LOST)
+        pool = _LinkPool({"old": expression.Error(lost)})
+
+        with self.assertLogs(gateway.log, "INFO") as logged:
+            await _serve(pool)
+
+        fields = logged.records[-1].fields
+        self.assertEqual(5_000, fields["time_limit_ms"])
+        self.assertFalse(fields["inherits"])
+
     async def test_homes_that_name_each_other_exhaust_attempts(self):
         to_new = exchange.Refusal(
             exchange.ExecutionOutcome.NOT_RUN,
--- a/endivewind/tests/operators/request_trace_tests.py
+++ b/endivewind/tests/operators/request_trace_tests.py
@@ -171,6 +171,16 @@
         self.assertEqual("suspect", status_fields[1]["state"])
         self.assertEqual(2, len(status_fields))
 
+    def test_time_limit_is_shown(self):
+        """Guards against a request that is given up early without a trace."""
+        self.lines[-2] = self.lines[-2].replace(
+            '"milliseconds": 500', '"milliseconds": 500, "time_limit_ms": 900'
+        )
+
+        self.assertIn(
+            "after 500 ms of 900 ms: 500", explain.format_trace(self.explain())
+        )
+
     def test_a_request_without_a_line_has_no_trace(self):
         self.assertIsNone(self.explain("r2"))
 
