--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import pathlib
+import socket
 import signal
 import tempfile
 from typing import Any
@@ -147,6 +148,18 @@
         self._changed = asyncio.Event()
 
 
+def unused_address(host: str) -> str:
+    """Returns an address for a process that can't be told its port later.
+
+    Args:
+      host: a loopback address that no other test uses, so that no other process
+        takes the port meanwhile.
+    """
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
+
+
 class Fleet:
     """A platform stand-in, nodes and targets, each as a process."""
 
@@ -195,9 +208,17 @@
         return process
 
     async def start_target(
-        self, name: str, service: str, nodes: list[Process]
+        self, name: str, service: str, nodes: list[Process], address: str = ""
     ) -> Process:
-        """Starts a target and waits until the first node has registered it."""
+        """Starts a target and waits until the first node has registered it.
+
+        Args:
+          name: its id.
+          service: its service.
+          nodes: the nodes that it announces itself to, preferred first.
+          address: the host and port that it listens at; any port if empty.
+        """
+        host, _, port = (address or _ANY_PORT).rpartition(":")
         addresses = ",".join(node.listening_line["targets"] for node in nodes)
         process = await self._start_process(
             name,
@@ -206,6 +227,8 @@
             f"--name={name}",
             f"--service={service}",
             f"--nodes={addresses}",
+            f"--address={host}",
+            f"--port={port}",
         )
         self.targets[name] = process
         await nodes[0].wait_for_line(
