--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -8,8 +8,8 @@
 import contextlib
 import json
 import pathlib
-import socket
 import signal
+import socket
 import tempfile
 from typing import Any
 
