Keep the time limit of a request that is taken for a call

Callers saw 504 with the reason deadline long before their own deadline and the time limit of their route, while a target was at work on the request; also at nodes that were stopping. An order may then have run, and its caller can't know.

Cause: an entry node beside a target took a request for a call of this target if it knew no caller by the request's route, and gave it the latest deadline of the requests that the target was running. After a start no route is known; a route becomes known by a request while the target is idle, or from a neighbour, which sends 16 routes at most. So a caller's request ended at the deadline of another caller's.

Why this works: that a request is a call, and whose, is inferred. What is inferred now only moves a request forward in queues and can end nothing. Calls still end with their request, because the target closes their connections.

--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -23,7 +23,6 @@
 
 log = logging.getLogger(__name__)
 
-_MIN_REMAINING_TIME = datetime.timedelta(milliseconds=1)
 # A longer gap between two samples means that the process was paused; what ran
 # meanwhile is unknown.
 _MAX_SAMPLE_TIME = datetime.timedelta(seconds=1)
@@ -81,7 +80,7 @@
           metrics: where calls are counted.
           clock: the clock; its monotonic time is used.
           target_host: the host of the target's address.
-          inherits_priority: whether calls inherit queue priority and time limit
+          inherits_priority: whether calls inherit the queue priority
             (`overload.inherited_priority`).
         """
         self._target = target
@@ -138,10 +137,11 @@
     async def serve(
         self, prefix: str, head: exchange.RequestHead, serve: Serve
     ) -> ResponseResult:
-        """Serves a call with the priority and time limit that it inherits.
+        """Serves a call with the priority that it inherits.
 
         Without `inherits_priority` it keeps its own, and failures are still
-        counted. A call that the target abandons is cancelled and not counted as failed.
+        counted. A call that the target abandons is cancelled and not counted as
+        failed.
 
         Args:
           prefix: the path prefix of its route.
@@ -183,15 +183,11 @@
         self._metrics.record_inherited_call(
             head.service, inheritance.basis.value
         )
-        remaining = inheritance.deadline - self._clock.monotonic()
         call.inherits = True
         call.fair_workspace = inheritance.workspace
         return dataclasses.replace(
             head,
             queue_priority=inheritance.queue_priority,
-            remaining_time=max(
-                min(head.remaining_time, remaining), _MIN_REMAINING_TIME
-            ),
             call=call,
         )
 
--- a/endivewind/config/overload_control.py
+++ b/endivewind/config/overload_control.py
@@ -16,8 +16,8 @@
     Attributes:
       shared_admission: whether the nodes of an availability zone admit requests
         by one level for each service.
-      inherited_priority: whether calls of the target on this VM take priority
-        and deadline of the requests for which they are made.
+      inherited_priority: whether calls of the target on this VM take the
+        priority of the requests for which they are made.
       prioritized_retries: whether retries that are scarce go to urgent requests
         first.
       measured_capacity: whether requests are placed by the measured capacity of
--- a/endivewind/decisions/inherited_priority.py
+++ b/endivewind/decisions/inherited_priority.py
@@ -22,9 +22,6 @@
 # fifth at random. A call whose priority is too low is refused under overload,
 # which wastes its request; one whose priority is too high takes one slot.
 MIN_PRIORITY_LIKELIHOOD = 0.5
-# Requests that are less likely than this, relative to the most likely one, do
-# not extend the time limit of a call.
-MIN_TIME_LIKELIHOOD = 0.05
 # Time after which a call counts half. A target's use of other services changes
 # with its releases, and a release takes minutes to reach all targets.
 HALF_LIFE = datetime.timedelta(minutes=5)
@@ -43,13 +40,11 @@
     Attributes:
       queue_priority: its priority in queues; higher values go first.
       latency_objective: the time within which its caller wants a response.
-      deadline: when its caller stops waiting.
       workspace: the workspace whose fair share it counts towards.
     """
 
     queue_priority: int
     latency_objective: datetime.timedelta
-    deadline: datetime.timedelta
     workspace: str
 
     @property
@@ -86,15 +81,17 @@
 class Inheritance:
     """What a call inherits.
 
+    Nothing here may end a call or have it refused: both the request for which
+    it is made and that it is a call at all are inferred, so a wrong guess would
+    cost a caller the response.
+
     Attributes:
       queue_priority: the priority of the request for which it is made.
-      deadline: when the last of the requests that may have made it ends.
       workspace: the workspace whose fair share the call counts towards.
       basis: what the choice of the request is based on.
     """
 
     queue_priority: int
-    deadline: datetime.timedelta
     workspace: str
     basis: Basis
 
@@ -181,14 +178,12 @@
         if not running:
             return None
         if len(running) == 1:
-            return _inheritance(running, running, Basis.ONLY)
+            return _inheritance(running, Basis.ONLY)
         if self._call_count(route) < MIN_CALLS:
-            return _inheritance(running, running, Basis.HIGHEST)
+            return _inheritance(running, Basis.HIGHEST)
         rates = self._rates(route, running)
         return _inheritance(
-            _at_least(MIN_PRIORITY_LIKELIHOOD, running, rates),
-            _at_least(MIN_TIME_LIKELIHOOD, running, rates),
-            Basis.LEARNED,
+            _at_least(MIN_PRIORITY_LIKELIHOOD, running, rates), Basis.LEARNED
         )
 
     def _rates(
@@ -244,11 +239,8 @@
 
 
 def _inheritance(
-    likely: collections.abc.Sequence[RunningRequest],
-    possible: collections.abc.Sequence[RunningRequest],
-    basis: Basis,
+    likely: collections.abc.Sequence[RunningRequest], basis: Basis
 ) -> Inheritance:
-    """Returns the highest priority of the likely and the latest deadline."""
+    """Returns what the request with the highest priority leaves to a call."""
     first = max(likely, key=lambda request: request.queue_priority)
-    deadline = max(request.deadline for request in possible)
-    return Inheritance(first.queue_priority, deadline, first.workspace, basis)
+    return Inheritance(first.queue_priority, first.workspace, basis)
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -90,8 +90,8 @@
     """What is known of a call: a request that a target sends to a service.
 
     Attributes:
-      inherits: whether the call has the queue priority and the time limit of
-        the request for which it is made.
+      inherits: whether the call has the queue priority of the request for
+        which it is made.
       fair_workspace: the workspace of that request, whose fair share the call
         counts towards; empty if it has none.
       lacked_retry: whether the call failed because no retry was left.
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -79,7 +79,6 @@
         return inherited_priority.RunningRequest(
             self._head.queue_priority,
             self._head.latency_objective,
-            self.started_at + self._head.remaining_time,
             self._head.queue_workspace,
         )
 
