Don't take requests with a workspace's key for calls

After a start a node knows no routes of callers.

Targets never get callers' keys, so a request with a key is none of their calls. Without keys nothing changes. target_calls_tests.ListenerTest failed before (the request of a caller had the priority 9 of the request at the target).

--- a/endivewind/callers/caller_requests.py
+++ b/endivewind/callers/caller_requests.py
@@ -69,6 +69,11 @@
         self.workspace = workspace
         self.has_checked_key = True
 
+    @property
+    def has_valid_key(self) -> bool:
+        """Whether it carries the key of a workspace, and keys are required."""
+        return self.has_checked_key and bool(self.workspace)
+
     @property
     def authorization(self) -> str:
         """The value of its Authorization header."""
--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -298,7 +298,10 @@
             queue_priority=self._queue_priority(call),
         )
         if self._calls is not None and self._calls.is_call(
-            call.service, route.prefix, *call.addresses
+            call.service,
+            route.prefix,
+            *call.addresses,
+            has_key=call.has_valid_key,
         ):
             return await self._calls.serve(
                 route.prefix, head, lambda head: self._serve(call, head)
--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -96,7 +96,13 @@
         self._last_sample = clock.monotonic()
 
     def is_call(
-        self, service: str, prefix: str, peer_address: str, own_address: str
+        self,
+        service: str,
+        prefix: str,
+        peer_address: str,
+        own_address: str,
+        *,
+        has_key: bool = False,
     ) -> bool:
         """Returns whether a request that arrives now is a call.
 
@@ -109,12 +115,18 @@
         too. So a request by an entry route is a call only if callers of that
         route have been seen to connect from elsewhere, and none from this VM.
 
+        Scenario: a node has just started, so that it knows no routes of
+        callers. Risk: their requests go ahead of others and count towards the
+        workspace of some request at the target. Targets don't get the keys of
+        callers, so a request with a key is no call.
+
         Args:
           service: the service that it is routed to.
           prefix: the path prefix of its route.
           peer_address: the IP address of the sender; empty if it is unknown,
             as after the connection was closed. Then nothing is learned.
           own_address: the IP address at which it arrived.
+          has_key: whether it carries the key of a workspace.
         """
         if not peer_address:
             return False
@@ -127,6 +139,8 @@
         if not is_from_vm:
             self._remote_routes.add(route)
             return False
+        if has_key:
+            return False
         if not self._entry_routes.is_target_active:
             self._local_routes.add(route)
             return False
--- a/endivewind/tests/callers/target_calls_tests.py
+++ b/endivewind/tests/callers/target_calls_tests.py
@@ -99,6 +99,15 @@
         self.assertFalse(self.is_call(ELSEWHERE))
         self.assertFalse(self.is_call("", ""))
 
+    def test_request_with_a_key_is_no_call(self):
+        """Guards against callers that go ahead of others after a start.
+
+        The node knows no routes of callers yet, and its target is busy.
+        """
+        self.assertFalse(
+            self.calls.is_call("venues", "/status/", VM, VM, has_key=True)
+        )
+
     def test_idle_target_makes_no_calls(self):
         self.target.running = []
 
@@ -148,11 +157,11 @@
         self.loop = virtual_loop.VirtualLoop()
         self.addCleanup(self.loop.close)
 
-    def forward(self, peer):
+    def forward(self, peer, workspace=""):
         """Passes on a request; returns the head that the gateway gets."""
-        return self.loop.run_until_complete(self._forward(peer))
+        return self.loop.run_until_complete(self._forward(peer, workspace))
 
-    async def _forward(self, peer):
+    async def _forward(self, peer, workspace):
         gateway = mock.Mock()
         gateway.workspaces.get = lambda name: None
         gateway.serve = mock.AsyncMock(return_value=OK)
@@ -173,12 +182,20 @@
         call.route = objects.Route(service="venues", prefix="/status/")
         call.service = "venues"
         call.deadline = 30 * SECOND
+        call.assign_workspace(workspace)
         await entry._forward(call)
         return gateway.serve.await_args.args[1]
 
     def test_call_inherits(self):
         self.assertEqual(9, self.forward(VM).queue_priority)
 
+    def test_request_with_a_key_does_not(self):
+        """Guards against callers that go ahead of others after a start."""
+        head = self.forward(VM, "saltline")
+
+        self.assertNotEqual(9, head.queue_priority)
+        self.assertIsNone(head.call)
+
     def test_request_of_a_caller_does_not(self):
         """Guards against callers that raise their priority by a path."""
         head = self.forward(ELSEWHERE)
