Refuse only the start that a deregistration names

A deregistration that reached a node at which its target was not registered refused every start of the target up to the time of arrival for 30 s, even if it gave the start that left: the later of the two won. A target that had restarted before the message came got 409 for each heartbeat in that time.

The start wins where it is given; the time of arrival bounds the departure of targets that send none, as before. As a late deregistration now names an earlier start than one that is remembered, it must not replace the later departure; it did so where no time of arrival is given, as in the registry's own interface.

Before the fix, test_a_late_departure_does_not_refuse_a_restarted_target failed with 409 instead of 200, and test_withdrawal_with_its_start_refuses_no_later_start and test_withdrawal_of_an_earlier_start_keeps_the_later_departure failed likewise.

The mutant of departures that are ignored takes out the line in its new form; it is caught, as before.

--- a/endivewind/platform/heartbeats.py
+++ b/endivewind/platform/heartbeats.py
@@ -85,8 +85,8 @@
           target_registration: receives the announcements.
           heartbeat_ms: returns the heartbeat interval of the targets.
           clock: the clock of the VM on which the targets run, too. They use it
-            for their incarnations, so a deregistration applies to incarnations
-            up to the present time.
+            for their incarnations, so a deregistration without a start time
+            applies to incarnations up to the present time.
           wait_for_peers: waits until this node has received its peers' state
             of its own targets, those whose home node it is.
         """
--- a/endivewind/targets/registration.py
+++ b/endivewind/targets/registration.py
@@ -65,8 +65,9 @@
           target: the target's id.
           incarnation: the target's incarnation; 0 if not given.
           max_incarnation: upper bound of the incarnation; 0 if there is none.
-            If the target is not registered at this node, announcements up to
-            this incarnation are refused for DEPARTURE_RETENTION.
+            If the target is not registered at this node and its incarnation is
+            not given, announcements up to this one are refused for
+            DEPARTURE_RETENTION.
 
         Returns:
           False if the target is not registered.
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -372,9 +372,9 @@
           target: the target's id.
           incarnation: the target's incarnation; 0 if not given.
           max_incarnation: the highest that the incarnation can be; 0 if
-            incarnations are not numbered. If the target is not registered here,
-            announcements up to this incarnation are refused for
-            DEPARTURE_RETENTION.
+            incarnations are not numbered. If the target is not registered here
+            and its incarnation is not given, announcements up to this one are
+            refused for DEPARTURE_RETENTION.
 
         Returns:
           False if the target is not registered.
@@ -386,12 +386,22 @@
         ):
             return False
         known = item.record.target_incarnation if item else max_incarnation
-        self._remember_departure(target, max(known, incarnation))
+        self._remember_departure(target, incarnation or known)
         return self.remove(target)
 
     def _remember_departure(self, target: str, incarnation: int) -> None:
-        expires_at = self._clock.monotonic() + DEPARTURE_RETENTION
-        self._departures[target] = _Departure(incarnation, expires_at)
+        """Remembers a departure unless a later one is remembered already."""
+        now = self._clock.monotonic()
+        known = self._departures.get(target)
+        if (
+            known is not None
+            and known.incarnation > incarnation
+            and now < known.expires_at
+        ):
+            return
+        self._departures[target] = _Departure(
+            incarnation, now + DEPARTURE_RETENTION
+        )
         if len(self._departures) > MAX_REMEMBERED_DEPARTURES:
             del self._departures[next(iter(self._departures))]
 
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -133,9 +133,9 @@
     Mutant(
         "a departure that arrives before any announcement is ignored",
         "targets/registry.py",
-        "        self._remember_departure(target, max(known, incarnation))\n",
+        "        self._remember_departure(target, incarnation or known)\n",
         "        if item is not None:\n"
-        "            self._remember_departure(target, max(known, incarnation))\n",
+        "            self._remember_departure(target, incarnation or known)\n",
         "targets.registry_tests",
     ),
     Mutant(
--- a/endivewind/tests/platform/heartbeats_tests.py
+++ b/endivewind/tests/platform/heartbeats_tests.py
@@ -133,6 +133,19 @@
         later = 10 * 365 * 86_400_000 * 10
         self.assertEqual(200, await self.beat(sequence=1, born=later))
 
+    async def test_a_late_departure_does_not_refuse_a_restarted_target(self):
+        """A target restarts, and its earlier deregistration arrives late.
+
+        The home has just restarted, too, and knows no target. It must refuse
+        the start that has left, but not the next one, although that one began
+        before the deregistration arrived.
+        """
+        self.assertEqual(200, await self.leave(born=1000))
+
+        self.assertEqual(409, await self.beat(born=1000))
+        self.assertEqual(200, await self.beat(sequence=1, born=2000))
+        self.assertEqual({"i-1": "ready"}, self.states())
+
     async def test_a_later_target_at_the_same_address_replaces_the_first(self):
         """A heartbeat of a crashed target arrives after its successor's."""
         await self.beat("i-1", born=1000)
--- a/endivewind/tests/targets/registry_tests.py
+++ b/endivewind/tests/targets/registry_tests.py
@@ -205,6 +205,42 @@
         self.assertIsNone(self.targets.get("t1"))
         self.assertTrue(self._announce(incarnation=3).is_ok())
 
+    def test_withdrawal_with_its_start_refuses_no_later_start(self):
+        """Guards against a restarted target that is refused for 30 s.
+
+        The withdrawal of its earlier start arrives late, at a node where it is
+        not registered. The upper bound is the time of arrival.
+        """
+        self.targets.depart("t1", incarnation=2, max_incarnation=9)
+
+        self.assertEqual(
+            registry.AnnouncementRefusal.DEPARTED,
+            self._announce(incarnation=2).error,
+        )
+        self.assertTrue(self._announce(incarnation=3).is_ok())
+
+    def test_withdrawal_of_an_earlier_start_keeps_the_later_departure(self):
+        """Guards against requests to a target that has withdrawn and stopped.
+
+        The withdrawals of two starts arrive in reverse order, and then a
+        delayed announcement of the second start.
+        """
+        self.targets.depart("t1", incarnation=3)
+        self.targets.depart("t1", incarnation=2)
+
+        self.assertEqual(
+            registry.AnnouncementRefusal.DEPARTED,
+            self._announce(incarnation=3).error,
+        )
+
+    def test_departure_of_a_later_start_is_forgotten_in_time(self):
+        """Guards against a departure that each late withdrawal renews."""
+        self.targets.depart("t1", incarnation=3)
+        self._advance(registry.DEPARTURE_RETENTION / SECOND)
+        self.targets.depart("t1", incarnation=2)
+
+        self.assertTrue(self._announce(incarnation=3).is_ok())
+
     def test_later_announcement_elsewhere_removes_the_target(self):
         """Two home nodes have registered a target; one must remove it."""
         self._announce(moves=1)
