Keep workspaces and keys that move between shards

Callers of a workspace or with a key that moved to another shard were refused as unknown until the next change of the new shard, if the new shard was applied before the old one: the old object's removal took out the entry that the new one had set. An entry that an object drops now becomes that of the object that was applied last and still has it; it is removed if none has.

--- a/endivewind/callers/workspaces.py
+++ b/endivewind/callers/workspaces.py
@@ -4,6 +4,9 @@
 workspace that a caller's key belongs to.
 """
 
+import collections.abc
+from typing import TypeVar
+
 from endivewind.config import caller_keys
 from endivewind.config import objects
 from endivewind.config import store
@@ -13,6 +16,8 @@
 # 6750). No other scheme is supported.
 AUTH_SCHEME = "bearer"
 
+_ValueT = TypeVar("_ValueT")
+
 
 class Workspaces:
     """Finds workspaces by name or by API key.
@@ -84,18 +89,45 @@
         else:
             return
         previous = self._sources.pop(source, None)
-        if previous is not None:
-            self._remove(previous)
         if config is not None:
             self._sources[source] = config
             self._workspaces.update(config.workspaces)
             self._workspace_by_digest.update(config.keys)
+        if previous is not None:
+            self._remove_dropped(previous, config or objects.WorkspaceGroup())
         self._requires_keys = bool(self._workspace_by_digest) or any(
             item.keyed for item in self._sources.values()
         )
 
-    def _remove(self, source: objects.WorkspaceGroup) -> None:
-        for name in source.workspaces:
-            self._workspaces.pop(name, None)
-        for digest in source.keys:
-            self._workspace_by_digest.pop(digest, None)
+    def _remove_dropped(
+        self, previous: objects.WorkspaceGroup, current: objects.WorkspaceGroup
+    ) -> None:
+        """Removes what an object no longer has, unless another object has it.
+
+        A workspace or key that moves between objects is in both of them if the
+        new one is applied first.
+        """
+        sources = self._sources.values()
+        _replace_entries(
+            self._workspaces,
+            previous.workspaces.keys() - current.workspaces.keys(),
+            [item.workspaces for item in sources],
+        )
+        _replace_entries(
+            self._workspace_by_digest,
+            previous.keys.keys() - current.keys.keys(),
+            [item.keys for item in sources],
+        )
+
+
+def _replace_entries(
+    entries: dict[str, _ValueT],
+    names: collections.abc.Set[str],
+    sources: list[dict[str, _ValueT]],
+) -> None:
+    """Replaces entries by those of the last source that has them, if any."""
+    for name in names:
+        entries.pop(name, None)
+        for source in sources:
+            if name in source:
+                entries[name] = source[name]
--- a/endivewind/tests/callers/workspaces_tests.py
+++ b/endivewind/tests/callers/workspaces_tests.py
@@ -114,6 +114,102 @@
         self.assertNotIn(KEY, repr(self.store.value(("document", "main"))))
 
 
+class ShardTest(unittest.TestCase):
+    """Workspaces and keys are stored in several objects."""
+
+    def setUp(self):
+        self.store = store.ConfigurationStore()
+        self.workspaces = workspaces.Workspaces(self.store)
+        self.version = 0
+
+    def apply_shard(self, name, workspace_by_key, firm="camerino"):
+        self.version += 1
+        shard = document(self.version, workspace_by_key, firm=firm)
+        self.store.apply(store.WORKSPACE_SHARD, name, self.version, shard)
+        self.workspaces.apply_object(store.WORKSPACE_SHARD, name)
+
+    def remove_shard(self, name):
+        self.version += 1
+        tombstone = {
+            "operation": "op",
+            "version": self.version,
+            "spec": None,
+        }
+        self.store.apply(store.WORKSPACE_SHARD, name, self.version, tombstone)
+        self.workspaces.apply_object(store.WORKSPACE_SHARD, name)
+
+    def test_workspace_that_moves_to_another_shard_stays_known(self):
+        """Guards against refusals of a workspace whose shard has changed.
+
+        The objects of one submission arrive in any order, and until the second
+        has arrived both may have the workspace, or none.
+        """
+        old, new = ("old", {"venue": OTHER_KEY}), ("new", {"crew": KEY})
+        for first, second in ((old, new), (new, old)):
+            with self.subTest(first=first[0]):
+                self.setUp()
+                self.apply_shard("old", {"crew": KEY, "venue": OTHER_KEY})
+
+                self.apply_shard(*first, firm="moved")
+                self.apply_shard(*second, firm="moved")
+
+                self.assertEqual("moved", self.workspaces.get("crew").firm)
+                self.assertEqual("moved", self.workspaces.get("venue").firm)
+                self.assertEqual(
+                    "crew", self.workspaces.authenticate(f"Bearer {KEY}")
+                )
+
+    def test_key_that_moves_to_a_workspace_of_another_shard_stays_valid(self):
+        """Guards against 401 for a key after it was given to a workspace."""
+        for order in (("old", "new"), ("new", "old")):
+            with self.subTest(order):
+                self.setUp()
+                self.apply_shard("old", {"crew": KEY})
+                self.apply_shard("new", {"venue": OTHER_KEY})
+                moved = {"old": {}, "new": {"venue": KEY}}
+
+                for name in order:
+                    self.apply_shard(name, moved[name])
+
+                self.assertEqual(
+                    "venue", self.workspaces.authenticate(f"Bearer {KEY}")
+                )
+                self.assertEqual(
+                    "", self.workspaces.authenticate(f"Bearer {OTHER_KEY}")
+                )
+
+    def test_removed_shard_keeps_what_another_one_has(self):
+        """Guards against refusals after the old shard was removed."""
+        self.apply_shard("old", {"crew": KEY})
+        self.apply_shard("new", {"crew": KEY}, firm="moved")
+        self.remove_shard("old")
+
+        self.assertEqual("moved", self.workspaces.get("crew").firm)
+        self.assertEqual("crew", self.workspaces.authenticate(f"Bearer {KEY}"))
+
+    def test_change_of_the_old_shard_does_not_outlast_the_move(self):
+        """Guards against an outdated quota of a workspace that has moved.
+
+        The old shard is changed once more before the workspace is taken out.
+        """
+        self.apply_shard("old", {"crew": KEY})
+        self.apply_shard("new", {"crew": KEY}, firm="moved")
+        self.apply_shard("old", {"crew": KEY}, firm="changed")
+        self.apply_shard("old", {})
+
+        self.assertEqual("moved", self.workspaces.get("crew").firm)
+
+    def test_workspace_of_no_shard_is_unknown(self):
+        """Guards against a key that is still valid in a shard's last state."""
+        self.apply_shard("old", {"crew": KEY})
+        self.apply_shard("new", {"crew": KEY})
+        self.apply_shard("new", {})
+        self.remove_shard("old")
+
+        self.assertIsNone(self.workspaces.get("crew"))
+        self.assertEqual("", self.workspaces.authenticate(f"Bearer {KEY}"))
+
+
 class AdmissionTest(unittest.TestCase):
     """The entry node serves requests with a valid key only."""
 
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -58,8 +58,8 @@
     Mutant(
         "a revoked key is still accepted",
         "callers/workspaces.py",
-        "            self._workspace_by_digest.pop(digest, None)\n",
-        "            pass\n",
+        "            previous.keys.keys() - current.keys.keys(),\n",
+        "            set(),\n",
         "callers.workspaces_tests",
     ),
     Mutant(
