Drop expired counts before a budget's limit is asked for

RetryBudget.allows_retries counted requests and counts of neighbours that had left the window, unlike take() and spent_share(). It is a method with the time now and drops both first. Its one caller in the gateway asks for the spent share at the same moment, which drops them, so that no caller saw the difference; the property was wrong for any other use.

With the assertions on the property, the new test failed in both subtests at the end of a window in which 10 requests allowed two retries (True is not false). The test that replaces it by False patches the method's result instead.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -432,11 +432,12 @@
         target is then chosen as carefully as for a non-idempotent request.
         """
         budget = self._budgets.for_service(request.head.service)
-        spent = budget.spent_share(self._clock.monotonic())
+        now = self._clock.monotonic()
+        spent = budget.spent_share(now)
         constraints = request.constraints(
             may_probe=spent <= MAX_HEDGE_BUDGET_SHARE,
             is_last=spent >= LAST_ATTEMPT_BUDGET_SHARE
-            and budget.allows_retries,
+            and budget.allows_retries(now),
         )
         return await self._place_and_send(request, constraints)
 
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -189,9 +189,10 @@
         own_left = own_limit - self._retries - private
         return retry_priorities.RemainingRetries(private, own_left, own_limit)
 
-    @property
-    def allows_retries(self) -> bool:
+    def allows_retries(self, now: datetime.timedelta) -> bool:
         """Whether the limit is at least one retry, even if all are spent."""
+        self._current_bucket(now)
+        self._drop_expired(now)
         return self._total_limit() >= 1
 
     def _has_retry(self, now: datetime.timedelta) -> bool:
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -222,3 +222,22 @@
         budget = retry_budget.RetryBudget(retry_budget.RetryLimits(0))
 
         self.assertFalse(budget.take(_NOW))
+
+    def test_what_has_left_the_window_allows_no_retries(self):
+        """Guards against a limit of requests that no longer count.
+
+        The limit is two retries for own requests and two for a neighbour's;
+        both are gone at the end of the window, in which nothing else happens.
+        """
+        limits = retry_budget.RetryLimits(0.2, reserve=0)
+        own = retry_budget.RetryBudget(limits)
+        for _ in range(10):
+            own.record_request(_NOW)
+        shared = retry_budget.RetryBudget(limits)
+        shared.update_peer("n1", retry_budget.RequestCounts(10, 0), _NOW)
+        end = _NOW + retry_budget.DEFAULT_WINDOW
+
+        for name, budget in (("own", own), ("shared", shared)):
+            with self.subTest(name):
+                self.assertTrue(budget.allows_retries(end - _SECOND))
+                self.assertFalse(budget.allows_retries(end))
--- a/endivewind/tests/loads/retry_sharing_tests.py
+++ b/endivewind/tests/loads/retry_sharing_tests.py
@@ -98,7 +98,7 @@
         non-idempotent requests.
         """
         with mock.patch.object(
-            retry_budget.RetryBudget, "allows_retries", False
+            retry_budget.RetryBudget, "allows_retries", return_value=False
         ):
             before = _failed_share()
 
