Send versions of a large bucket in parts

A bucket whose versions do not fit into a datagram was left out of the versions that a node sends to another one that compares records with it. In a fleet of which each bucket is too large a node that missed a change kept the old record until a full pull; at 760 nodes with names of 15 characters it is a bucket with 14 nodes or more, of six on average.

The versions are now sent in parts, each with the index -1 in place of a bucket's. Receivers of all releases ignore indexes of no bucket and compare the versions that they get, so that they do not send the nodes that a part lacks. Nodes that the sender does not know are found by its own comparison. The order is random, so that a bucket of more than four datagrams is covered in time.

--- a/endivewind/nodes/gossip_messages.py
+++ b/endivewind/nodes/gossip_messages.py
@@ -21,8 +21,10 @@
         none.
       changes: encoded member records and target changes.
       buckets: digests of the sender's records by bucket.
-      compared_buckets: indexes of the buckets whose versions are attached.
-      versions: the sender's versions of all nodes in these buckets.
+      compared_buckets: indexes of the buckets whose versions are attached. An
+        index of no bucket marks a part of a bucket.
+      versions: the sender's versions of all nodes in these buckets, or of some
+        nodes of a bucket that is too large for a datagram.
       peer_update: update for nodes of the sender's zone or region.
     """
 
--- a/endivewind/nodes/repair.py
+++ b/endivewind/nodes/repair.py
@@ -29,6 +29,10 @@
 REPAIR_PERIOD = datetime.timedelta(seconds=2)
 BUSY_REPAIR_PERIOD = datetime.timedelta(seconds=10)
 MAX_VERSION_DATAGRAMS = 4
+# Attached in place of a bucket's index if not all versions of the bucket are in
+# the datagram. A receiver compares the versions and ignores an index of no
+# bucket, so that it does not send the nodes that the datagram lacks.
+_PARTIAL_BUCKET = -1
 # Number of differing buckets from which on a node pulls the full state. A
 # joining node differs in most buckets, and one pull is cheaper than many
 # comparisons.
@@ -172,25 +176,52 @@
         versions: list[digests.Version] = []
         remaining_bytes = MAX_PAYLOAD_BYTES
         for index in differing:
+            if len(result) >= MAX_VERSION_DATAGRAMS:
+                break
             names = self._digests.names_in(index)
             bucket_versions = [
                 item for name in names if (item := self._current_version(name))
             ]
-            size = 8 + sum(_version_size(item) for item in bucket_versions)
-            if size > remaining_bytes and compared:
+            size = _versions_size(bucket_versions)
+            if size > MAX_PAYLOAD_BYTES:
+                result.extend(self._make_partial_datagrams(bucket_versions))
+                continue
+            if size > remaining_bytes:
                 result.append(self._make_version_datagram(compared, versions))
                 compared, versions, remaining_bytes = [], [], MAX_PAYLOAD_BYTES
-                if len(result) == MAX_VERSION_DATAGRAMS:
-                    return result
-            if size > remaining_bytes:
-                # The bucket alone exceeds a datagram, because the fleet is
-                # much larger than BUCKET_COUNT is chosen for. Skip it.
-                continue
             compared.append(index)
             versions.extend(bucket_versions)
             remaining_bytes -= size
         if compared:
             result.append(self._make_version_datagram(compared, versions))
+        return result[:MAX_VERSION_DATAGRAMS]
+
+    def _make_partial_datagrams(
+        self, versions: list[digests.Version]
+    ) -> list[messages.Datagram]:
+        """Returns the versions of a bucket that is too large for a datagram.
+
+        The receiver finds the nodes of which one of both has a later version.
+        Nodes that this node does not know are found when it starts a
+        comparison itself. The order is random, since a comparison may end
+        before the last part.
+        """
+        remaining = sorted(versions, key=lambda item: item.name)
+        self._rng.shuffle(remaining)
+        result: list[messages.Datagram] = []
+        while remaining:
+            count = 1
+            while (
+                count < len(remaining)
+                and _versions_size(remaining[: count + 1]) <= MAX_PAYLOAD_BYTES
+            ):
+                count += 1
+            result.append(
+                self._make_version_datagram(
+                    [_PARTIAL_BUCKET], remaining[:count]
+                )
+            )
+            del remaining[:count]
         return result
 
     def _make_version_datagram(
@@ -283,6 +314,11 @@
         )
 
 
+def _versions_size(versions: list[digests.Version]) -> int:
+    """Returns at least the encoded size of a bucket's index and versions."""
+    return 8 + sum(_version_size(item) for item in versions)
+
+
 def _version_size(version: digests.Version) -> int:
     # Six field headers of 3 bytes, five numbers, the name and list overhead.
     return len(version.name) + 60
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -1,6 +1,7 @@
 """Dissemination and anti-entropy repair, in an in-memory network."""
 
 import unittest
+from unittest import mock
 
 from endivewind import exchange
 from endivewind.decisions import peer_updates
@@ -9,6 +10,7 @@
 from endivewind.nodes import change_queue
 from endivewind.nodes import codec
 from endivewind.nodes import datagrams
+from endivewind.nodes import digests
 from endivewind.nodes import gossip_messages
 from endivewind.nodes import repair
 from endivewind.targets import records
@@ -118,6 +120,94 @@
         self.assertEqual({13 * 16}, target_counts)
 
 
+class LargeBucketTest(unittest.TestCase):
+    """Forty nodes in one bucket, whose versions take three datagrams."""
+
+    def setUp(self):
+        patch = mock.patch.object(digests, "BUCKET_COUNT", 1)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.net = network.Network(NAMES)
+        self.net.run(8)
+        self.home = self.net.nodes["n0"]
+        self.home.announce("t1", lease_ms=60_000)
+        self.net.run(1)
+
+    def _block_paths_to_n7(self):
+        self.net.blocked_paths = {(name, "n7") for name in self.net.nodes}
+
+    def test_missed_change_is_repaired(self):
+        """Guards against requests to an ejected target from one node."""
+        self._block_paths_to_n7()
+        self.home.targets.set_ejection_status("t1", EJECTED)
+        self.home.publish_changes()
+        self.net.run(2)
+        n7 = self.net.nodes["n7"]
+        self.assertIsNot(EJECTED, network.health_of(n7, "t1"))
+
+        self.net.blocked_paths = set()
+        self.net.run(15)
+
+        self.assertIs(EJECTED, network.health_of(n7, "t1"))
+        self.assertTrue(self.net.has_converged())
+        self.assertLessEqual(
+            self.net.largest_datagram_bytes, repair.MAX_DATAGRAM_BYTES
+        )
+
+    def test_versions_of_a_large_bucket_are_sent_in_parts(self):
+        """Guards against a bucket that is skipped, or sent without need.
+
+        A node that has all records compares each part. It must not take the
+        nodes of the other parts for nodes that the sender does not know.
+        """
+        sender, receiver = self.net.nodes["n1"].core, self.net.nodes["n2"].core
+        question = gossip_messages.Datagram("n2", 0, buckets=(1,))
+
+        parts = [item.message for item in sender.receive("n2:1", question)]
+
+        names = [item.name for part in parts for item in part.versions]
+        self.assertEqual(sorted(NAMES), sorted(names))
+        self.assertEqual(3, len(parts))
+        for part in parts:
+            data = datagrams.encode(part, b"k" * 16)
+            self.assertLessEqual(len(data), repair.MAX_DATAGRAM_BYTES)
+            self.assertEqual(
+                [], receiver.receive("n1:1", datagrams.decode(data, b"k" * 16))
+            )
+
+    def test_parts_that_exceed_a_comparison_differ_each_time(self):
+        """Guards against versions that are in no comparison.
+
+        A comparison sends four datagrams at most; names of 200 bytes need ten.
+        """
+        names = [f"{name}-{'x' * 200}" for name in NAMES]
+        net = network.Network(names)
+        net.run(8)
+        sender = net.nodes[names[1]].core
+        question = gossip_messages.Datagram(names[2], 0, buckets=(1,))
+
+        found = set()
+        for _ in range(20):
+            messages = sender.receive(f"{names[2]}:1", question)
+            self.assertEqual(repair.MAX_VERSION_DATAGRAMS, len(messages))
+            for item in messages:
+                found |= {version.name for version in item.message.versions}
+
+        self.assertEqual(set(names), found)
+
+    def test_unknown_node_is_repaired(self):
+        """Guards against a node that has joined and is unknown to another."""
+        self._block_paths_to_n7()
+        self.net.start("n40")
+        self.net.nodes["n40"].announce("t2", lease_ms=60_000)
+        self.net.run(2)
+        self.net.blocked_paths = set()
+        self.net.run(25)
+
+        self.assertEqual("n40", self.net.nodes["n7"].home_of("t2"))
+        self.assertTrue(self.net.has_converged())
+
+
 class DepartureSurvivesRestartTest(unittest.TestCase):
     """A home is killed after it has acknowledged a target's departure.
 
