Log that a node leaves where audit records are only logged

With audit: log the log had a node's JOIN but not its LEAVE: the record was made only if records go to the platform. It is made in any case now; nothing is pending for the platform then, so that the stop waits for no call.

Before the fix the new test failed: no logs of level INFO or higher triggered on endivewind.durable.audit_recorder during the stop.

--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -607,13 +607,13 @@
         if self._settings.beside is None:
             await self._gossip.wait_targets_moved()
         await self._gossip.stop()
-        if self._settings.audit is settings.AuditDestination.PLATFORM:
-            await self._record_departure()
+        await self._record_departure()
 
     async def _record_departure(self) -> None:
         """Adds the LEAVE record and writes all records not written yet.
 
-        Waits at most as long as for one call.
+        Waits at most as long as for one call. If records are only logged, there
+        is nothing to write.
         """
         self._audit_recorder.record_membership(audit.Action.LEAVE)
         try:
--- a/endivewind/tests/node_tests.py
+++ b/endivewind/tests/node_tests.py
@@ -10,6 +10,8 @@
 from endivewind import clock as clocks
 from endivewind import node
 from endivewind.config import settings
+from endivewind.durable import audit
+from endivewind.durable import audit_recorder
 from endivewind.nodes import configuration
 from endivewind.nodes import gossip_service
 
@@ -70,6 +72,27 @@
             ):
                 self.assertEqual(404, response.status)
 
+    async def test_leave_is_logged_without_an_audit_trail_on_the_platform(self):
+        """Guards against a log in which a node joins but never leaves."""
+        tested_node = self._make_node()
+        with mock.patch.object(
+            gossip_service.GossipService, "start", mock.AsyncMock()
+        ):
+            await tested_node.start()
+
+        with (
+            self.assertLogs(audit_recorder.log, "INFO") as logged,
+            mock.patch.object(audit, "append") as append,
+        ):
+            await self._stop(tested_node)
+
+        entries = [item.fields for item in logged.records]
+        self.assertEqual(
+            [("leave", "node/node-a")],
+            [(item["action"], item["subject"]) for item in entries],
+        )
+        append.assert_not_called()
+
     def _make_node(self) -> node.Node:
         config = settings.NodeSettings(
             name="node-a",
