Keep to the time for which targets keep connections open

Connections to targets were reused for 4 s after their last use, whatever the target states in Keep-Alive: timeout=N. A target that closes idle connections sooner could reset idempotent requests, which are then retried (read from the code, not measured). A connection is not reused any more from half a second before the time that its last response states, counted from the end of the response. The margin covers the way of the request. Times of 5 s and more change nothing, as the limit of 4 s is then the shorter one.

--- a/endivewind/targets/connections.py
+++ b/endivewind/targets/connections.py
@@ -1,36 +1,91 @@
 """HTTP connections to targets, with aiohttp.
 
-Adapts aiohttp in two points: it must not resend requests by itself, and must
-not take a connection reset for the end of a response.
+Adapts aiohttp in three points: it must not resend requests by itself, must not
+take a connection reset for the end of a response, and must not reuse a
+connection for longer than the target keeps it open.
 """
 
+import asyncio
 import dataclasses
 import datetime
 import functools
+import re
 import types
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import client_reqrep
+from aiohttp import hdrs
+from aiohttp import http_parser
+from aiohttp import streams
+from aiohttp import tracing
 
+from endivewind import clock as clocks
 from endivewind import exchange
 
 # Targets close idle connections after ten seconds or more, some without notice.
 # A connection idle for less than half of that is rarely closed at the moment
 # when it is reused.
 KEEPALIVE_TIMEOUT = datetime.timedelta(seconds=4)
+# A connection is not reused in this last part of the time for which its target
+# keeps it open, so that the request arrives before the target closes it.
+KEEPALIVE_MARGIN = datetime.timedelta(milliseconds=500)
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 
+# The timeout in `Keep-Alive: timeout=5, max=100`, in seconds.
+_STATED_TIMEOUT = re.compile(
+    r"(?:^|,)\s*timeout\s*=\s*(\d{1,9})\s*(?:,|$)",
+    re.ASCII | re.IGNORECASE,
+)
+
 
 class _ResponseHandler(client_proto.ResponseHandler):
-    """A connection on which a reset is not taken for the end of a response.
+    """A connection to a target, with two additions to aiohttp's.
 
     Scenario: the end of a response without a length is marked by the end of
     its connection, and the connection is reset in the middle. Risk: aiohttp
     takes the reset for the end, and the caller gets a truncated response as a
     whole one. Setting the exception on the payload first makes reading the
     body fail.
+
+    Scenario: a target states in its responses that it closes idle connections
+    after two seconds. Risk: aiohttp reuses them for KEEPALIVE_TIMEOUT, and
+    requests fail on connections that the target closes at that moment. The
+    time that the last response states is therefore kept to.
     """
 
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: clocks.Clock
+    ) -> None:
+        super().__init__(loop)
+        self._clock = clock
+        self._expires_at: datetime.timedelta | None = None
+
+    @property
+    def is_expired(self) -> bool:
+        """Whether the target may close the connection, which is idle, soon."""
+        return (
+            self._expires_at is not None
+            and self._clock.monotonic() >= self._expires_at
+        )
+
+    def feed_data(
+        self,
+        data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Handles the head of a response; its payload may follow later."""
+        message, payload = data
+        self._expires_at = None
+        stated = message.headers.get(hdrs.KEEP_ALIVE)
+        limit = None if stated is None else _reuse_limit(stated)
+        if limit is not None:
+            payload.on_eof(functools.partial(self._start_idle_time, limit))
+        super().feed_data(data, size)
+
+    def _start_idle_time(self, limit: datetime.timedelta) -> None:
+        self._expires_at = self._clock.monotonic() + limit
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handles the end of the connection; exc is set if it was reset."""
         payload = self._payload
@@ -44,10 +99,11 @@
 class Connector(aiohttp.TCPConnector):
     """Opens connections to targets."""
 
-    def __init__(self, *, reuse: bool) -> None:
+    def __init__(self, clock: clocks.Clock, *, reuse: bool) -> None:
         """Initializes the connector.
 
         Args:
+          clock: measures how long connections are idle.
           reuse: whether to reuse connections for further requests.
         """
         if reuse:
@@ -60,8 +116,40 @@
         self._factory = functools.partial(
             _ResponseHandler,
             loop=self._loop,
+            clock=clock,
         )  # type: ignore[assignment]
 
+    async def _get(
+        self, key: client_reqrep.ConnectionKey, traces: list[tracing.Trace]
+    ) -> aiohttp.connector.Connection | None:
+        """Returns an idle connection for a request, or None.
+
+        aiohttp has no public API to limit the idle time of one connection; it
+        drops those that are closed.
+        """
+        for protocol, _ in self._conns.get(key, ()):
+            assert isinstance(protocol, _ResponseHandler)
+            if protocol.is_expired:
+                protocol.close()
+        return await super()._get(key, traces)
+
+
+def _reuse_limit(keep_alive: str) -> datetime.timedelta | None:
+    """Returns how long an idle connection may be reused.
+
+    Args:
+      keep_alive: the value of a response's Keep-Alive header.
+
+    Returns:
+      The stated time less KEEPALIVE_MARGIN; None if none is stated, or if
+      KEEPALIVE_TIMEOUT is shorter.
+    """
+    match = _STATED_TIMEOUT.search(keep_alive)
+    if match is None:
+        return None
+    limit = datetime.timedelta(seconds=int(match[1])) - KEEPALIVE_MARGIN
+    return limit if limit < KEEPALIVE_TIMEOUT else None
+
 
 class ResponseLostError(Exception):
     """There is no valid response although the request may have been sent.
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -113,13 +113,14 @@
         on_change: collections.abc.Callable[[], None] = _ignore_change,
     ) -> "Dispatcher":
         """Creates a dispatcher with its own sessions."""
-        pooled = connections.Connector(reuse=True)
-        fresh = connections.Connector(reuse=False)
+        clock = clock or clocks.SystemClock()
+        pooled = connections.Connector(clock, reuse=True)
+        fresh = connections.Connector(clock, reuse=False)
         return cls(
             targets,
             connections.make_session(pooled),
             connections.make_session(fresh),
-            clock or clocks.SystemClock(),
+            clock,
             observer or NullObserver(),
             attempt_log.AttemptLog(),
             header_names,
