--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -201,7 +201,7 @@
         call.fair_workspace = inheritance.workspace
         return dataclasses.replace(
             head,
-            queue_priority=inheritance.queue_priority,
+            queue_priority=max(head.queue_priority, inheritance.queue_priority),
             call=call,
         )
 
--- a/endivewind/decisions/inherited_priority.py
+++ b/endivewind/decisions/inherited_priority.py
@@ -81,9 +81,9 @@
 class Inheritance:
     """What a call inherits.
 
-    Nothing here may end a call or have it refused: both the request for which
-    it is made and that it is a call at all are inferred, so a wrong guess would
-    cost a caller the response.
+    Both the request for which a call is made and that it is a call at all are
+    inferred. So nothing here may end it or lower its priority: a wrong guess
+    would cost a caller the response.
 
     Attributes:
       queue_priority: the priority of the request for which it is made.
--- a/endivewind/tests/proofs/time_limits_tests.py
+++ b/endivewind/tests/proofs/time_limits_tests.py
@@ -73,6 +73,7 @@
             )
         )
         await self.target.wait_for_message("work runs", work="long")
+        self.assertFalse(short.done())
         return short, long
 
     async def test_deadline_of_one_request_does_not_end_another(self):
