Send all entry routes to neighbours in turn

A node sends its neighbours the routes by which callers' requests enter, so that one whose target is always busy learns them after a start. It sent the same first 16 of them for ever.

The test failed before: five of 21 routes were never sent. The size of an update stays as it was.

--- a/endivewind/callers/entry_routes.py
+++ b/endivewind/callers/entry_routes.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import itertools
 from typing import Protocol
 
 from endivewind import clock as clocks
@@ -14,9 +15,8 @@
 # Interval at which a node sends its entry routes to its neighbours, so that a
 # node that starts learns them soon.
 UPDATE_INTERVAL = datetime.timedelta(seconds=1)
-# Number of routes that fit into one datagram. If a deployment has more, the
-# remaining routes are not sent, and each node learns them from its own
-# requests.
+# Number of routes that fit into one datagram. If there are more, successive
+# updates send them in turn.
 MAX_ROUTES_PER_UPDATE = 16
 
 
@@ -64,7 +64,8 @@
         """
         self._clock = clock
         self._local_target = local_target
-        self._caller_routes: set[peer_updates.EntryRoute] = set()
+        # The keys are the routes, those that were sent last at the end.
+        self._caller_routes: dict[peer_updates.EntryRoute, None] = {}
         self._last_update = clock.monotonic()
 
     def is_from_caller(self, service: str, prefix: str) -> bool:
@@ -78,7 +79,7 @@
             return True
         route = peer_updates.EntryRoute(service, prefix)
         if not self._local_target.has_active_work:
-            self._caller_routes.add(route)
+            self._caller_routes.setdefault(route)
         return route in self._caller_routes
 
     @property
@@ -108,7 +109,7 @@
 
     def add_route(self, route: peer_updates.EntryRoute) -> None:
         """Adds an entry route that a neighbour has sent."""
-        self._caller_routes.add(route)
+        self._caller_routes.setdefault(route)
 
     def take_due_updates(self) -> tuple[peer_updates.EntryRoute, ...]:
         """Returns the routes to send to the neighbours now.
@@ -123,4 +124,10 @@
         ):
             return ()
         self._last_update = now
-        return tuple(sorted(self._caller_routes)[:MAX_ROUTES_PER_UPDATE])
+        routes = tuple(
+            itertools.islice(self._caller_routes, MAX_ROUTES_PER_UPDATE)
+        )
+        for route in routes:
+            del self._caller_routes[route]
+            self._caller_routes[route] = None
+        return routes
--- a/endivewind/tests/callers/entry_routes_tests.py
+++ b/endivewind/tests/callers/entry_routes_tests.py
@@ -67,6 +67,27 @@
         self.assertTrue(other_node.is_from_caller("riders", "/orders/"))
         self.assertFalse(other_node.is_from_caller("riders", "/calls/"))
 
+    def test_all_routes_are_sent_in_turn(self):
+        """Guards against routes that a node never learns from its neighbours.
+
+        If its target is always busy, callers' requests by such a route add no
+        retries and may be taken for calls for as long as the node runs.
+        """
+        prefixes = {f"/{number}/" for number in range(21)}
+        for prefix in prefixes:
+            self.routes.is_from_caller("riders", prefix)
+
+        sent = set()
+        for _ in range(2):
+            self.clock.advance(entry_routes.UPDATE_INTERVAL)
+            update = self.routes.take_due_updates()
+            self.assertLessEqual(
+                len(update), entry_routes.MAX_ROUTES_PER_UPDATE
+            )
+            sent.update(route.prefix for route in update)
+
+        self.assertEqual(prefixes, sent)
+
     def test_without_local_target_all_requests_are_callers(self):
         routes = entry_routes.EntryRoutes(self.clock)
 
