Refuse orders that may outlast a home node that is stopping

Cause: a home that is stopping took all requests until its own callers had drained, whatever time it had left itself; only the announcement of its drain, 1.5 s after the signal, keeps entry nodes away, and those that have no better target or have not heard of it still send.

A home now refuses, as not run, requests that must not repeat and that may last longer than the node, so that other homes get them. What may be repeated is still taken: it is retried if it is lost.

--- a/endivewind/nodes/graceful_shutdown.py
+++ b/endivewind/nodes/graceful_shutdown.py
@@ -39,6 +39,17 @@
         """Refuses new requests from now on."""
 
 
+class HomeDispatcher(WorkIntake, Protocol):
+    """Dispatches requests of all nodes to this node's targets."""
+
+    def refuse_outlasting(self, timeout: datetime.timedelta) -> None:
+        """Refuses requests that may be lost when this node ends.
+
+        Args:
+          timeout: the time until this node ends.
+        """
+
+
 class CallerListener(WorkIntake, Protocol):
     """The listener for callers."""
 
@@ -75,8 +86,9 @@
 class GracefulShutdown:
     """Shuts a node down in stages so that running requests can complete.
 
-    At first all requests are still accepted: callers' load balancers notice
-    within one or two probes that the node is not ready. Then the drain is
+    At first callers' requests are still accepted: their load balancers notice
+    within one or two probes that the node is not ready. The targets get no
+    requests any more that may outlast the node and could then not be retried. Then the drain is
     announced, so that peers send no more requests for this home's targets.
     After the notice period new requests are refused with a retry delay, and
     running ones complete. Stored responses stay available until the limit.
@@ -87,7 +99,7 @@
     def __init__(
         self,
         entry: CallerListener,
-        home: WorkIntake,
+        home: HomeDispatcher,
         links: PeerListener,
         tickets: TicketedRequestHandler,
         notice_period: datetime.timedelta,
@@ -114,6 +126,7 @@
         """Returns when the process may exit, after the limit at the latest."""
         try:
             async with asyncio.timeout(timeout.total_seconds()):
+                self._home.refuse_outlasting(timeout)
                 delay = min(self._notice_period, DRAIN_NOTICE_SHARE * timeout)
                 await asyncio.sleep(delay.total_seconds())
                 self._announce_drain()
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -101,6 +101,7 @@
         self._attempt_log = attempts
         self._silent_connections = silent_connections.SilentConnectionDetector()
         self._is_stopping = False
+        self._ends_at: datetime.timedelta | None = None
         self._request_bytes: request_bytes.RequestBytesLimit | None = None
 
     @classmethod
@@ -169,6 +170,19 @@
             for request in item.pending_requests
         ]
 
+    def refuse_outlasting(self, timeout: datetime.timedelta) -> None:
+        """Refuses non-idempotent requests that may outlast this node.
+
+        Scenario: a node is stopped, and its target still gets requests: entry
+        nodes learn late that it drains, or the other homes drain, too. Risk:
+        one takes long, and the node ends before it. Its outcome is then
+        unknown. An idempotent request can be retried.
+
+        Args:
+          timeout: the time until this node ends.
+        """
+        self._ends_at = self._clock.monotonic() + timeout
+
     def refuse_new(self) -> None:
         """Refuses new requests from now on; active ones continue."""
         self._is_stopping = True
@@ -278,6 +292,11 @@
         target = item.record.id
         if self._is_stopping:
             return _refuse(exchange.Reason.STOPPING, "home node is stopping")
+        if self._may_outlast_node(head):
+            return _refuse(
+                exchange.Reason.STOPPING,
+                "the request may outlast the home node, which is stopping",
+            )
         report = self._report(item)
         is_gone = self._targets.get(target) is not item
         if is_gone or item.record.state is records.State.DRAINING:
@@ -295,6 +314,12 @@
             )
         return None
 
+    def _may_outlast_node(self, head: exchange.RequestHead) -> bool:
+        """Returns whether a request might be lost with this node."""
+        if self._ends_at is None or not head.ticket:
+            return False
+        return self._clock.monotonic() + head.remaining_time > self._ends_at
+
     def _check_request_bytes(
         self,
         item: registry.HomeTarget,
--- a/endivewind/tests/nodes/graceful_shutdown_tests.py
+++ b/endivewind/tests/nodes/graceful_shutdown_tests.py
@@ -27,6 +27,9 @@
     def announce_drain(self):
         self._record("announce drain")
 
+    def refuse_outlasting(self, timeout):
+        self._record(f"refuse outlasting {timeout.total_seconds()}")
+
     def refuse_new(self):
         self._record("refuse new")
 
@@ -72,6 +75,16 @@
         self.assertEqual([("announce drain", 1.5), ("refuse new", 2.5)], calls)
         self.assertEqual(2.5, ended_at)
 
+    def test_home_learns_at_once_when_it_ends(self):
+        """Guards against orders that are lost when a stopping home ends."""
+        home, other = (_Components(self.loop, False) for _ in range(2))
+        shutdown = graceful_shutdown.GracefulShutdown(
+            other, home, other, other, NOTICE, other.announce_drain
+        )
+        self.loop.run_until_complete(shutdown.run(LIMIT))
+
+        self.assertEqual(("refuse outlasting 5.0", 0.0), home.calls[0])
+
     def test_short_notice_announces_the_drain_at_its_end(self):
         calls, _ = self._shut_down(False, datetime.timedelta(seconds=1))
 
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -512,6 +512,32 @@
             self.assertIs(exchange.Reason.BUSY, result.error.reason)
 
 
+class EndingNodeTest(_Case):
+    """The home node is stopping; each request has two seconds left."""
+
+    def test_order_that_may_outlast_the_node_is_refused_as_not_run(self):
+        """Guards against orders that are lost when a stopping home ends."""
+        self.dispatcher.refuse_outlasting(datetime.timedelta(seconds=1.9))
+
+        refusal = self.run_one("ticket", 1).error
+
+        self.assertIs(exchange.Reason.STOPPING, refusal.reason)
+        self.assertTrue(refusal.was_not_run)
+        self.assertEqual(0, self.fresh.request_count)
+
+    def test_order_that_ends_before_the_node_is_served(self):
+        """Guards against targets that are idle while their node stops."""
+        self.dispatcher.refuse_outlasting(datetime.timedelta(seconds=2))
+
+        self.assertTrue(self.run_one("ticket", 1).is_ok())
+
+    def test_request_that_can_be_retried_is_served(self):
+        """Guards against targets that are idle while their node stops."""
+        self.dispatcher.refuse_outlasting(datetime.timedelta(seconds=1))
+
+        self.assertTrue(self.run_one().is_ok())
+
+
 class LeavingTargetTest(_Case):
     """A target says in its responses that it is about to stop."""
 
