--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -138,14 +138,30 @@
         "            self._remember_departure(target, incarnation or known)\n",
         "targets.registry_tests",
     ),
+    Mutant(
+        "a stopping home takes orders that may outlast it",
+        "targets/dispatch.py",
+        "head.remaining_time > self._ends_at",
+        "datetime.timedelta() > self._ends_at",
+        "loads.stopping_homes_tests",
+    ),
+    Mutant(
+        "a call ends at the deadline of another request",
+        "callers/target_calls.py",
+        "            call=call,\n        )\n",
+        "            call=call,\n"
+        "            remaining_time=datetime.timedelta(milliseconds=1),\n"
+        "        )\n",
+        "callers.target_calls_tests",
+    ),
     Mutant(
         "an attempt is recorded after its hand-over instead of before",
         "targets/dispatch.py",
         "        if refusal is not None:\n"
         "            return expression.Error(refusal)\n"
-        "        result = await self._dispatch(target, head, body)\n",
+        "        result = await run()\n",
         "        del self._attempt_log._attempts[head.ticket]\n"
-        "        result = await self._dispatch(target, head, body)\n"
+        "        result = await run()\n"
         "        self._attempt_log.begin(\n"
         "            head.ticket, head.attempt, self._clock.monotonic()\n"
         "        )\n",
