--- a/endivewind/nodes/graceful_shutdown.py
+++ b/endivewind/nodes/graceful_shutdown.py
@@ -88,12 +88,12 @@
 
     At first callers' requests are still accepted: their load balancers notice
     within one or two probes that the node is not ready. The targets get no
-    requests any more that may outlast the node and could then not be retried. Then the drain is
-    announced, so that peers send no more requests for this home's targets.
-    After the notice period new requests are refused with a retry delay, and
-    running ones complete. Stored responses stay available until the limit.
-    Requests that still run at the limit are aborted, and their callers get the
-    outcome as far as it is known.
+    requests any more that may outlast the node and could then not be retried.
+    Then the drain is announced, so that peers send no more requests for this
+    home's targets. After the notice period new requests are refused with a
+    retry delay, and running ones complete. Stored responses stay available
+    until the limit. Requests that still run at the limit are aborted, and their
+    callers get the outcome as far as it is known.
     """
 
     def __init__(
