Check in the soak that time limits and stop limits are not shortened

Callers got 504 with the reason deadline before their own deadline and before the time limit of their route, and the soak could not see it: of what nodes give up, it checked broken connections only.

A 504 with the reason deadline now has to come no earlier than the time limit of the request, and one with the reason cut-short no earlier than the stop limit of the node. No fault shortens a limit, so there is no excuse.

The tolerance is 10 ms.

--- a/endivewind/soak/checks.py
+++ b/endivewind/soak/checks.py
@@ -8,6 +8,8 @@
 import dataclasses
 import enum
 
+from endivewind import exchange
+
 
 class Guarantee(enum.StrEnum):
     """A guarantee; its value describes the violation."""
@@ -22,6 +24,8 @@
     RECOVERY = "requests fail after the faults have ended"
     NO_UNEXPECTED_EXIT = "a process ended by itself"
     RETRY_BUDGET = "more retries than the budget allows"
+    TIME_LIMIT = "a request was given up for its deadline before its time limit"
+    STOP_LIMIT = "a planned stop cut a request short before its stop limit"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +57,9 @@
       named: the work id in the response; empty if it has none.
       cut: whether the connection broke after the request was sent.
       streamed: whether the response was streamed.
+      reason: the reason header that a node sets; empty in a target's response.
+      time_limit: time limit of the request in seconds: its own, or that of its
+        route or service.
     """
 
     work: str
@@ -65,6 +72,8 @@
     named: str = ""
     cut: bool = False
     streamed: bool = False
+    reason: str = ""
+    time_limit: float = 0.0
 
 
 # Value of Outage.node: the outage may break streamed responses of all nodes.
@@ -90,6 +99,28 @@
     ended_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeStop:
+    """A planned stop of a node.
+
+    Attributes:
+      node: the node.
+      started_at: when it was told to stop, in seconds after the start of the
+        run.
+      ended_at: when its process exited, in seconds after the start of the run.
+    """
+
+    node: str
+    started_at: float
+    ended_at: float
+
+
+# A caller starts its clock before the node does, so a limit can only seem to
+# end early by rounding: by up to a millisecond at each of the two links to the
+# issuer of a ticket and to the home, and by up to two at the clock and the
+# timer of the caller's and each node's event loop, which count milliseconds.
+LIMIT_TOLERANCE_SECONDS = 0.01
+
 # A request that is sent while a stopping process closes its keep-alive
 # connections may be lost before the process reads it, so that it is not run. A
 # request whose connection breaks within this time is taken for such a one.
@@ -160,6 +191,63 @@
     )
 
 
+def check_limits(
+    records: collections.abc.Iterable[RequestRecord],
+    stops: collections.abc.Sequence[NodeStop],
+    stop_limit: float,
+) -> list[Finding]:
+    """Checks that no request was given up before the limit in the reason.
+
+    No fault shortens a limit, so outages are no excuse. The time of a request
+    with a ticket includes that of its resends, so that the check is less strict
+    for these.
+
+    Args:
+      records: records of all callers.
+      stops: all planned stops of nodes.
+      stop_limit: how long a stopping node waits for requests, in seconds.
+    """
+    findings = []
+    for item in records:
+        elapsed = item.ended - item.began
+        if (
+            item.reason == exchange.Reason.DEADLINE
+            and elapsed < item.time_limit - LIMIT_TOLERANCE_SECONDS
+        ):
+            finding = Finding(
+                Guarantee.TIME_LIMIT,
+                f"{item.work} at {item.node or 'unknown node'}: after "
+                f"{elapsed:.3f} s of {item.time_limit} s, at {item.ended:.2f}",
+            )
+            findings.append(finding)
+        if item.reason == exchange.Reason.CUT_SHORT and not any(
+            _allows_abort(stop, item, stop_limit) for stop in stops
+        ):
+            finding = Finding(
+                Guarantee.STOP_LIMIT,
+                f"{item.work} at {item.node or 'unknown node'}, "
+                f"{item.began:.2f} to {item.ended:.2f}",
+            )
+            findings.append(finding)
+    return findings
+
+
+def _allows_abort(
+    stop: NodeStop, item: RequestRecord, stop_limit: float
+) -> bool:
+    """Returns whether a stop had reached its limit when the request ended.
+
+    A request with a ticket may be aborted at the node that issued the ticket,
+    which is unknown.
+    """
+    limit_at = stop.started_at + stop_limit - LIMIT_TOLERANCE_SECONDS
+    return (
+        item.node in ("", stop.node)
+        and limit_at <= item.ended
+        and item.began <= stop.ended_at
+    )
+
+
 def check_versions(
     versions_by_node: collections.abc.Mapping[
         str, collections.abc.Sequence[int]
--- a/endivewind/soak/fleets.py
+++ b/endivewind/soak/fleets.py
@@ -26,13 +26,25 @@
 LISTEN_ADDRESS = "127.0.0.2"
 ZONES = ("andina-a", "andina-b", "caribe-a", "caribe-a")
 SERVICE = "ledger"
+SERVICE_LIMIT_MS = 3000
+# Time limits of the routes of look-ups; 0 is that of the service. There are
+# several routes because a node with its target beside it learns by route which
+# requests are callers', so that it knows few of them after a start.
+LOOKUP_LIMITS_MS = {
+    "/look/a": 0,
+    "/look/b": 0,
+    "/look/c": 0,
+    "/look/d": 0,
+    "/look/e": 1000,
+    "/look/f": 2000,
+}
 RETRY_PERCENT = 20
 RETRY_RESERVE = 40
 CONFIGURATION: dict[str, Any] = {
     "services": {
         SERVICE: {
             "slots": 4,
-            "timeout_ms": 3000,
+            "timeout_ms": SERVICE_LIMIT_MS,
             "retry_percent": RETRY_PERCENT,
             "retry_reserve": RETRY_RESERVE,
         }
@@ -42,6 +54,15 @@
             "routes": [
                 {"service": SERVICE, "repeat": "always"},
                 {"service": SERVICE, "prefix": "/once", "repeat": "never"},
+                *(
+                    {
+                        "service": SERVICE,
+                        "prefix": prefix,
+                        "repeat": "always",
+                        "timeout_ms": limit_ms,
+                    }
+                    for prefix, limit_ms in LOOKUP_LIMITS_MS.items()
+                ),
             ]
         }
     },
--- a/endivewind/soak/runs.py
+++ b/endivewind/soak/runs.py
@@ -112,6 +112,7 @@
         self._other_release = other_release
         self._findings: list[checks.Finding] = []
         self._outages: list[checks.Outage] = []
+        self._stops: list[checks.NodeStop] = []
         self._versions: dict[str, list[int]] = collections.defaultdict(list)
         self._fleet: fleets.Fleet
         self._run_start = 0.0
@@ -203,7 +204,9 @@
 
     async def _stop(self, fault: schedules.Fault, name: str) -> None:
         """Stops a node gracefully, or kills it if it does not exit."""
+        started_at = self._now()
         code = await self._fleet.stop(name)
+        self._stops.append(checks.NodeStop(name, started_at, self._now()))
         if code is None:
             self._add_finding(
                 checks.Guarantee.NO_UNEXPECTED_EXIT,
@@ -368,6 +371,9 @@
         findings = [
             *self._findings,
             *checks.check_requests(records, run_counts, self._outages),
+            *checks.check_limits(
+                records, self._stops, fleets.STOP_TIMEOUT_SECONDS
+            ),
             *checks.check_versions(self._versions),
             *checks.check_retries(
                 records,
--- a/endivewind/standins/target.py
+++ b/endivewind/standins/target.py
@@ -23,6 +23,9 @@
 FAULT_PATH = "/standin/fault"
 EVENTS_PATH = "/standin/events"
 FAULT_HEADER = "Standin-Fault"
+# Duration of the fault "delay" in milliseconds.
+DELAY_HEADER = "Standin-Delay-Ms"
+DEFAULT_DELAY_MS = 500
 ANNOUNCEMENT_INTERVAL = datetime.timedelta(milliseconds=500)
 HANG_DURATION = datetime.timedelta(hours=1)
 CHUNK_BYTES = 500
@@ -52,7 +55,8 @@
     requests that fail, "delay_ms": extra latency, "hang": true, "draining":
     true, "rate_limit": requests per second that its responses name as its
     limit, "leaving": whether its responses say that it is about to stop}. The
-    header Standin-Fault names a fault of one request.
+    header Standin-Fault names a fault of one request, and Standin-Delay-Ms the
+    duration of the fault "delay".
     """
 
     def __init__(self, name: str, service: str, nodes: list[str]) -> None:
@@ -192,7 +196,8 @@
             case RequestFault.HANG:
                 await asyncio.sleep(HANG_DURATION.total_seconds())
             case RequestFault.DELAY:
-                await asyncio.sleep(_CHUNK_INTERVAL.total_seconds() * 5)
+                delay = request.headers.get(DELAY_HEADER, DEFAULT_DELAY_MS)
+                await asyncio.sleep(int(delay) / 1000)
             case RequestFault.LARGE:
                 return web.Response(body=b"x" * LARGE_BODY_BYTES)
             case RequestFault.SLOW_STREAM:
--- a/endivewind/tests/soak/checks_tests.py
+++ b/endivewind/tests/soak/checks_tests.py
@@ -92,6 +92,82 @@
         self.assertEqual([Guarantee.GRACEFUL_STOP], _violations(streamed, 1))
 
 
+class LimitsTest(unittest.TestCase):
+    """Checks of the time after which nodes gave requests up."""
+
+    def setUp(self):
+        """Takes a request of two seconds and a stop with a limit of six."""
+        self.deadline = checks.RequestRecord(
+            "w1",
+            False,
+            "node-0",
+            10.0,
+            12.0,
+            504,
+            "unknown",
+            reason="deadline",
+            time_limit=2.0,
+        )
+        self.cut_short = dataclasses.replace(
+            self.deadline, ended=17.0, reason="cut-short", time_limit=8.0
+        )
+        self.stop = checks.NodeStop("node-0", 11.0, 17.0)
+
+    def _violations(self, record, *stops):
+        findings = checks.check_limits([record], stops, 6.0)
+        return [item.guarantee for item in findings]
+
+    def test_giving_up_before_the_time_limit_is_found(self):
+        """A node shortens a caller's time limit to that of other work."""
+        early = dataclasses.replace(self.deadline, ended=11.98)
+
+        self.assertEqual([], self._violations(self.deadline))
+        self.assertEqual([Guarantee.TIME_LIMIT], self._violations(early))
+
+    def test_deadline_may_be_rounded(self):
+        rounded = dataclasses.replace(self.deadline, ended=11.992)
+
+        self.assertEqual([], self._violations(rounded))
+
+    def test_stop_does_not_excuse_giving_up_early(self):
+        early = dataclasses.replace(self.deadline, ended=11.5)
+
+        self.assertEqual(
+            [Guarantee.TIME_LIMIT], self._violations(early, self.stop)
+        )
+
+    def test_refusals_for_other_reasons_may_be_early(self):
+        refused = dataclasses.replace(
+            self.deadline, ended=10.1, reason="busy", outcome="not-run"
+        )
+
+        self.assertEqual([], self._violations(refused))
+
+    def test_abort_without_a_stop_at_its_limit_is_found(self):
+        """A stopping node aborts requests that it should still wait for."""
+        self.assertEqual([], self._violations(self.cut_short, self.stop))
+        for stop in (
+            dataclasses.replace(self.stop, started_at=11.1),
+            dataclasses.replace(self.stop, node="node-1"),
+            # The node has started again before the request was sent.
+            checks.NodeStop("node-0", 1.0, 7.0),
+        ):
+            self.assertEqual(
+                [Guarantee.STOP_LIMIT], self._violations(self.cut_short, stop)
+            )
+        self.assertEqual(
+            [Guarantee.STOP_LIMIT], self._violations(self.cut_short)
+        )
+
+    def test_issuer_of_a_ticket_may_abort_at_its_limit(self):
+        """A request with a ticket may end at another node's stop."""
+        once = dataclasses.replace(self.cut_short, once=True, node="")
+        late = dataclasses.replace(self.stop, started_at=11.1)
+
+        self.assertEqual([], self._violations(once, self.stop))
+        self.assertEqual([Guarantee.STOP_LIMIT], self._violations(once, late))
+
+
 class RunTest(unittest.TestCase):
     def test_decreasing_version_is_found(self):
         findings = checks.check_versions({"a": [1, 2, 2, 3], "b": [2, 3, 2]})
