Play half of the soak's seeds with a target beside each node

Nodes with a target on their VM and inherited_priority take a caller's request for a call of that target as long as they do not know its route, and give it the deadline of what the target runs. The soak had no such fleets, so that it could not find this.

Faults of a seed are drawn as before; schedules kept from red runs have shared targets.

--- a/endivewind/soak/fleets.py
+++ b/endivewind/soak/fleets.py
@@ -10,6 +10,7 @@
 import json
 import pathlib
 import signal
+import socket
 from typing import Any
 
 import aiohttp
@@ -77,7 +78,11 @@
     """The processes of one run."""
 
     def __init__(
-        self, folder: pathlib.Path, other_release: pathlib.Path | None = None
+        self,
+        folder: pathlib.Path,
+        other_release: pathlib.Path | None = None,
+        *,
+        has_local_targets: bool = False,
     ) -> None:
         """Creates the fleet without starting processes.
 
@@ -85,9 +90,12 @@
           folder: receives the logs of all processes.
           other_release: checkout of another release, which every second node
             runs; None runs this release only.
+          has_local_targets: whether each node has the only target of its VM
+            beside it, and calls inherit priorities and time limits.
         """
         self._folder = folder
         self._other_release = other_release
+        self._has_local_targets = has_local_targets
         self._stack = contextlib.AsyncExitStack()
         # Closed last: processes write logs until they exit.
         self._log_files = contextlib.ExitStack()
@@ -118,6 +126,16 @@
         """Names of the nodes."""
         return list(self.relays)
 
+    @property
+    def targets(self) -> list[str]:
+        """Names of the targets."""
+        count = (
+            schedules.NODE_COUNT
+            if self._has_local_targets
+            else schedules.TARGET_COUNT
+        )
+        return [f"target-{number}" for number in range(count)]
+
     @property
     def platform_url(self) -> str:
         """URL of the platform stand-in."""
@@ -145,10 +163,7 @@
         for number in range(schedules.NODE_COUNT):
             await self._create_node(f"node-{number}", ZONES[number])
         await asyncio.gather(
-            *(
-                self.start_target(f"target-{number}")
-                for number in range(schedules.TARGET_COUNT)
-            )
+            *(self.start_target(name) for name in self.targets)
         )
         await self.submit(CONFIGURATION, "first")
         await self.call_platform_control("backup")
@@ -167,6 +182,11 @@
             "limits": {"stop_seconds": STOP_TIMEOUT_SECONDS},
             **dict.fromkeys(_LISTENERS, f"{LISTEN_ADDRESS}:0"),
         }
+        if self._has_local_targets:
+            self._settings[name] |= {
+                "beside": {"service": SERVICE, "address": _free_address()},
+                "overload": {"inherited_priority": True},
+            }
         await self.start_node(name)
         listening = self.processes[name].listening_line
         for listener in _LISTENERS:
@@ -190,18 +210,27 @@
         return None if is_even else self._other_release
 
     async def start_target(self, name: str) -> None:
-        """Starts a target, unless it is running; each prefers one node."""
+        """Starts a target, unless it is running.
+
+        It prefers one node, or has only that one if targets are local.
+        """
         async with self._locks[name]:
             if self.is_running(name):
                 return
             first_node = int(name.rpartition("-")[2]) % schedules.NODE_COUNT
             addresses = [self._settings[node]["targets"] for node in self.nodes]
             ordered = addresses[first_node:] + addresses[:first_node]
+            port = "0"
+            if self._has_local_targets:
+                ordered = ordered[:1]
+                local_target = self._settings[self.nodes[first_node]]["beside"]
+                port = local_target["address"].rpartition(":")[2]
             self.processes[name] = await self._children.start(
                 name,
                 "standin",
                 "target",
                 f"--address={LISTEN_ADDRESS}",
+                f"--port={port}",
                 f"--name={name}",
                 f"--service={SERVICE}",
                 f"--nodes={','.join(ordered)}",
@@ -286,3 +315,10 @@
                 self.run_counts[line["work"]] += 1
 
         self.processes[name].follow(handle_line)
+
+
+def _free_address() -> str:
+    """Returns an address for a target whose node has to know it first."""
+    with socket.socket() as probe:
+        probe.bind((LISTEN_ADDRESS, 0))
+        return f"{LISTEN_ADDRESS}:{probe.getsockname()[1]}"
--- a/endivewind/soak/runs.py
+++ b/endivewind/soak/runs.py
@@ -124,7 +124,11 @@
           exceptions.EndivewindError: the fleet did not start.
         """
         (self._folder / "schedule.json").write_text(self._schedule.to_json())
-        async with fleets.Fleet(self._folder, self._other_release) as fleet:
+        async with fleets.Fleet(
+            self._folder,
+            self._other_release,
+            has_local_targets=self._schedule.has_local_targets,
+        ) as fleet:
             self._fleet = fleet
             await fleet.start()
             await self._wait_for_recovery()
@@ -180,10 +184,8 @@
                 await self._race_submits(fault)
 
     def _subject(self, fault: schedules.Fault, group: str) -> str:
-        count = (
-            schedules.NODE_COUNT if group == "node" else schedules.TARGET_COUNT
-        )
-        return f"{group}-{fault.subject % count}"
+        names = self._fleet.nodes if group == "node" else self._fleet.targets
+        return names[fault.subject % len(names)]
 
     async def _node_fault(self, fault: schedules.Fault, name: str) -> None:
         fleet = self._fleet
@@ -282,9 +284,9 @@
             )
         for process in fleet.processes.values():
             process.send_signal(signal.SIGCONT)
-        for number in range(schedules.TARGET_COUNT):
-            await fleet.start_target(f"target-{number}")
-            await fleet.set_target_fault(f"target-{number}")
+        for name in fleet.targets:
+            await fleet.start_target(name)
+            await fleet.set_target_fault(name)
         for name in fleet.nodes:
             if not fleet.is_running(name):
                 self._add_finding(
--- a/endivewind/soak/schedules.py
+++ b/endivewind/soak/schedules.py
@@ -55,6 +55,8 @@
 FAULTS_PER_SECOND = 0.8
 MIN_FAULT_SECONDS = 0.2
 MAX_FAULT_SECONDS = 5.0
+# Share of the schedules in which each target has its own node.
+LOCAL_TARGET_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,11 +90,14 @@
       seed: seed of the faults and of the callers' random choices.
       seconds: length of the period in which faults start.
       faults: in the order of their start.
+      has_local_targets: whether each node has the only target of its VM beside
+        it, and calls inherit priorities and time limits.
     """
 
     seed: int
     seconds: float
     faults: tuple[Fault, ...]
+    has_local_targets: bool = False
 
     def to_json(self) -> str:
         """Returns the schedule as JSON, which from_json parses."""
@@ -116,7 +121,13 @@
                 )
                 for item in data["faults"]
             )
-            return cls(int(data["seed"]), float(data["seconds"]), faults)
+            return cls(
+                int(data["seed"]),
+                float(data["seconds"]),
+                faults,
+                # Missing in schedules of earlier releases.
+                bool(data.get("has_local_targets", False)),
+            )
         except (KeyError, TypeError) as error:
             raise ValueError(f"not a valid schedule: {error}") from error
 
@@ -144,7 +155,12 @@
         )
         for _ in range(count)
     ]
-    return Schedule(seed, seconds, tuple(sorted(faults, key=_start_time)))
+    return Schedule(
+        seed,
+        seconds,
+        tuple(sorted(faults, key=_start_time)),
+        rng.random() < LOCAL_TARGET_SHARE,
+    )
 
 
 def _start_time(fault: Fault) -> float:
--- a/endivewind/tests/soak/schedules_tests.py
+++ b/endivewind/tests/soak/schedules_tests.py
@@ -32,11 +32,29 @@
         self.assertGreater(overlapping, count / 2)
 
     def test_json_round_trip(self):
-        generated = schedules.generate(7, 12)
+        for has_local_targets in (False, True):
+            generated = dataclasses.replace(
+                schedules.generate(7, 12), has_local_targets=has_local_targets
+            )
+
+            parsed = schedules.Schedule.from_json(generated.to_json())
+
+            self.assertEqual(generated, parsed)
+
+    def test_schedule_without_kind_of_targets_has_shared_ones(self):
+        """A schedule kept from a red run replays on the fleet it ran on."""
+        text = '{"seed": 1, "seconds": 2, "faults": []}'
 
-        parsed = schedules.Schedule.from_json(generated.to_json())
+        self.assertEqual(
+            schedules.Schedule(1, 2.0, ()), schedules.Schedule.from_json(text)
+        )
+
+    def test_some_schedules_have_local_targets(self):
+        count = sum(
+            schedules.generate(seed, 12).has_local_targets for seed in range(50)
+        )
 
-        self.assertEqual(generated, parsed)
+        self.assertTrue(10 < count < 40, count)
 
     def test_invalid_text_is_rejected(self):
         for text in (
