--- a/endivewind/soak/fleets.py
+++ b/endivewind/soak/fleets.py
@@ -10,6 +10,7 @@
 import json
 import pathlib
 import signal
+import socket
 from typing import Any
 
 import aiohttp
@@ -26,13 +27,25 @@
 LISTEN_ADDRESS = "127.0.0.2"
 ZONES = ("andina-a", "andina-b", "caribe-a", "caribe-a")
 SERVICE = "ledger"
+SERVICE_LIMIT_MS = 3000
+# Time limits of the routes of look-ups; 0 is that of the service. There are
+# several routes because a node with its target beside it learns by route which
+# requests are callers', so that it knows few of them after a start.
+LOOKUP_LIMITS_MS = {
+    "/look/a": 0,
+    "/look/b": 0,
+    "/look/c": 0,
+    "/look/d": 0,
+    "/look/e": 1000,
+    "/look/f": 2000,
+}
 RETRY_PERCENT = 20
 RETRY_RESERVE = 40
 CONFIGURATION: dict[str, Any] = {
     "services": {
         SERVICE: {
             "slots": 4,
-            "timeout_ms": 3000,
+            "timeout_ms": SERVICE_LIMIT_MS,
             "retry_percent": RETRY_PERCENT,
             "retry_reserve": RETRY_RESERVE,
         }
@@ -42,6 +55,15 @@
             "routes": [
                 {"service": SERVICE, "repeat": "always"},
                 {"service": SERVICE, "prefix": "/once", "repeat": "never"},
+                *(
+                    {
+                        "service": SERVICE,
+                        "prefix": prefix,
+                        "repeat": "always",
+                        "timeout_ms": limit_ms,
+                    }
+                    for prefix, limit_ms in LOOKUP_LIMITS_MS.items()
+                ),
             ]
         }
     },
@@ -56,7 +78,11 @@
     """The processes of one run."""
 
     def __init__(
-        self, folder: pathlib.Path, other_release: pathlib.Path | None = None
+        self,
+        folder: pathlib.Path,
+        other_release: pathlib.Path | None = None,
+        *,
+        has_local_targets: bool = False,
     ) -> None:
         """Creates the fleet without starting processes.
 
@@ -64,9 +90,12 @@
           folder: receives the logs of all processes.
           other_release: checkout of another release, which every second node
             runs; None runs this release only.
+          has_local_targets: whether each node has the only target of its VM
+            beside it, and calls inherit priorities and time limits.
         """
         self._folder = folder
         self._other_release = other_release
+        self._has_local_targets = has_local_targets
         self._stack = contextlib.AsyncExitStack()
         # Closed last: processes write logs until they exit.
         self._log_files = contextlib.ExitStack()
@@ -97,6 +126,16 @@
         """Names of the nodes."""
         return list(self.relays)
 
+    @property
+    def targets(self) -> list[str]:
+        """Names of the targets."""
+        count = (
+            schedules.NODE_COUNT
+            if self._has_local_targets
+            else schedules.TARGET_COUNT
+        )
+        return [f"target-{number}" for number in range(count)]
+
     @property
     def platform_url(self) -> str:
         """URL of the platform stand-in."""
@@ -124,10 +163,7 @@
         for number in range(schedules.NODE_COUNT):
             await self._create_node(f"node-{number}", ZONES[number])
         await asyncio.gather(
-            *(
-                self.start_target(f"target-{number}")
-                for number in range(schedules.TARGET_COUNT)
-            )
+            *(self.start_target(name) for name in self.targets)
         )
         await self.submit(CONFIGURATION, "first")
         await self.call_platform_control("backup")
@@ -146,6 +182,11 @@
             "limits": {"stop_seconds": STOP_TIMEOUT_SECONDS},
             **dict.fromkeys(_LISTENERS, f"{LISTEN_ADDRESS}:0"),
         }
+        if self._has_local_targets:
+            self._settings[name] |= {
+                "beside": {"service": SERVICE, "address": _free_address()},
+                "overload": {"inherited_priority": True},
+            }
         await self.start_node(name)
         listening = self.processes[name].listening_line
         for listener in _LISTENERS:
@@ -169,18 +210,27 @@
         return None if is_even else self._other_release
 
     async def start_target(self, name: str) -> None:
-        """Starts a target, unless it is running; each prefers one node."""
+        """Starts a target, unless it is running.
+
+        It prefers one node, or has only that one if targets are local.
+        """
         async with self._locks[name]:
             if self.is_running(name):
                 return
             first_node = int(name.rpartition("-")[2]) % schedules.NODE_COUNT
             addresses = [self._settings[node]["targets"] for node in self.nodes]
             ordered = addresses[first_node:] + addresses[:first_node]
+            port = "0"
+            if self._has_local_targets:
+                ordered = ordered[:1]
+                local_target = self._settings[self.nodes[first_node]]["beside"]
+                port = local_target["address"].rpartition(":")[2]
             self.processes[name] = await self._children.start(
                 name,
                 "standin",
                 "target",
                 f"--address={LISTEN_ADDRESS}",
+                f"--port={port}",
                 f"--name={name}",
                 f"--service={SERVICE}",
                 f"--nodes={','.join(ordered)}",
@@ -265,3 +315,10 @@
                 self.run_counts[line["work"]] += 1
 
         self.processes[name].follow(handle_line)
+
+
+def _free_address() -> str:
+    """Returns an address for a target whose node has to know it first."""
+    with socket.socket() as probe:
+        probe.bind((LISTEN_ADDRESS, 0))
+        return f"{LISTEN_ADDRESS}:{probe.getsockname()[1]}"
