Let reports of demand overlap, so that a lost one takes no counts with it

A report held the counts since the one before. If half of them are lost, the coordinator's windows of 1 to 4 s stand for twice that time, the allowance follows old rates, and the admitted load swings between 0.56 and 1.59 of its mean.

A report now covers the last second. It states the end of that time by the clock of its sender, so that the coordinator takes reports that do not overlap, and ignores repeated ones and sorts those that were overtaken.

--- a/endivewind/callers/admission_control.py
+++ b/endivewind/callers/admission_control.py
@@ -36,6 +36,10 @@
 MAX_TARGET_WAIT_SHARE = 0.11
 # Longest validity of a level that is accepted.
 MAX_VALIDITY = datetime.timedelta(seconds=20)
+# Time that a report covers, or one interval if that is longer. Several reports
+# of the usual interval cover the same requests, so that a lost one changes
+# neither the rates nor the time over which they are measured.
+REPORTED_TIME = admission_level.WINDOW
 # Classes in a report. The least frequent others are combined by priority, so
 # that a report fits into a datagram.
 MAX_REPORTED_CLASSES = 24
@@ -47,7 +51,6 @@
 
     Attributes:
       since: when they were last reset.
-      follows_report: whether the counts before were reported.
       arrived: requests by priority, workspace and weight.
       served: requests that a target ran.
       placed: requests that got a target or were refused by a queue.
@@ -58,7 +61,6 @@
     """
 
     since: datetime.timedelta
-    follows_report: bool = False
     arrived: collections.Counter[tuple[int, str, int]] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -83,6 +85,8 @@
         self._clock = clock
         self._rng = rng
         self._counts: dict[str, _Counts] = {}
+        # Counts of the last reports on each scarce service, the latest last.
+        self._reported: dict[str, collections.deque[_Counts]] = {}
         # Levels by service and coordinator.
         self._levels: dict[str, dict[str, _ReceivedLevel]] = {}
         # Fractions of requests admitted at the lowest priority, by service and
@@ -250,15 +254,23 @@
         demands = []
         for service, counts in self._counts.items():
             if now - counts.since < (
-                period if counts.follows_report else first_period
+                period if service in self._reported else first_period
             ):
                 continue
-            is_due = bool(self._waits.get(service)) or (
-                self.level(service) is not None
-            )
-            if is_due:
-                demands.append(self._demand(service, counts, now))
-            self._counts[service] = _Counts(now, is_due)
+            self._counts[service] = _Counts(now)
+            if self._waits.get(service) or self.level(service) is not None:
+                reported = self._reported.setdefault(
+                    service, collections.deque()
+                )
+                reported.append(counts)
+                while (
+                    len(reported) > 1
+                    and now - reported[1].since >= REPORTED_TIME
+                ):
+                    reported.popleft()
+                demands.append(self._demand(service, reported, now))
+            else:
+                self._reported.pop(service, None)
         return tuple(demands)
 
     def apply_levels(
@@ -288,22 +300,32 @@
             received[sender] = _ReceivedLevel(level, now + valid_for)
 
     def _demand(
-        self, service: str, counts: _Counts, now: datetime.timedelta
+        self,
+        service: str,
+        reported: collections.deque[_Counts],
+        now: datetime.timedelta,
     ) -> admission_level.ServiceDemand:
         waits = self._waits.get(service, {})
         since = next(iter(waits.values()), (now, now))[0]
+        arrived: collections.Counter[tuple[int, str, int]] = (
+            collections.Counter()
+        )
+        for counts in reported:
+            arrived.update(counts.arrived)
         return admission_level.ServiceDemand(
             service,
-            now - counts.since,
-            _reported_classes(counts.arrived),
-            counts.served,
-            counts.placed,
-            counts.delayed,
+            now - reported[0].since,
+            _reported_classes(arrived),
+            sum(counts.served for counts in reported),
+            sum(counts.placed for counts in reported),
+            sum(counts.delayed for counts in reported),
             len(waits),
             now - since,
-            counts.reused,
-            counts.backlog,
-            counts.refused,
+            sum(counts.reused for counts in reported),
+            sum(counts.backlog for counts in reported),
+            sum(counts.refused for counts in reported),
+            ended=now,
+            interval=now - reported[-1].since,
         )
 
     def _counts_of(self, service: str) -> _Counts:
--- a/endivewind/decisions/admission_level.py
+++ b/endivewind/decisions/admission_level.py
@@ -26,11 +26,12 @@
 # admitted load of few nodes stays wrong for longer than their queues last.
 SHARE_WINDOWS = 1.5
 # Time from the first report until the first level that refuses requests, in
-# addition to the period of a report. Then all nodes have reported, and the
+# addition to the interval of reports. Then all nodes have reported, and the
 # served rate covers the overload only.
 LEARNING_TIME = datetime.timedelta(milliseconds=250)
-# Reports of a node are used for two of its periods and this time longer. Several
-# may be lost in a row; without the node, both demand and served rate look lower.
+# Reports of a node are used for two of its intervals and this time longer.
+# Several may be lost in a row; without the node, both demand and served rate
+# look lower.
 SILENCE_TIME = datetime.timedelta(seconds=2)
 # A level ends after this time without waiting requests and without refusals.
 CALM_TIME = datetime.timedelta(seconds=1)
@@ -94,11 +95,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceDemand:
-    """Demand for one service at one entry node since its last report.
+    """Demand for one service at one entry node in the time before a report.
+
+    Consecutive reports cover overlapping periods, so that a lost one does not
+    take its counts with it.
 
     Attributes:
       service: the service.
-      period: time since the last report.
+      period: time that the counts cover.
       classes: requests that arrived, refused ones included.
       served: requests that ended after a target had run them.
       placed: requests that were sent to a target or refused by a queue.
@@ -108,6 +112,9 @@
       reused: served requests for whose slot another one waited at the home.
       backlog: requests per slot that waited there, summed over these requests.
       refused: requests that the level refused.
+      ended: when the period ended, by the clock of the entry node; None for
+        when the report is received, as with nodes of earlier releases.
+      interval: time since the last report; None for the whole period.
     """
 
     service: str
@@ -121,6 +128,8 @@
     reused: int = 0
     backlog: float = 0.0
     refused: int = 0
+    ended: datetime.timedelta | None = None
+    interval: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,6 +200,67 @@
         return max(self.delayed_share, self.reused_share)
 
 
+class _NodeReports:
+    """The latest reports of one entry node.
+
+    Reports may be lost, repeated or received in another order. They are
+    ordered by the clock of their sender; a report that is there already, or
+    that ended too long before the latest one, is ignored. If the clock of the
+    sender starts anew, its reports are used again once it counts as silent.
+    """
+
+    def __init__(self) -> None:
+        self._last_received = datetime.timedelta()
+        # By the end of their periods, the latest first.
+        self._reports: list[tuple[datetime.timedelta, ServiceDemand]] = []
+
+    @property
+    def interval(self) -> datetime.timedelta:
+        """Time between the latest report and the one before."""
+        latest = self._reports[0][1]
+        return latest.period if latest.interval is None else latest.interval
+
+    def add(self, demand: ServiceDemand, now: datetime.timedelta) -> None:
+        """Stores a report."""
+        ended = now if demand.ended is None else demand.ended
+        latest = self._reports[0][0] if self._reports else ended
+        oldest = max(latest, ended) - MAX_WINDOWS * WINDOW
+        if ended < oldest or any(ended == item for item, _ in self._reports):
+            return
+        self._last_received = now
+        self._reports.append((ended, demand))
+        self._reports.sort(key=lambda item: item[0], reverse=True)
+        while self._reports[-1][0] < oldest:
+            self._reports.pop()
+
+    def is_silent(self, now: datetime.timedelta) -> bool:
+        """Returns whether the node does not report any more."""
+        silence = now - self._last_received
+        return silence > 2 * self.interval + SILENCE_TIME
+
+    def cover(
+        self, window: datetime.timedelta
+    ) -> list[tuple[float, ServiceDemand]]:
+        """Returns the latest reports that cover a window, and their weights.
+
+        Their periods do not overlap. Of the last one only the part that lies
+        within the window counts; the first one counts whole.
+        """
+        chosen: list[tuple[float, ServiceDemand]] = []
+        remaining = window
+        started = None
+        for ended, item in self._reports:
+            if started is not None and ended > started:
+                continue
+            weight = min(1.0, remaining / item.period) if chosen else 1.0
+            chosen.append((weight, item))
+            remaining -= item.period
+            started = ended - item.period
+            if remaining <= datetime.timedelta():
+                break
+        return chosen
+
+
 class LevelCalculator:
     """Computes the level of one service from the reports of entry nodes.
 
@@ -211,10 +281,7 @@
     def __init__(self, service: str, now: datetime.timedelta) -> None:
         self._service = service
         self._started = now
-        self._reports: dict[
-            str,
-            collections.deque[tuple[datetime.timedelta, ServiceDemand]],
-        ] = {}
+        self._reports: dict[str, _NodeReports] = {}
         self._allowance: float | None = None
         self._updated = now
         self._limited_since = now
@@ -230,13 +297,7 @@
         self, sender: str, demand: ServiceDemand, now: datetime.timedelta
     ) -> None:
         """Stores the report of an entry node."""
-        reports = self._reports.setdefault(sender, collections.deque())
-        reports.appendleft((now, demand))
-        total = sum(
-            (item.period for _, item in reports), start=datetime.timedelta()
-        )
-        while total - reports[-1][1].period >= MAX_WINDOWS * WINDOW:
-            total -= reports.pop()[1].period
+        self._reports.setdefault(sender, _NodeReports()).add(demand, now)
 
     def compute(
         self, number: int, now: datetime.timedelta
@@ -252,7 +313,7 @@
         rates = self._long_rates(recent)
         if recent.waiting or recent.busy_share > SPARE_SHARE:
             self._last_busy = now
-        if now - self._started >= LEARNING_TIME + self._longest_period():
+        if now - self._started >= LEARNING_TIME + self._longest_interval():
             self._update_allowance(recent, rates, now)
         allowance = self._allowance
         # A fall of the demand shows in the recent rate first; a random peak of
@@ -275,9 +336,9 @@
         )
         return self._rates(min(windows, MAX_WINDOWS) * WINDOW)
 
-    def _longest_period(self) -> datetime.timedelta:
+    def _longest_interval(self) -> datetime.timedelta:
         return max(
-            (reports[0][1].period for reports in self._reports.values()),
+            (reports.interval for reports in self._reports.values()),
             default=datetime.timedelta(),
         )
 
@@ -318,8 +379,7 @@
     def _remove_silent(self, now: datetime.timedelta) -> None:
         """Drops the reports of nodes that no longer report."""
         for sender, reports in list(self._reports.items()):
-            received_at, demand = reports[0]
-            if now - received_at > 2 * demand.period + SILENCE_TIME:
+            if reports.is_silent(now):
                 del self._reports[sender]
 
     def _rates(self, window: datetime.timedelta) -> _Rates:
@@ -329,15 +389,18 @@
         )
         total: collections.Counter[str] = collections.Counter()
         for reports in self._reports.values():
-            chosen = _latest(reports, window)
-            seconds = sum(item.period.total_seconds() for item in chosen)
-            for item in chosen:
+            chosen = reports.cover(window)
+            seconds = sum(
+                weight * item.period.total_seconds() for weight, item in chosen
+            )
+            for weight, item in chosen:
+                per_second = weight / seconds
                 for demand in item.classes:
                     key = (demand.priority, demand.workspace, demand.weight)
-                    counts[key] += demand.count / seconds
+                    counts[key] += demand.count * per_second
                 for name in _SUMMED:
-                    total[name] += getattr(item, name) / seconds
-            total["waiting"] += chosen[0].waiting
+                    total[name] += getattr(item, name) * per_second
+            total["waiting"] += chosen[0][1].waiting
         arrived = sum(counts.values())
         served = total["served"]
         return _Rates(
@@ -352,21 +415,6 @@
         )
 
 
-def _latest(
-    reports: collections.abc.Iterable[tuple[datetime.timedelta, ServiceDemand]],
-    window: datetime.timedelta,
-) -> list[ServiceDemand]:
-    """Returns the latest reports that cover a window, at least one."""
-    chosen: list[ServiceDemand] = []
-    covered = datetime.timedelta()
-    for _, item in reports:
-        if chosen and covered >= window:
-            break
-        chosen.append(item)
-        covered += item.period
-    return chosen
-
-
 def _is_overloaded(recent: _Rates) -> bool:
     """Returns whether slots are scarce at the homes and the entry nodes.
 
--- a/endivewind/nodes/admission_messages.py
+++ b/endivewind/nodes/admission_messages.py
@@ -11,6 +11,8 @@
 # Bound of counts and times in a report, so that a faulty one can't make the
 # coordinator compute with values that no node reaches.
 _MAX_COUNT = 1_000_000
+# Bound of a sender's clock: 31 years after its start.
+_MAX_TIME_MS = 10**12
 
 
 def encode_demand(demand: admission_level.ServiceDemand) -> Any:
@@ -32,6 +34,8 @@
         reused=demand.reused,
         backlog=round(_SHARE_SCALE * demand.backlog),
         refused=demand.refused,
+        ended_ms=_optional_milliseconds(demand.ended),
+        interval_ms=_optional_milliseconds(demand.interval),
     )
 
 
@@ -65,6 +69,8 @@
         _count(struct.reused),
         _count(struct.backlog) / _SHARE_SCALE,
         _count(struct.refused),
+        _optional_time(struct.ended_ms),
+        _optional_time(struct.interval_ms),
     )
 
 
@@ -115,5 +121,15 @@
     return min(max(0, value or 0), _MAX_COUNT)
 
 
+def _optional_milliseconds(value: datetime.timedelta | None) -> int | None:
+    return None if value is None else value // _MILLISECOND
+
+
+def _optional_time(value: int | None) -> datetime.timedelta | None:
+    if value is None:
+        return None
+    return min(max(0, value), _MAX_TIME_MS) * _MILLISECOND
+
+
 def _share(value: int | None) -> float:
     return min(_count(value), _SHARE_SCALE) / _SHARE_SCALE
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -170,11 +170,12 @@
   4: i32 requests
 }
 
-// An entry node's demand for a service since its last report. waiting: requests
+// An entry node's demand for a service in the last period_ms. waiting: requests
 // that wait for a slot now; oldest_wait_ms: how long the first has waited.
 // reused: served requests for whose slot another one waited at the home.
 // backlog: the requests that waited there, per slot and in thousandths, summed
-// over the served requests. refused: by the level.
+// over the served requests. refused: by the level. ended_ms: end of the period
+// by the sender's clock; interval_ms: time since its last report.
 struct ServiceDemand {
   1: string service_name
   2: i32 period_ms
@@ -187,6 +188,8 @@
   9: i32 reused
   10: i32 backlog
   11: i32 refused
+  12: i64 ended_ms
+  13: i32 interval_ms
 }
 
 // Admitted share of a workspace's requests of the lowest priority, in
--- a/endivewind/tests/decisions/admission_level_tests.py
+++ b/endivewind/tests/decisions/admission_level_tests.py
@@ -1,10 +1,13 @@
 """Tests of the computation of admission levels from reported demand."""
 
+import dataclasses
 import datetime
 import unittest
 
 from endivewind.decisions import admission_level
 from endivewind.decisions import peer_updates
+from endivewind.nodes import admission_messages
+from endivewind.nodes import codec
 from endivewind.nodes import datagrams
 from endivewind.nodes import gossip_messages
 
@@ -78,6 +81,108 @@
         self.assertIsNone(_level(_demand((0, "", 1, 40), is_busy=False)))
 
 
+class ReportTest(unittest.TestCase):
+    """Reports that cover the last second, four times a second."""
+
+    SLICES_PER_REPORT = 4
+
+    def _reports(self, urgent):
+        """Returns reports, given the urgent requests of each quarter second.
+
+        A hundred a second arrive if 20 of them are urgent; 40 are served.
+        """
+        reports = []
+        for number in range(1, len(urgent) + 1):
+            covered = urgent[:number][-self.SLICES_PER_REPORT :]
+            count = len(covered)
+            demand = _demand(
+                (1, "", 1, sum(covered)),
+                (0, "", 1, 20 * count),
+                served=10 * count,
+            )
+            reports.append(
+                dataclasses.replace(
+                    demand,
+                    period=count * PERIOD,
+                    ended=number * PERIOD,
+                    interval=PERIOD,
+                )
+            )
+        return reports
+
+    def _level_after(self, reports):
+        """Returns the level after reports, each with its time of arrival."""
+        calculator = admission_level.LevelCalculator(
+            "riders", datetime.timedelta()
+        )
+        level = None
+        for number, (now, demand) in enumerate(reports):
+            calculator.record("a", demand, now)
+            level = calculator.compute(number, now)
+        return level
+
+    def test_lost_reports_do_not_take_their_counts_along(self):
+        """The share was computed from the requests of received reports only."""
+        received = [(item.ended, item) for item in self._reports((8, 2) * 6)]
+
+        level = self._level_after(received[1::2])
+
+        self.assertEqual(0, level.lowest_priority)
+        self.assertAlmostEqual((40 - 20) / 80, level.share, delta=0.03)
+
+    def test_overlapping_reports_count_once(self):
+        """The latest requests would count several times in a window."""
+        urgent = (2,) * 8 + (8,) * 4
+        received = [(item.ended, item) for item in self._reports(urgent)]
+
+        level = self._level_after(received)
+
+        # 32 in the last second and half of the 8 in the one before.
+        self.assertAlmostEqual((40 - 36 / 1.5) / 80, level.share, delta=0.03)
+
+    def test_repeated_reports_count_once(self):
+        """Repeated reports stood for the time before, in place of older ones."""
+        urgent = (2,) * 8 + (8,) * 4
+        received = [(item.ended, item) for item in self._reports(urgent)]
+        end, last = received[-1]
+        repeated = [(end + PERIOD / 10 * n, last) for n in range(1, 6)]
+
+        level = self._level_after([*received, *repeated])
+
+        self.assertAlmostEqual((40 - 36 / 1.5) / 80, level.share, delta=0.03)
+
+    def test_reports_in_another_order_are_sorted(self):
+        """A report that was overtaken replaced the latest one."""
+        urgent = (2,) * 8 + (8,) * 4
+        *reports, before, last = self._reports(urgent)
+        received = [(item.ended, item) for item in reports]
+        received += [(before.ended, last), (last.ended, before)]
+
+        level = self._level_after(received)
+
+        self.assertAlmostEqual((40 - 36 / 1.5) / 80, level.share, delta=0.03)
+
+    def test_node_whose_clock_starts_anew_is_heard_again(self):
+        """Its reports would be taken for late ones for ever."""
+        reports = self._reports((8, 2) * 6)
+        before = [
+            dataclasses.replace(
+                item,
+                ended=item.ended + datetime.timedelta(hours=1),
+                classes=(admission_level.ClassDemand(2, "", 1, 1000),),
+            )
+            for item in reports
+        ]
+        received = [
+            (number * PERIOD, item)
+            for number, item in enumerate([*before, *reports])
+        ]
+
+        level = self._level_after(received)
+
+        self.assertEqual(0, level.lowest_priority)
+
+
 class DatagramTest(unittest.TestCase):
     def test_reports_and_levels_are_transmitted(self):
         """A field that is lost on the wire makes coordinators miscount."""
@@ -97,6 +202,28 @@
 
         self.assertEqual(message, decoded)
 
+    def test_period_of_reports_is_transmitted(self):
+        """Without its end a report that is late or repeated counts again."""
+        demand = dataclasses.replace(
+            _demand((-1, "a", 2, 5)),
+            ended=datetime.timedelta(days=400),
+            interval=PERIOD,
+        )
+
+        struct = admission_messages.encode_demand(demand)
+
+        self.assertEqual(demand, admission_messages.decode_demand(struct))
+
+    def test_clock_beyond_all_times_is_bounded(self):
+        """An OverflowError would end the task that receives datagrams."""
+        struct = codec.messages.ServiceDemand(
+            service_name="riders", ended_ms=2**63 - 1
+        )
+
+        demand = admission_messages.decode_demand(struct)
+
+        self.assertGreater(demand.ended, datetime.timedelta(days=365))
+
     def test_negative_demand_is_ignored(self):
         """A class without demand made the coordinator divide by zero."""
         update = peer_updates.PeerUpdate(
