Continue admission control after an error, and log it

An error in one run of the task ended it without a log line: until it stopped, the node reported no demand, sent no levels as a coordinator, and no longer refused requests that had waited too long. An error in one of the two steps does not skip the other. The new test timed out on the code before.

--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -841,8 +841,13 @@
     async def _run_admission(self, service: admission.AdmissionService) -> None:
         while True:
             await asyncio.sleep(admission.TICK_INTERVAL.total_seconds())
-            self._gateway.refuse_overdue()
-            service.tick()
+            for step in (self._gateway.refuse_overdue, service.tick):
+                try:
+                    step()
+                except Exception:
+                    # Levels expire without further reports, and waiting
+                    # requests are refused too late, so the task goes on.
+                    log.exception("admission control failed")
 
     def _publish_updates(self) -> None:
         """Sends the zone's other nodes the updates that entry nodes need.
--- a/endivewind/tests/node_tests.py
+++ b/endivewind/tests/node_tests.py
@@ -1,6 +1,7 @@
 """Tests of a node's start and stop, in this process."""
 
 import asyncio
+import collections
 import random
 import unittest
 from unittest import mock
@@ -9,7 +10,10 @@
 
 from endivewind import clock as clocks
 from endivewind import node
+from endivewind.callers import gateway
+from endivewind.config import overload_control
 from endivewind.config import settings
+from endivewind.nodes import admission
 from endivewind.nodes import configuration
 from endivewind.nodes import gossip_service
 
@@ -70,13 +74,43 @@
             ):
                 self.assertEqual(404, response.status)
 
-    def _make_node(self) -> node.Node:
+    async def test_errors_do_not_end_admission_control(self):
+        """The node would report no demand and send no level until it stops."""
+        is_repeated = asyncio.Event()
+        calls = collections.Counter()
+
+        def fail(instance):
+            name = type(instance).__name__
+            calls[name] += 1
+            if min(calls["Gateway"], calls["AdmissionService"]) > 1:
+                is_repeated.set()
+            raise ValueError("broken demand")
+
+        tested_node = self._make_node(
+            overload=overload_control.OverloadControl(shared_admission=True)
+        )
+        with (
+            mock.patch.object(
+                gossip_service.GossipService, "start", mock.AsyncMock()
+            ),
+            mock.patch.object(gateway.Gateway, "refuse_overdue", fail),
+            mock.patch.object(admission.AdmissionService, "tick", fail),
+            self.assertLogs("endivewind.node", "ERROR") as captured,
+        ):
+            await tested_node.start()
+            self.addAsyncCleanup(self._stop, tested_node)
+            await asyncio.wait_for(is_repeated.wait(), 10)
+
+        self.assertIn("broken demand", captured.output[0])
+
+    def _make_node(self, **options) -> node.Node:
         config = settings.NodeSettings(
             name="node-a",
             region="andina",
             zone="andina-a",
             platform=NO_PLATFORM,
             audit=settings.AuditDestination.LOG,
+            **options,
         )
         return node.Node.from_settings(
             config, clocks.SystemClock(), random.Random(1)
