Ignore levels that their end has overtaken, and levels without a field

An entry node forgot a level when its end arrived. A level that was sent before the end and arrived after it was taken for a new one, and requests were refused for two more seconds although all could be served. The end is kept for 2 s now, which is how long a level is valid. When a level comes into force or expires is unchanged.

A field of a level that was missing was read as 0: without a share all requests of the lowest priority were refused, and without a time the level ended. Such a datagram is not valid now, as one that names no service.

Three of the new tests of ends and the one of fields failed on the code before.

--- a/endivewind/callers/admission_control.py
+++ b/endivewind/callers/admission_control.py
@@ -36,6 +36,8 @@
 MAX_TARGET_WAIT_SHARE = 0.11
 # Longest validity of a level that is accepted.
 MAX_VALIDITY = datetime.timedelta(seconds=20)
+# Time for which older levels are ignored after a level has ended.
+END_RETENTION = admission_level.VALIDITY
 # Time that a report covers, or one interval if that is longer. Several reports
 # of the usual interval cover the same requests, so that a lost one changes
 # neither the rates nor the time over which they are measured.
@@ -74,9 +76,22 @@
 
 @dataclasses.dataclass(slots=True)
 class _ReceivedLevel:
+    """The last level of a coordinator, or its end.
+
+    Attributes:
+      level: the level; it is not valid for any time if it has ended.
+      expires_at: when it is forgotten. An end is kept so that a level that it
+        overtook is not taken for a new one.
+    """
+
     level: admission_level.AdmissionLevel
     expires_at: datetime.timedelta
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the coordinator has ended the level."""
+        return not self.level.valid_for
+
 
 class AdmissionControl:
     """Checks new requests by the levels in force and counts the demand."""
@@ -134,9 +149,10 @@
         for sender, item in list(received.items()):
             if now >= item.expires_at:
                 del received[sender]
-                self._log_end(service, "expired")
+                if not item.has_ended:
+                    self._log_end(service, "expired")
         return max(
-            (item.level for item in received.values()),
+            (item.level for item in received.values() if not item.has_ended),
             key=lambda item: item.strictness,
             default=None,
         )
@@ -285,19 +301,20 @@
             known = received.get(sender)
             if known is not None and known.level.number >= level.number:
                 continue
-            if not level.valid_for:
-                if received.pop(sender, None) is not None:
-                    self._log_end(level.service, "not needed")
-                continue
-            if not received:
+            was_in_force = any(not item.has_ended for item in received.values())
+            valid_for = min(level.valid_for, MAX_VALIDITY)
+            received[sender] = _ReceivedLevel(
+                level, now + (valid_for or END_RETENTION)
+            )
+            if level.valid_for and not was_in_force:
                 log.info(
                     "admission level in force",
                     extra=logs.fields(
                         service=level.service, coordinator=sender
                     ),
                 )
-            valid_for = min(level.valid_for, MAX_VALIDITY)
-            received[sender] = _ReceivedLevel(level, now + valid_for)
+            elif known and not known.has_ended and not level.valid_for:
+                self._log_end(level.service, "not needed")
 
     def _demand(
         self,
--- a/endivewind/nodes/admission_messages.py
+++ b/endivewind/nodes/admission_messages.py
@@ -97,15 +97,26 @@
     """Returns the level of a struct.
 
     Raises:
-      ValueError: if it names no service.
+      ValueError: if a field is missing. Read as 0, it would refuse requests
+        that the coordinator admits, or end the level.
     """
     if not struct.service_name:
         raise ValueError("admission level without a service")
+    required = (
+        struct.number,
+        struct.valid_ms,
+        struct.lowest_priority,
+        struct.share,
+        struct.retry_after_ms,
+        *(item.share for item in struct.workspace_shares or ()),
+    )
+    if None in required:
+        raise ValueError("admission level without a number, time or share")
     return admission_level.AdmissionLevel(
         struct.service_name,
-        struct.number or 0,
+        struct.number,
         _count(struct.valid_ms) * _MILLISECOND,
-        struct.lowest_priority or 0,
+        struct.lowest_priority,
         _share(struct.share),
         tuple(
             admission_level.WorkspaceShare(
--- a/endivewind/tests/callers/admission_control_tests.py
+++ b/endivewind/tests/callers/admission_control_tests.py
@@ -67,5 +67,44 @@
         self.assertEqual(2, self.report_after(2).classes[0].count)
 
 
+class LevelTest(AdmissionControlTest):
+    def test_level_that_its_end_has_overtaken_is_ignored(self):
+        """It refused requests for two seconds although all could be served."""
+        self.receive(1)
+        self.receive(3, valid_for=datetime.timedelta())
+
+        self.receive(2)
+
+        self.assertIsNone(self.control.level(SERVICE))
+        self.assertEqual([], self.control.levels())
+
+    def test_end_that_arrives_before_any_level_counts(self):
+        """The only level of a short overload may be overtaken, too."""
+        self.receive(2, valid_for=datetime.timedelta())
+
+        self.receive(1)
+
+        self.assertIsNone(self.control.level(SERVICE))
+
+    def test_level_after_an_end_comes_into_force(self):
+        """An overload that starts again must not be ignored."""
+        self.receive(1)
+        self.receive(2, valid_for=datetime.timedelta())
+
+        self.receive(3)
+
+        self.assertEqual(3, self.control.level(SERVICE).number)
+
+    def test_end_of_a_level_is_logged_once(self):
+        """An end that is kept must not be reported as an expired level."""
+        self.receive(1)
+        with self.assertLogs(admission_control.log, "INFO") as captured:
+            self.receive(2, valid_for=datetime.timedelta())
+            self.clock.advance(2 * admission_control.END_RETENTION)
+            self.control.level(SERVICE)
+
+        self.assertEqual(1, len(captured.records))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/endivewind/tests/decisions/admission_level_tests.py
+++ b/endivewind/tests/decisions/admission_level_tests.py
@@ -224,6 +224,30 @@
 
         self.assertGreater(demand.ended, datetime.timedelta(days=365))
 
+    def test_level_without_a_field_is_refused(self):
+        """Read as 0, a share refuses all requests of the lowest priority."""
+        level = admission_level.AdmissionLevel(
+            "riders",
+            7,
+            workspace_shares=(admission_level.WorkspaceShare("a", 0.5),),
+        )
+        for field in (
+            "number",
+            "valid_ms",
+            "lowest_priority",
+            "share",
+            "retry_after_ms",
+        ):
+            struct = admission_messages.encode_level(level)
+            setattr(struct, field, None)
+            with self.subTest(field=field), self.assertRaises(ValueError):
+                admission_messages.decode_level(struct)
+
+        struct = admission_messages.encode_level(level)
+        struct.workspace_shares[0].share = None
+        with self.assertRaises(ValueError):
+            admission_messages.decode_level(struct)
+
     def test_negative_demand_is_ignored(self):
         """A class without demand made the coordinator divide by zero."""
         update = peer_updates.PeerUpdate(
