Refuse targets without slots that another node sends

The number of slots of a target was not checked when it arrived, and placement and admission control divide by it. A node of a broken release that sent 0 would have let each choice among the targets of the service fail at all entry nodes. Read in the code, not seen in a run.

A change of such a target is refused. In a state it is left out, since a state that is refused whole would keep a starting node from joining; a target that a state does not list does not exist. Its departure is accepted as before.

--- a/endivewind/nodes/changes.py
+++ b/endivewind/nodes/changes.py
@@ -56,6 +56,8 @@
             return decode_member(change.member)
         if change.target:
             target = change.target
+            if not target.gone and not has_slots(target):
+                raise ValueError("target without slots")
             record = decode_target(target, target.home, target.home_incarnation)
             return records.TargetChange(record, bool(target.gone))
     except (TypeError, ValueError) as error:
@@ -109,6 +111,14 @@
     )
 
 
+def has_slots(target: Any) -> bool:
+    """Returns whether a thrift struct of a target has a slot at least.
+
+    Entry nodes divide by the number of slots, in every choice of a target.
+    """
+    return (target.slots or 0) > 0
+
+
 def decode_target(
     target: Any, home: str, incarnation: int
 ) -> records.TargetRecord:
--- a/endivewind/nodes/gossip_frames.py
+++ b/endivewind/nodes/gossip_frames.py
@@ -87,6 +87,9 @@
     targets = tuple(
         changes.decode_target(item, home.home, home.incarnation)
         for item in home.targets or ()
+        # The other homes of a state must not be lost for one faulty target:
+        # a node that starts would never get a whole state.
+        if changes.has_slots(item)
     )
     version = view.HomeVersion(home.incarnation, home.sequence)
     return view.HomeState(home.home, version, targets)
