--- a/endivewind/callers/admission_control.py
+++ b/endivewind/callers/admission_control.py
@@ -36,6 +36,12 @@
 MAX_TARGET_WAIT_SHARE = 0.11
 # Longest validity of a level that is accepted.
 MAX_VALIDITY = datetime.timedelta(seconds=20)
+# Time for which older levels are ignored after a level has ended.
+END_RETENTION = admission_level.VALIDITY
+# Time that a report covers, or one interval if that is longer. Several reports
+# of the usual interval cover the same requests, so that a lost one changes
+# neither the rates nor the time over which they are measured.
+REPORTED_TIME = admission_level.WINDOW
 # Classes in a report. The least frequent others are combined by priority, so
 # that a report fits into a datagram.
 MAX_REPORTED_CLASSES = 24
@@ -47,7 +53,6 @@
 
     Attributes:
       since: when they were last reset.
-      follows_report: whether the counts before were reported.
       arrived: requests by priority, workspace and weight.
       served: requests that a target ran.
       placed: requests that got a target or were refused by a queue.
@@ -58,7 +63,6 @@
     """
 
     since: datetime.timedelta
-    follows_report: bool = False
     arrived: collections.Counter[tuple[int, str, int]] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -72,9 +76,22 @@
 
 @dataclasses.dataclass(slots=True)
 class _ReceivedLevel:
+    """The last level of a coordinator, or its end.
+
+    Attributes:
+      level: the level; it is not valid for any time if it has ended.
+      expires_at: when it is forgotten. An end is kept so that a level that it
+        overtook is not taken for a new one.
+    """
+
     level: admission_level.AdmissionLevel
     expires_at: datetime.timedelta
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the coordinator has ended the level."""
+        return not self.level.valid_for
+
 
 class AdmissionControl:
     """Checks new requests by the levels in force and counts the demand."""
@@ -83,6 +100,8 @@
         self._clock = clock
         self._rng = rng
         self._counts: dict[str, _Counts] = {}
+        # Counts of the last reports on each scarce service, the latest last.
+        self._reported: dict[str, collections.deque[_Counts]] = {}
         # Levels by service and coordinator.
         self._levels: dict[str, dict[str, _ReceivedLevel]] = {}
         # Fractions of requests admitted at the lowest priority, by service and
@@ -130,9 +149,10 @@
         for sender, item in list(received.items()):
             if now >= item.expires_at:
                 del received[sender]
-                self._log_end(service, "expired")
+                if not item.has_ended:
+                    self._log_end(service, "expired")
         return max(
-            (item.level for item in received.values()),
+            (item.level for item in received.values() if not item.has_ended),
             key=lambda item: item.strictness,
             default=None,
         )
@@ -250,15 +270,23 @@
         demands = []
         for service, counts in self._counts.items():
             if now - counts.since < (
-                period if counts.follows_report else first_period
+                period if service in self._reported else first_period
             ):
                 continue
-            is_due = bool(self._waits.get(service)) or (
-                self.level(service) is not None
-            )
-            if is_due:
-                demands.append(self._demand(service, counts, now))
-            self._counts[service] = _Counts(now, is_due)
+            self._counts[service] = _Counts(now)
+            if self._waits.get(service) or self.level(service) is not None:
+                reported = self._reported.setdefault(
+                    service, collections.deque()
+                )
+                reported.append(counts)
+                while (
+                    len(reported) > 1
+                    and now - reported[1].since >= REPORTED_TIME
+                ):
+                    reported.popleft()
+                demands.append(self._demand(service, reported, now))
+            else:
+                self._reported.pop(service, None)
         return tuple(demands)
 
     def apply_levels(
@@ -273,37 +301,48 @@
             known = received.get(sender)
             if known is not None and known.level.number >= level.number:
                 continue
-            if not level.valid_for:
-                if received.pop(sender, None) is not None:
-                    self._log_end(level.service, "not needed")
-                continue
-            if not received:
+            was_in_force = any(not item.has_ended for item in received.values())
+            valid_for = min(level.valid_for, MAX_VALIDITY)
+            received[sender] = _ReceivedLevel(
+                level, now + (valid_for or END_RETENTION)
+            )
+            if level.valid_for and not was_in_force:
                 log.info(
                     "admission level in force",
                     extra=logs.fields(
                         service=level.service, coordinator=sender
                     ),
                 )
-            valid_for = min(level.valid_for, MAX_VALIDITY)
-            received[sender] = _ReceivedLevel(level, now + valid_for)
+            elif known and not known.has_ended and not level.valid_for:
+                self._log_end(level.service, "not needed")
 
     def _demand(
-        self, service: str, counts: _Counts, now: datetime.timedelta
+        self,
+        service: str,
+        reported: collections.deque[_Counts],
+        now: datetime.timedelta,
     ) -> admission_level.ServiceDemand:
         waits = self._waits.get(service, {})
         since = next(iter(waits.values()), (now, now))[0]
+        arrived: collections.Counter[tuple[int, str, int]] = (
+            collections.Counter()
+        )
+        for counts in reported:
+            arrived.update(counts.arrived)
         return admission_level.ServiceDemand(
             service,
-            now - counts.since,
-            _reported_classes(counts.arrived),
-            counts.served,
-            counts.placed,
-            counts.delayed,
+            now - reported[0].since,
+            _reported_classes(arrived),
+            sum(counts.served for counts in reported),
+            sum(counts.placed for counts in reported),
+            sum(counts.delayed for counts in reported),
             len(waits),
             now - since,
-            counts.reused,
-            counts.backlog,
-            counts.refused,
+            sum(counts.reused for counts in reported),
+            sum(counts.backlog for counts in reported),
+            sum(counts.refused for counts in reported),
+            ended=now,
+            interval=now - reported[-1].since,
         )
 
     def _counts_of(self, service: str) -> _Counts:
