Disconnect callers by what they have acknowledged

Callers that read steadily lost responses that were ready, with `overload.memory_megabytes` set: the connection was reset and the node logged "caller read nothing". The watch took a write that does not complete for a stall. With default buffers the kernel takes up to 4 MB at once, and then nothing until a third of that is acknowledged: 6.5 s at 200 KB/s, more than a time limit of 5 s.

Progress is now a decrease of what the node's transport and its kernel (TIOCOUTQ) hold unacknowledged. A caller's kernel acknowledges in steps, too: 95 KB measured with 131 KB of receive buffer on loopback, 330 KB with 3.5 MB. Each acknowledged byte therefore allows the time in which a caller at 10 KB/s reads it, for up to 1 MB. If the ioctl fails, or tells 0 while bytes wait to be sent, what the kernel has accepted counts instead, for up to 4 MiB.

Ruled out, from how they work, without runs: - TCP_INFO: its count of acknowledged bytes is 0 before the first acknowledgement, and also on a system that does not fill it in; a stall from the start would look like a system that tells nothing. - A small SO_SNDBUF: limits callers far away to a buffer per round trip. - TCP_NOTSENT_LOWAT: moves megabytes per slow caller from the kernel to the memory of the node, which then refuses more requests; also not available everywhere. - A longer time limit alone: a caller that reads nothing would hold its memory for as long as 4 MB take at the slowest rate, 7 minutes. This is only the fallback now.

--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -581,13 +581,16 @@
         async with contextlib.aclosing(response.stream):
             await stream.prepare(call.request)
             if response.body:
+                if watch is not None:
+                    watch.record_write(len(response.body))
                 await stream.write(response.body)
             try:
                 async for data in response.stream:
+                    if watch is not None:
+                        watch.record_write(len(data))
                     await stream.write(data)
                     if watch is not None:
                         await call.request.writer.drain()
-                        watch.record_write()
             except exchange.TruncatedResponseError as error:
                 # Closing the connection before the end of the body is the only
                 # remaining way to signal that the response is incomplete.
--- a/endivewind/callers/response_buffer.py
+++ b/endivewind/callers/response_buffer.py
@@ -8,8 +8,12 @@
 
 import asyncio
 import collections
+import collections.abc
 import datetime
+import fcntl
 import logging
+import sys
+import termios
 from typing import Protocol
 
 from endivewind import exchange
@@ -20,6 +24,18 @@
 # A caller may read nothing for at least this long, however short the time limit
 # of its route is: after lost packets, TCP waits up to some seconds.
 MIN_STALL_TIME = datetime.timedelta(seconds=5)
+# A caller that reads at least so fast is not disconnected, however large the
+# buffers between it and the node are. The slow callers for which memory
+# admission is designed read as fast.
+MIN_BYTES_PER_SECOND = 10_000
+# A caller's kernel acknowledges further bytes only when a part of its receive
+# buffer is free: 95 KB at once were measured with the initial receive buffer of
+# Linux on loopback, and up to 330 KB with one of 3.5 MB; by default it grows to
+# 6 MB.
+_MAX_ACKNOWLEDGED_BYTES = 1_000_000
+# Linux accepts further bytes when a third of the send buffer is free, which
+# grows to 4 MB by default; other systems may wait for more.
+_MAX_SEND_BUFFER_BYTES = 4_194_304
 # How often a caller's progress is checked, as a share of the time limit.
 _CHECK_SHARE = 0.25
 
@@ -159,25 +175,66 @@
             self._budget.stop_waiting(self._room)
 
 
+def unacknowledged_bytes(transport: asyncio.Transport) -> int | None:
+    """Returns the bytes in the kernel that the peer has not acknowledged.
+
+    Returns:
+      The size of the send queue, or None if the system does not tell it.
+    """
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return None
+    try:
+        size = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        # Not for this kind of socket, not permitted, or already closed.
+        return None
+    return int.from_bytes(size, sys.byteorder)
+
+
 class StallWatch:
     """Disconnects a caller that reads nothing for longer than a time limit.
 
-    A caller that only reads slowly is not disconnected: any byte that leaves
-    the write buffer counts as progress, and so does an empty write buffer,
-    since the caller then waits for the target.
+    Progress is what the caller's kernel acknowledges, or an empty write buffer,
+    since the caller then waits for the target. Whether the node's own writes
+    complete says little: the kernel takes megabytes at once, and then nothing
+    until the caller has read a large part of them. The kernels of callers also
+    acknowledge in steps. The time limit therefore starts over with each
+    progress, and does not end before a caller that reads `MIN_BYTES_PER_SECOND`
+    could have read what was acknowledged.
+
+    If the system does not tell what is acknowledged, what it has accepted
+    counts instead. A caller that reads is not disconnected then either; one
+    that reads nothing is disconnected later, by the bytes that the kernel took,
+    at the latest after 7 minutes or the time limit.
     """
 
     def __init__(
-        self, transport: asyncio.Transport, limit: datetime.timedelta
+        self,
+        transport: asyncio.Transport,
+        limit: datetime.timedelta,
+        queue_size: collections.abc.Callable[
+            [asyncio.Transport], int | None
+        ] = unacknowledged_bytes,
     ) -> None:
+        """Prepares the watch; it runs while its context is entered.
+
+        Args:
+          transport: the connection of the caller.
+          limit: the time limit of the route.
+          queue_size: returns the unacknowledged bytes, or None if unknown.
+        """
         self._transport = transport
         self._limit = max(limit, MIN_STALL_TIME).total_seconds()
+        self._queue_size = queue_size
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
-        self._last_progress = self._loop.time()
-        self._unsent_bytes = 0
-        self._written_chunks = 0
-        self._seen_chunks = 0
+        self._last_check = self._loop.time()
+        self._last_progress = self._last_check
+        self._written_bytes = 0
+        self._delivered_bytes = 0
+        # What a caller that reads at the minimum rate would not have read yet.
+        self._unread_bytes = 0.0
         self.has_disconnected = False
 
     def __enter__(self) -> "StallWatch":
@@ -188,9 +245,9 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def record_write(self) -> None:
-        """Records that a chunk has been written completely."""
-        self._written_chunks += 1
+    def record_write(self, size: int) -> None:
+        """Records that a part of so many bytes is now written."""
+        self._written_bytes += size
 
     def _schedule(self) -> None:
         delay = _CHECK_SHARE * self._limit
@@ -199,17 +256,36 @@
     def _check(self) -> None:
         now = self._loop.time()
         unsent = self._transport.get_write_buffer_size()
-        is_stalled = (
-            unsent
-            and unsent == self._unsent_bytes
-            and self._written_chunks == self._seen_chunks
-        )
-        self._unsent_bytes = unsent
-        self._seen_chunks = self._written_chunks
-        if not is_stalled:
+        progress = self._update_delivered(unsent, now - self._last_check)
+        self._last_check = now
+        if progress > 0 or not unsent:
             self._last_progress = now
-        elif now - self._last_progress >= self._limit:
+        elif (
+            now - self._last_progress >= self._limit and not self._unread_bytes
+        ):
             self.has_disconnected = True
             self._transport.abort()
             return
         self._schedule()
+
+    def _update_delivered(self, unsent: int, elapsed: float) -> int:
+        """Returns how many bytes were delivered since the last check.
+
+        The result is negative after writes that were not recorded.
+
+        Args:
+          unsent: bytes in the write buffer of the transport.
+          elapsed: seconds since the last check.
+        """
+        # An empty queue would have taken the unsent bytes, so that 0 is not the
+        # size of a queue.
+        queued = self._queue_size(self._transport) or None
+        max_unread = _MAX_ACKNOWLEDGED_BYTES
+        if queued is None:
+            max_unread = _MAX_SEND_BUFFER_BYTES
+        delivered = self._written_bytes - unsent - (queued or 0)
+        progress = delivered - self._delivered_bytes
+        self._delivered_bytes = delivered
+        unread = max(0.0, self._unread_bytes - MIN_BYTES_PER_SECOND * elapsed)
+        self._unread_bytes = min(unread + max(0, progress), max_unread)
+        return progress
--- a/endivewind/tests/proofs/slow_readers_tests.py
+++ b/endivewind/tests/proofs/slow_readers_tests.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from endivewind import headers
+from endivewind.standins import load_generator
 from endivewind.tests import processes
 
 CONFIGURATION = {
@@ -23,6 +24,12 @@
                     "repeat": "always",
                     "timeout_ms": 5_000,
                 },
+                {
+                    "service": "riders",
+                    "prefix": "/huge",
+                    "repeat": "always",
+                    "timeout_ms": 5_000,
+                },
                 {"service": "riders", "prefix": "/small", "repeat": "always"},
             ]
         }
@@ -31,6 +38,8 @@
 MEMORY_BYTES = 120_000_000
 SLOW_CALLERS = 300
 LARGE_BYTES = 540_000
+# More than the kernel's socket buffers take with their default sizes.
+HUGE_BYTES = 6_000_000
 CHUNK_BYTES = 60_000
 # The target cuts off a response of which a part stays unread for so long.
 CUT_OFF_SECONDS = 3
@@ -39,6 +48,10 @@
 RECEIVE_BUFFER_BYTES = 4096
 SEGMENT_BYTES = 536
 TIMEOUT_SECONDS = 20
+# A caller that reads steadily: a part at a time, longer than its route's limit.
+STEADY_PART_BYTES = 2_500
+PARTS_PER_SECOND = 20
+STEADY_SECONDS = 10
 
 
 class _Target:
@@ -73,6 +86,15 @@
             request.transport.abort()
         return response
 
+    async def serve_huge(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        response.content_length = HUGE_BYTES
+        await response.prepare(request)
+        for _ in range(HUGE_BYTES // CHUNK_BYTES):
+            await response.write(bytes(CHUNK_BYTES))
+        await response.write_eof()
+        return response
+
     async def serve_small(self, request: web.Request) -> web.Response:
         return web.Response(body=b"small")
 
@@ -92,6 +114,17 @@
             with self.subTest("disconnected after the time limit"):
                 await self._check_disconnected(fleet.nodes["home"])
 
+    async def test_steady_reader_with_default_socket_buffers(self):
+        """A caller that reads 50 KB/s gets the whole response.
+
+        Guards against taking it for one that reads nothing, since the node's
+        kernel accepts nothing for longer than the time limit meanwhile.
+        """
+        async with _fleet() as (fleet, _):
+            received = await _read_steadily(fleet.nodes["home"])
+
+            self.assertEqual(HUGE_BYTES, received)
+
     async def _check(self, fleet, target, node):
         async with contextlib.AsyncExitStack() as stack:
             heads = []
@@ -181,6 +214,30 @@
         self._connection.close()
 
 
+async def _read_steadily(node) -> int:
+    """Returns the bytes of the body that a steady caller receives.
+
+    After `STEADY_SECONDS` it reads the rest as fast as it can.
+    """
+    host, _, port = node.listening_line["callers"].rpartition(":")
+    reader, writer = await asyncio.open_connection(
+        host, int(port), limit=STEADY_PART_BYTES
+    )
+    total = 0
+    with contextlib.closing(writer):
+        writer.write(b"GET /huge HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await reader.readuntil(b"\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                async for number in load_generator.pace(PARTS_PER_SECOND):
+                    total += len(await reader.read(STEADY_PART_BYTES))
+                    if number == STEADY_SECONDS * PARTS_PER_SECOND:
+                        break
+                while data := await reader.read(HUGE_BYTES - total):
+                    total += len(data)
+    return total
+
+
 def _peak_bytes(process) -> int:
     status = pathlib.Path(f"/proc/{process.child.pid}/status").read_text()
     line = next(
@@ -202,6 +259,7 @@
         target = _Target()
         application = web.Application()
         application.router.add_get("/large", target.serve_large)
+        application.router.add_get("/huge", target.serve_huge)
         application.router.add_get("/small", target.serve_small)
         runner = web.AppRunner(application)
         await runner.setup()
