Refuse new work and wait for links at the stop limit

At the stop limit a node aborted its requests but did not refuse new ones if the limit came before the end of the notice or of the drain: tickets were still started, and homes still sent requests to targets, although the process was about to end and cut them off. Nor did it wait until the issuer's results had been sent to the entry nodes that wait for them; only later steps of the stop left time for that.

Without the change both new tests fail: the shutdown ends at 5.0 s although the links drain at 5.05 s, and "refuse new tickets" and "refuse new" are missing among the calls. With it all five pass.

--- a/endivewind/nodes/graceful_shutdown.py
+++ b/endivewind/nodes/graceful_shutdown.py
@@ -135,7 +135,16 @@
             await self._abort()
 
     async def _abort(self) -> None:
+        """Aborts what still runs and lets the outcomes reach the callers.
+
+        Other nodes wait for the outcomes of requests that they have forwarded
+        to this node as the issuer, and pass them on to their callers.
+        """
+        self._tickets.refuse_new_tickets()
+        self._home.refuse_new()
         self._entry.abort_all()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FINAL_RESPONSES_TIMEOUT.total_seconds()):
                 await self._entry.wait_drained()
+                await self._tickets.wait_drained()
+                await self._links.wait_drained()
--- a/endivewind/tests/nodes/graceful_shutdown_tests.py
+++ b/endivewind/tests/nodes/graceful_shutdown_tests.py
@@ -49,12 +49,13 @@
         self.loop = virtual_loop.VirtualLoop()
         self.addCleanup(self.loop.close)
 
-    def _shut_down(self, hangs, notice=NOTICE):
-        """Returns the listener's recorded calls and when the shutdown ended."""
-        listener, other = (
-            _Components(self.loop, hangs),
-            _Components(self.loop, False),
-        )
+    def _shut_down(self, hangs, notice=NOTICE, *, is_shared=False):
+        """Returns the recorded calls and when the shutdown ended.
+
+        The calls are those of the listener, or of all parts if it is shared.
+        """
+        listener = _Components(self.loop, hangs)
+        other = listener if is_shared else _Components(self.loop, False)
         shutdown = graceful_shutdown.GracefulShutdown(
             listener, other, other, other, notice, listener.announce_drain
         )
@@ -84,6 +85,37 @@
         self.assertEqual(("abort", 5.0), calls[-1])
         self.assertEqual(5.0, ended_at)
 
+    def test_outcomes_reach_other_nodes_before_the_end(self):
+        """Guards against links closed before the issuer's results are sent."""
+        listener, links = (
+            _Components(self.loop, True),
+            _Components(self.loop, True),
+        )
+        other = _Components(self.loop, False)
+        shutdown = graceful_shutdown.GracefulShutdown(
+            listener, other, links, other, NOTICE, listener.announce_drain
+        )
+        self.loop.call_later(5.05, links.abort_all)
+
+        self.loop.run_until_complete(shutdown.run(LIMIT))
+
+        self.assertEqual(5.05, round(self.loop.time(), 2))
+
+    def test_new_work_is_refused_at_a_limit_within_the_notice(self):
+        """Guards against work that starts after the last abort."""
+        calls, ended_at = self._shut_down(True, 2 * LIMIT, is_shared=True)
+
+        self.assertEqual(
+            [
+                ("announce drain", 1.5),
+                ("refuse new tickets", 5.0),
+                ("refuse new", 5.0),
+                ("abort", 5.0),
+            ],
+            calls,
+        )
+        self.assertEqual(5.0, ended_at)
+
 
 if __name__ == "__main__":
     unittest.main()
