Answer requests that were never sent as not run at the stop limit

At the stop limit callers heard "unknown" for requests of which nothing had left the node: an attempt counted as possibly executed from its start, also while it waited for a slot at this node as the target's home, for a connection to the target, or for a link to another home. Requests of other nodes that waited at this home lost their link, which their entry nodes have to take for "unknown" as well.

Homes and links now record in the head's `AttemptProgress` that a cancelled attempt ended before anything was sent; without that record the outcome stays unknown. At the limit a home refuses the requests that wait for its targets as "stopping", not run. A request that was passed on to another home stays unknown even if it waits there.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -616,12 +616,14 @@
         )
         started = self._clock.monotonic()
         suspicion = self._placement.suspicion(record.id)
+        progress = exchange.AttemptProgress()
         head = request.head.for_attempt(
             request.attempt_count,
             request.deadline - started,
             _max_suspicion(suspicion),
             may_be_duplicate=request.delivered_count + request.active_attempts
             > 0,
+            progress=progress,
         )
         request.active_attempts += 1
         result: ResponseResult | None = None
@@ -636,8 +638,8 @@
         finally:
             latency = self._clock.monotonic() - started
             self._record_attempt(request, record, result, started, suspicion)
-            request.has_cancelled_attempt = (
-                request.has_cancelled_attempt or result is None
+            request.has_cancelled_attempt = request.has_cancelled_attempt or (
+                result is None and not progress.ended_unsent
             )
             request.active_attempts -= 1
             self._placement.record_end(record, result, latency, request.traffic)
--- a/endivewind/callers/routed_request.py
+++ b/endivewind/callers/routed_request.py
@@ -94,8 +94,8 @@
         executed it.
       tried_targets: The ids of the targets tried.
       attempts: The attempts, in order of their end.
-      has_cancelled_attempt: Whether an attempt was cancelled, so that its
-        outcome is unknown.
+      has_cancelled_attempt: Whether an attempt was cancelled after it may have
+        been sent, so that its outcome is unknown.
       traffic: What it sends over links; None if links are not shared.
     """
 
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -102,6 +102,18 @@
     lacked_retry: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class AttemptProgress:
+    """How far one attempt has come, for the case that it is cancelled.
+
+    Attributes:
+      ended_unsent: whether it was cancelled before any byte of the request was
+        sent to a target or to another node. False if this is not known.
+    """
+
+    ended_unsent: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class RequestHead:
     """A request without its body; must not be modified once built.
@@ -126,6 +138,7 @@
       max_suspicion: highest suspicion of a target that may get the request.
       may_be_duplicate: whether a target may have received the request before.
       call: what is known of the call if a target sent the request; else None.
+      progress: how far the attempt has come; None if nobody asks for it.
     """
 
     request_id: str
@@ -142,6 +155,7 @@
     max_suspicion: float = DEFAULT_MAX_SUSPICION
     may_be_duplicate: bool = False
     call: TargetCall | None = None
+    progress: AttemptProgress | None = None
 
     @property
     def goes_ahead(self) -> bool:
@@ -162,6 +176,7 @@
         max_suspicion: float | None = None,
         *,
         may_be_duplicate: bool | None = None,
+        progress: AttemptProgress | None = None,
     ) -> "RequestHead":
         """Returns a copy of the request for one attempt."""
         return RequestHead(
@@ -181,8 +196,14 @@
             if may_be_duplicate is None
             else may_be_duplicate,
             self.call,
+            progress or self.progress,
         )
 
+    def record_unsent(self) -> None:
+        """Records that the attempt is cancelled before anything was sent."""
+        if self.progress is not None:
+            self.progress.ended_unsent = True
+
 
 @dataclasses.dataclass(slots=True)
 class RequestBody:
--- a/endivewind/nodes/graceful_shutdown.py
+++ b/endivewind/nodes/graceful_shutdown.py
@@ -52,6 +52,13 @@
         """
 
 
+class HomeDispatcher(WorkIntake, Protocol):
+    """Dispatches requests to this node's targets."""
+
+    def refuse_queued(self) -> None:
+        """Refuses new requests and those not sent to a target yet."""
+
+
 class PeerListener(Protocol):
     """The listener for other nodes."""
 
@@ -87,7 +94,7 @@
     def __init__(
         self,
         entry: CallerListener,
-        home: WorkIntake,
+        home: HomeDispatcher,
         links: PeerListener,
         tickets: TicketedRequestHandler,
         notice_period: datetime.timedelta,
@@ -141,7 +148,7 @@
         to this node as the issuer, and pass them on to their callers.
         """
         self._tickets.refuse_new_tickets()
-        self._home.refuse_new()
+        self._home.refuse_queued()
         self._entry.abort_all()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FINAL_RESPONSES_TIMEOUT.total_seconds()):
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -136,6 +136,9 @@
         except (EOFError, OSError, codec.FrameError) as error:
             detail = f"{peer.name}: {error or 'no response'}"
             return expression.Error(failures.connect_failed_refusal(detail))
+        except asyncio.CancelledError:
+            head.record_unsent()
+            raise
         forward.exchange = exchange_id
         timeout = head.remaining_time + DEADLINE_GRACE
         try:
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 import datetime
@@ -20,6 +21,7 @@
 from endivewind import exchange
 from endivewind import headers
 from endivewind import logs
+from endivewind.decisions import admission
 from endivewind.decisions import inherited_priority
 from endivewind.targets import attempt_log
 from endivewind.targets import connections
@@ -101,6 +103,10 @@
         self._attempt_log = attempts
         self._silent_connections = silent_connections.SilentConnectionDetector()
         self._is_stopping = False
+        # Requests queued for the slots of each target.
+        self._queued: collections.Counter[slots.TargetSlots] = (
+            collections.Counter()
+        )
         self._request_bytes: request_bytes.RequestBytesLimit | None = None
 
     @classmethod
@@ -173,6 +179,17 @@
         """Refuses new requests from now on; active ones continue."""
         self._is_stopping = True
 
+    def refuse_queued(self) -> None:
+        """Refuses new requests and those that wait for a slot of a target.
+
+        Scenario: a node reaches its stop limit. Risk: requests of other nodes
+        that still wait are cut off, and their callers hear that the outcome is
+        unknown although no target has received them.
+        """
+        self.refuse_new()
+        for target_slots in self._queued:
+            target_slots.displace_all()
+
     async def run_forwarded(
         self,
         target: str,
@@ -247,7 +264,9 @@
         waiter = slots.make_waiter(
             head.queue_priority, deadline, goes_ahead=head.goes_ahead
         )
-        if not await item.slots.acquire(item.record.slots, waiter):
+        if not await self._acquire_slot(item, head, waiter):
+            if self._is_stopping:
+                return _stopping_refusal()
             return _refuse(
                 exchange.Reason.BUSY,
                 f"{target} has no free slot",
@@ -271,13 +290,32 @@
             item, head.for_attempt(head.attempt, remaining), body
         )
 
+    async def _acquire_slot(
+        self,
+        item: registry.HomeTarget,
+        head: exchange.RequestHead,
+        waiter: admission.Waiter,
+    ) -> bool:
+        """Waits for a slot; returns False if the request gets none."""
+        target_slots = item.slots
+        self._queued[target_slots] += 1
+        try:
+            return await target_slots.acquire(item.record.slots, waiter)
+        except asyncio.CancelledError:
+            head.record_unsent()
+            raise
+        finally:
+            self._queued[target_slots] -= 1
+            if not self._queued[target_slots]:
+                del self._queued[target_slots]
+
     def _check_availability(
         self, item: registry.HomeTarget, head: exchange.RequestHead
     ) -> ResponseResult | None:
         """Returns a refusal if the target must not get the request now."""
         target = item.record.id
         if self._is_stopping:
-            return _refuse(exchange.Reason.STOPPING, "home node is stopping")
+            return _stopping_refusal()
         report = self._report(item)
         is_gone = self._targets.get(target) is not item
         if is_gone or item.record.state is records.State.DRAINING:
@@ -341,6 +379,8 @@
         try:
             result = await self._send(request, head, body)
         except BaseException:
+            if not request.may_have_been_sent:
+                head.record_unsent()
             request.cancel()
             raise
         if result.is_error():
@@ -555,6 +595,10 @@
     )
 
 
+def _stopping_refusal() -> ResponseResult:
+    return _refuse(exchange.Reason.STOPPING, "home node is stopping")
+
+
 def _unreachable(
     request: target_request.TargetRequest, detail: str
 ) -> ResponseResult:
--- a/endivewind/targets/slots.py
+++ b/endivewind/targets/slots.py
@@ -78,6 +78,13 @@
                 self._in_use += 1
                 future.set_result(None)
 
+    def displace_all(self) -> None:
+        """Displaces all requests from the queue."""
+        while self._futures:
+            waiter, future = self._futures.popitem()
+            self._queue.remove(waiter)
+            future.cancel()
+
     async def _wait(self, waiter: admission.Waiter) -> bool:
         future = asyncio.get_running_loop().create_future()
         self._futures[waiter] = future
--- a/endivewind/tests/callers/gateway_tests.py
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -137,6 +137,18 @@
         )
         self.assertEqual(1, self.pool.forward_count)
 
+    async def test_attempt_that_was_not_sent_was_not_run(self):
+        """Guards against an unknown outcome while the home is connected."""
+        self.pool.is_connecting = True
+        task = asyncio.create_task(_send_request(self.gateway_under_test))
+        await self.pool.reached.wait()
+
+        self.aborts.abort_all()
+
+        refusal = (await task).error
+        self.assertEqual(exchange.ExecutionOutcome.NOT_RUN, refusal.outcome)
+        self.assertEqual(exchange.Reason.STOPPING, refusal.reason)
+
     async def test_request_waiting_for_quota_was_not_run(self):
         """Guards against a caller cut off while the quota's owner is asked."""
         tokens = mock.Mock()
@@ -188,11 +200,17 @@
     def __init__(self) -> None:
         self.reached = asyncio.Event()
         self.forward_count = 0
+        self.is_connecting = False
 
     async def forward(self, home, target, head, body):
         self.forward_count += 1
         self.reached.set()
-        await asyncio.Event().wait()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            if self.is_connecting:
+                head.record_unsent()
+            raise
 
 
 async def _serve(pool: _LinkPool) -> gateway.ResponseResult:
--- a/endivewind/tests/nodes/graceful_shutdown_tests.py
+++ b/endivewind/tests/nodes/graceful_shutdown_tests.py
@@ -30,6 +30,9 @@
     def refuse_new(self):
         self._record("refuse new")
 
+    def refuse_queued(self):
+        self._record("refuse queued")
+
     def refuse_new_tickets(self):
         self._record("refuse new tickets")
 
@@ -109,7 +112,7 @@
             [
                 ("announce drain", 1.5),
                 ("refuse new tickets", 5.0),
-                ("refuse new", 5.0),
+                ("refuse queued", 5.0),
                 ("abort", 5.0),
             ],
             calls,
--- a/endivewind/tests/nodes/links_tests.py
+++ b/endivewind/tests/nodes/links_tests.py
@@ -31,6 +31,8 @@
         self.script = None
         self.echoes_heartbeats = True
         self.request_count = 0
+        # Set when the peer leaves a frame without a response.
+        self.reached = asyncio.Event()
         self.server = await asyncio.start_server(
             self._serve_peer, "127.0.0.1", 0
         )
@@ -50,8 +52,11 @@
                 if frame.heartbeat is not None:
                     if self.echoes_heartbeats:
                         writer.write(codec.encode_frame(frame))
+                    else:
+                        self.reached.set()
                     continue
                 self.request_count += 1
+                self.reached.set()
                 for response in self.script(frame.forward.exchange):
                     writer.write(codec.encode_frame(response))
                 await writer.drain()
@@ -75,6 +80,27 @@
         self.assertEqual(200, following.ok.status)
         self.assertEqual(2, len(self.connections))
 
+    async def test_cancelled_attempt_says_whether_it_was_sent(self):
+        """Guards against an unknown outcome of a request that was not sent.
+
+        The peer echoes no heartbeat, or does not respond to the request.
+        """
+        for echoes in (False, True):
+            with self.subTest(echoes_heartbeats=echoes):
+                self.echoes_heartbeats = echoes
+                self.reached.clear()
+                progress = exchange.AttemptProgress()
+                head = dataclasses.replace(
+                    HEAD, ticket="ticket", progress=progress
+                )
+                task = asyncio.create_task(self._send(lambda number: [], head))
+                await asyncio.wait_for(self.reached.wait(), 5)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+
+                self.assertEqual(not echoes, progress.ended_unsent)
+                self.assertEqual(int(echoes), self.request_count)
+
     async def test_duplicate_response_is_discarded(self):
         """The peer responds twice; the next caller must not get the copy."""
         first = await self._send(
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -59,6 +59,7 @@
         self.reused = reused
         self.is_silent = False
         self.refuses_connections = False
+        self.is_connecting = False
         self.request_count = 0
         self.content_length = 0
         self.responses = []
@@ -67,6 +68,8 @@
     async def request(self, method, url, *, headers, trace_request_ctx, **_):
         if self.refuses_connections:
             raise aiohttp.ClientConnectionError("refused")
+        if self.is_connecting:
+            await asyncio.Event().wait()
         self.request_count += 1
         self.sent_headers.append(headers)
         trace_request_ctx.has_connection = True
@@ -147,6 +150,75 @@
         )
 
 
+class StopLimitTest(_Case):
+    """The node reaches its stop limit; the target has two slots.
+
+    Guards against an unknown outcome of requests that were never sent.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.pooled.is_silent = True
+        self.progress = []
+
+    def start(self):
+        """Starts an attempt whose progress is recorded."""
+        self.progress.append(exchange.AttemptProgress())
+        head = exchange.RequestHead(
+            "r", "GET", "/", (), "riders", "", datetime.timedelta(seconds=9)
+        ).for_attempt(
+            1, datetime.timedelta(seconds=9), progress=self.progress[-1]
+        )
+        return asyncio.ensure_future(
+            self.dispatcher.run("t", head, exchange.RequestBody())
+        )
+
+    def test_queued_request_of_another_node_was_not_run(self):
+        async def run():
+            tasks = [self.start() for _ in range(3)]
+            await asyncio.sleep(0.1)
+            self.dispatcher.refuse_queued()
+            result = await tasks[2]
+            for task in tasks[:2]:
+                self.assertFalse(task.done())
+                task.cancel()
+            return result
+
+        result = self.loop.run_until_complete(run())
+
+        self.assertTrue(result.error.was_not_run)
+        self.assertIs(exchange.Reason.STOPPING, result.error.reason)
+        self.assertEqual(2, self.pooled.request_count)
+
+    def test_cancelled_attempt_says_whether_it_was_sent(self):
+        async def run():
+            tasks = [self.start() for _ in range(3)]
+            await asyncio.sleep(0.1)
+            for task in reversed(tasks):
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.loop.run_until_complete(run())
+
+        self.assertEqual(
+            [False, False, True], [item.ended_unsent for item in self.progress]
+        )
+        self.assertEqual(2, self.pooled.request_count)
+
+    def test_attempt_cancelled_without_a_connection_was_not_sent(self):
+        self.pooled.is_connecting = True
+
+        async def run():
+            task = self.start()
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.loop.run_until_complete(run())
+
+        self.assertTrue(self.progress[0].ended_unsent)
+
+
 class LimitTest(_Case):
     """Attempts that a node refuses because it has no memory or link bytes."""
 
--- a/endivewind/tests/targets/slots_tests.py
+++ b/endivewind/tests/targets/slots_tests.py
@@ -76,6 +76,16 @@
         self.assertIn("short refused", self.order)
         self.assertEqual(0, self.slots.load)
 
+    def test_all_queued_requests_are_displaced_at_a_stop(self):
+        """Guards against callers that hear nothing of a queued request."""
+        self.loop.call_later(0.5, self.slots.displace_all)
+        self._run(*(self._request(f"r{n}") for n in range(SLOTS + 2)))
+
+        self.assertEqual(
+            ["r0", "r1", "r2 refused", "r3 refused"], sorted(self.order)
+        )
+        self.assertEqual(0, self.slots.load)
+
     def test_cancelled_request_leaves_the_queue(self):
         """Two requests wait; the first is cancelled before it gets a slot."""
 
