Seed faults in the aborts at the stop limit

Without them nothing showed that the tests notice a missing abort in the listener, or a wrong outcome of a request that was passed on or sent.

--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -53,6 +53,7 @@
 _DISPATCH = "targets.dispatch_tests"
 _TICKETS = "callers.tickets_tests"
 _HEARTBEATS = "platform.heartbeats_tests"
+_PIPELINING = "callers.pipelining_tests"
 
 MUTANTS = (
     Mutant(
@@ -265,6 +266,28 @@
         "                result = await execution.result\n",
         _AT_MOST_ONCE,
     ),
+    Mutant(
+        "a request outside the gateway is not aborted at the stop limit",
+        "callers/listener.py",
+        "        return await self._aborts.run("
+        "serve, lambda: _abort_result(call))\n",
+        "        return await serve()\n",
+        _PIPELINING,
+    ),
+    Mutant(
+        "an aborted request that was passed on is answered as not run",
+        "callers/listener.py",
+        "    if not call.is_forwarded:\n",
+        "    if True:\n",
+        _PIPELINING,
+    ),
+    Mutant(
+        "an aborted attempt at a target is answered as not run",
+        "callers/gateway.py",
+        "                result is None and not progress.ended_unsent\n",
+        "                False\n",
+        "callers.gateway_tests",
+    ),
     Mutant(
         "a response that breaks off is taken as complete",
         "targets/responses.py",
