Disconnect callers over TLS that read nothing

A caller with HTTPS that read nothing was never disconnected, and its response kept its part of the node's memory. The transport of a TLS connection tells an empty write buffer while the transport below it is full; the watch took this for a caller that waits for the target. It now also knows whether a write is under way.

The new test of the watch has a transport that tells no unsent bytes; it also checks that a caller that reads 10 KB/s stays.

--- a/endivewind/callers/listener.py
+++ b/endivewind/callers/listener.py
@@ -581,16 +581,10 @@
         async with contextlib.aclosing(response.stream):
             await stream.prepare(call.request)
             if response.body:
-                if watch is not None:
-                    watch.record_write(len(response.body))
-                await stream.write(response.body)
+                await _write_part(call, stream, response.body, watch)
             try:
                 async for data in response.stream:
-                    if watch is not None:
-                        watch.record_write(len(data))
-                    await stream.write(data)
-                    if watch is not None:
-                        await call.request.writer.drain()
+                    await _write_part(call, stream, data, watch)
             except exchange.TruncatedResponseError as error:
                 # Closing the connection before the end of the body is the only
                 # remaining way to signal that the response is incomplete.
@@ -602,6 +596,22 @@
         return stream
 
 
+async def _write_part(
+    call: caller_requests.CallerRequest,
+    stream: web.StreamResponse,
+    data: bytes,
+    watch: response_buffer.StallWatch | None,
+) -> None:
+    """Writes a part of a body; with a watch, until the kernel has taken it."""
+    if watch is None:
+        await stream.write(data)
+        return
+    watch.record_write(len(data))
+    await stream.write(data)
+    await call.request.writer.drain()
+    watch.record_drain()
+
+
 def _connection(request: web.BaseRequest) -> connections.Connection:
     connection = request.protocol
     assert isinstance(connection, connections.Connection)
--- a/endivewind/callers/response_buffer.py
+++ b/endivewind/callers/response_buffer.py
@@ -195,13 +195,13 @@
 class StallWatch:
     """Disconnects a caller that reads nothing for longer than a time limit.
 
-    Progress is what the caller's kernel acknowledges, or an empty write buffer,
-    since the caller then waits for the target. Whether the node's own writes
-    complete says little: the kernel takes megabytes at once, and then nothing
-    until the caller has read a large part of them. The kernels of callers also
-    acknowledge in steps. The time limit therefore starts over with each
-    progress, and does not end before a caller that reads `MIN_BYTES_PER_SECOND`
-    could have read what was acknowledged.
+    Progress is what the caller's kernel acknowledges, or that nothing is being
+    written, since the caller then waits for the target. Whether the node's own
+    writes complete says little: the kernel takes megabytes at once, and then
+    nothing until the caller has read a large part of them. The kernels of
+    callers also acknowledge in steps. The time limit therefore starts over with
+    each progress, and does not end before a caller that reads
+    `MIN_BYTES_PER_SECOND` could have read what was acknowledged.
 
     If the system does not tell what is acknowledged, what it has accepted
     counts instead. A caller that reads is not disconnected then either; one
@@ -232,6 +232,9 @@
         self._last_check = self._loop.time()
         self._last_progress = self._last_check
         self._written_bytes = 0
+        # The transport of a TLS connection may have an empty write buffer while
+        # the one below it is full, so that a write does not complete.
+        self._is_writing = False
         self._delivered_bytes = 0
         # What a caller that reads at the minimum rate would not have read yet.
         self._unread_bytes = 0.0
@@ -246,8 +249,13 @@
             self._timer.cancel()
 
     def record_write(self, size: int) -> None:
-        """Records that a part of so many bytes is now written."""
+        """Records that the write of so many bytes begins."""
         self._written_bytes += size
+        self._is_writing = True
+
+    def record_drain(self) -> None:
+        """Records that the transport has taken all that was written."""
+        self._is_writing = False
 
     def _schedule(self) -> None:
         delay = _CHECK_SHARE * self._limit
@@ -258,7 +266,7 @@
         unsent = self._transport.get_write_buffer_size()
         progress = self._update_delivered(unsent, now - self._last_check)
         self._last_check = now
-        if progress > 0 or not unsent:
+        if progress > 0 or not (unsent or self._is_writing):
             self._last_progress = now
         elif (
             now - self._last_progress >= self._limit and not self._unread_bytes
--- a/endivewind/tests/loads/slow_readers.py
+++ b/endivewind/tests/loads/slow_readers.py
@@ -462,6 +462,7 @@
         receive_buffer_bytes: int = 130_000,
         step_bytes: int = 95_000,
         send_buffer_bytes: int = 4_000_000,
+        tells_unsent: bool = True,
     ) -> None:
         """Creates a connection without bytes on it.
 
@@ -470,7 +471,10 @@
           step_bytes: bytes of it that must be free before it accepts more.
           send_buffer_bytes: size of the send buffer of the node's kernel, of
             which a third must be free before it accepts more.
+          tells_unsent: whether the transport tells what it has not sent; those
+            of TLS connections do not tell all of it.
         """
+        self._tells_unsent = tells_unsent
         self._send_buffer_bytes = send_buffer_bytes
         self._receive_buffer_bytes = receive_buffer_bytes
         self._step_bytes = step_bytes
@@ -482,7 +486,7 @@
         self.is_aborted = False
 
     def get_write_buffer_size(self):
-        return self.unsent_bytes
+        return self.unsent_bytes if self._tells_unsent else 0
 
     def abort(self):
         self.is_aborted = True
@@ -571,7 +575,10 @@
                 connection.read(size)
                 ready_bytes += caller.target_bytes_per_second * part_seconds
                 # As the listener, it writes once the last part is sent.
-                while not connection.unsent_bytes and ready_bytes >= 1:
+                while not connection.unsent_bytes:
+                    watch.record_drain()
+                    if ready_bytes < 1:
+                        break
                     size = min(int(ready_bytes), len(_CHUNK))
                     ready_bytes -= size
                     watch.record_write(size)
--- a/endivewind/tests/loads/slow_readers_tests.py
+++ b/endivewind/tests/loads/slow_readers_tests.py
@@ -256,6 +256,24 @@
         after = self._disconnect_seconds(caller, limit_seconds=60)
         self.assertTrue(60 <= after <= 90, after)
 
+    def test_stall_ends_if_the_transport_tells_no_unsent_bytes(self):
+        """Guards against callers with TLS that hold their memory for ever.
+
+        The part that is being written counts as delivered: 6.6 s at 10 KB/s.
+        """
+        small = slow_readers.CallerConnection(4_000, 1_000, tells_unsent=False)
+        usual = slow_readers.CallerConnection(tells_unsent=False)
+
+        after = self._disconnect_seconds(
+            slow_readers.WatchedCaller(0), connection=small
+        )
+        self.assertTrue(5 <= after <= 8.75, after)
+        self.assertIsNone(
+            self._disconnect_seconds(
+                slow_readers.WatchedCaller(10_000), connection=usual
+            )
+        )
+
     def test_short_time_limits_allow_for_lost_packets(self):
         small = slow_readers.CallerConnection(4_000, 1_000)
 
