--- a/endivewind/tests/callers/connections_tests.py
+++ b/endivewind/tests/callers/connections_tests.py
@@ -43,7 +43,6 @@
     async def test_request_in_progress_is_completed(self):
         """Guards against a planned stop that cuts a request."""
         connection = self._connect()
-        await asyncio.sleep(0)
         connection.data_received(REQUEST)
         await self.is_handling.wait()
 
--- a/endivewind/tests/loads/stopping_homes_tests.py
+++ b/endivewind/tests/loads/stopping_homes_tests.py
@@ -62,14 +62,14 @@
         """Stops a home in the stages of a graceful shutdown."""
         self._dispatchers[name].refuse_outlasting(STOP_LIMIT)
         notice = graceful_shutdown.DRAIN_NOTICE_SHARE * STOP_LIMIT
-        await asyncio.sleep(notice.total_seconds())
+        await self.delay(notice.total_seconds())
         self._view.remove_home_targets(name)
-        await asyncio.sleep((STOP_LIMIT - notice).total_seconds())
+        await self.delay((STOP_LIMIT - notice).total_seconds())
         self._ends.setdefault(name, asyncio.Event()).set()
 
     async def _run_scheduled_joins(self):
         for name in list(self.targets)[::2]:
-            await asyncio.sleep(STOP_INTERVAL_SECONDS)
+            await self.delay(STOP_INTERVAL_SECONDS)
             task = asyncio.create_task(self.stop_home(name))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
