Refuse look-ups that may outlast a home node that is stopping, too

What may be repeated is now refused as not run if its aim, the time within which its callers want a response, is longer than the home lasts. The test of the dispatcher failed before.

--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -177,12 +177,13 @@
         ]
 
     def refuse_outlasting(self, timeout: datetime.timedelta) -> None:
-        """Refuses non-idempotent requests that may outlast this node.
+        """Refuses requests that may outlast this node.
 
         Scenario: a node is stopped, and its target still gets requests: entry
         nodes learn late that it drains, or the other homes drain, too. Risk:
         one takes long, and the node ends before it. Its outcome is then
-        unknown. An idempotent request can be retried.
+        unknown. An idempotent request can be retried if the retry budget is
+        not spent, so it is refused only if a usual one may take too long.
 
         Args:
           timeout: the time until this node ends.
@@ -354,9 +355,12 @@
 
     def _may_outlast_node(self, head: exchange.RequestHead) -> bool:
         """Returns whether a request might be lost with this node."""
-        if self._ends_at is None or not head.ticket:
+        if self._ends_at is None:
             return False
-        return self._clock.monotonic() + head.remaining_time > self._ends_at
+        work_time = (
+            head.remaining_time if head.ticket else head.latency_objective
+        )
+        return self._clock.monotonic() + work_time > self._ends_at
 
     def _check_request_bytes(
         self,
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -142,8 +142,8 @@
     Mutant(
         "a stopping home takes orders that may outlast it",
         "targets/dispatch.py",
-        "head.remaining_time > self._ends_at",
-        "datetime.timedelta() > self._ends_at",
+        "+ work_time > self._ends_at",
+        "> self._ends_at",
         "loads.stopping_homes_tests",
     ),
     Mutant(
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -608,6 +608,31 @@
         self.dispatcher.refuse_outlasting(datetime.timedelta(seconds=1))
 
         self.assertTrue(self.run_one().is_ok())
+        self.assertTrue(self._look_up(objective_seconds=1).is_ok())
+
+    def test_request_whose_objective_outlasts_the_node_is_refused(self):
+        """Guards against lost requests when the retry budget is spent."""
+        self.dispatcher.refuse_outlasting(datetime.timedelta(seconds=1))
+
+        refusal = self._look_up(objective_seconds=1.1).error
+
+        self.assertIs(exchange.Reason.STOPPING, refusal.reason)
+        self.assertTrue(refusal.was_not_run)
+
+    def _look_up(self, objective_seconds):
+        head = exchange.RequestHead(
+            "r",
+            "GET",
+            "/",
+            (),
+            "riders",
+            "",
+            datetime.timedelta(seconds=9),
+            latency_objective=datetime.timedelta(seconds=objective_seconds),
+        )
+        return self.loop.run_until_complete(
+            self.dispatcher.run("t", head, exchange.RequestBody())
+        )
 
 
 class LeavingTargetTest(_Case):
