--- a/endivewind/commands/children.py
+++ b/endivewind/commands/children.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import pathlib
+import socket
 import sys
 import tempfile
 from typing import Any
@@ -21,6 +22,18 @@
 MAX_LINE_BYTES = 1_048_576
 
 
+def unused_address(host: str) -> str:
+    """Returns an address for a process whose port others must know before.
+
+    Args:
+      host: a loopback address that few processes use. Another process that binds
+        a port there meanwhile may take this one.
+    """
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
+
+
 class ChildProcess:
     """One child process.
 
--- a/endivewind/soak/fleets.py
+++ b/endivewind/soak/fleets.py
@@ -10,7 +10,6 @@
 import json
 import pathlib
 import signal
-import socket
 from typing import Any
 
 import aiohttp
@@ -184,7 +183,10 @@
         }
         if self._has_local_targets:
             self._settings[name] |= {
-                "beside": {"service": SERVICE, "address": _free_address()},
+                "beside": {
+                    "service": SERVICE,
+                    "address": children.unused_address(LISTEN_ADDRESS),
+                },
                 "overload": {"inherited_priority": True},
             }
         await self.start_node(name)
@@ -315,10 +317,3 @@
                 self.run_counts[line["work"]] += 1
 
         self.processes[name].follow(handle_line)
-
-
-def _free_address() -> str:
-    """Returns an address for a target whose node has to know it first."""
-    with socket.socket() as probe:
-        probe.bind((LISTEN_ADDRESS, 0))
-        return f"{LISTEN_ADDRESS}:{probe.getsockname()[1]}"
--- a/endivewind/tests/processes.py
+++ b/endivewind/tests/processes.py
@@ -9,7 +9,6 @@
 import json
 import pathlib
 import signal
-import socket
 import tempfile
 from typing import Any
 
@@ -148,18 +147,6 @@
         self._changed = asyncio.Event()
 
 
-def unused_address(host: str) -> str:
-    """Returns an address for a process that can't be told its port later.
-
-    Args:
-      host: a loopback address that no other test uses, so that no other process
-        takes the port meanwhile.
-    """
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
-
-
 class Fleet:
     """A platform stand-in, nodes and targets, each as a process."""
 
--- a/endivewind/tests/proofs/time_limits_tests.py
+++ b/endivewind/tests/proofs/time_limits_tests.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from endivewind.commands import children
 from endivewind.standins import target as standin
 from endivewind.tests import processes
 from endivewind.tests.proofs import calls
@@ -35,7 +36,7 @@
 
     async def asyncSetUp(self):
         fleet = await self.enterAsyncContext(processes.Fleet())
-        address = processes.unused_address("127.83.0.1")
+        address = children.unused_address("127.83.0.1")
         self.node = await fleet.start_node(
             "node",
             beside={"service": "riders", "address": address},
