Log what retry budgets count and how entry routes are learned

Two metrics have the counts, too. Requests are now counted at the time of the count, not of their arrival.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -5,6 +5,8 @@
 """
 
 import collections
+import collections.abc
+import dataclasses
 import datetime
 import enum
 
@@ -33,6 +35,21 @@
 REQUESTS_PER_UPDATE = 5
 
 
+@dataclasses.dataclass(slots=True)
+class RetryTotals:
+    """What one service's retry budget has counted since the node started.
+
+    Attributes:
+      requests: requests of callers, which add to the budget.
+      retries: retries taken from the budget.
+      charged_calls: calls of the local target that were charged as retries.
+    """
+
+    requests: int = 0
+    retries: int = 0
+    charged_calls: int = 0
+
+
 _NO_USAGE = peer_updates.RetryUsage("", retry_budget.RequestCounts())
 
 
@@ -113,6 +130,9 @@
         self._fleet = fleet
         self._clock = clock
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._totals: collections.defaultdict[str, RetryTotals] = (
+            collections.defaultdict(RetryTotals)
+        )
         self._sent_usages: dict[str, peer_updates.RetryUsage] = {}
         # Fractions of retries that are not charged yet.
         self._pending_retries: collections.defaultdict[str, float] = (
@@ -123,6 +143,11 @@
         self._counted_nodes_and_time = (0, -NEIGHBOUR_COUNT_INTERVAL)
         self._last_update = -peer_updates.MIN_UPDATE_INTERVAL
 
+    @property
+    def totals(self) -> collections.abc.Mapping[str, RetryTotals]:
+        """What the budget of each service has counted."""
+        return self._totals
+
     def for_service(self, service: str) -> retry_budget.RetryBudget:
         """Returns the budget of a service, with its current limits."""
         config = self._configuration.service(service) or objects.Service()
@@ -133,13 +158,23 @@
         budget.configure(limits)
         return budget
 
-    def record_request(self, service: str, priority: int) -> None:
-        """Counts a request, or a call, by its queue priority."""
+    def record_request(
+        self, service: str, priority: int, *, is_from_caller: bool
+    ) -> None:
+        """Counts a request or a call.
+
+        Args:
+          service: the service of the request.
+          priority: the queue priority of the request.
+          is_from_caller: whether it adds to the budget.
+        """
+        budget = self.for_service(service)
+        now = self._clock.monotonic()
+        if is_from_caller:
+            budget.record_request(now)
+            self._totals[service].requests += 1
         if self._prioritizes:
-            budget = self.for_service(service)
-            self._priorities_of(service, budget).record_request(
-                priority, self._clock.monotonic()
-            )
+            self._priorities_of(service, budget).record_request(priority, now)
 
     def take(
         self,
@@ -158,6 +193,17 @@
           is_hedge: whether it is for a hedged request, which counts as wanted
             only if it gets the retry: it may succeed without.
         """
+        decision = self._decide(
+            service, priority, may_borrow=may_borrow, is_hedge=is_hedge
+        )
+        if decision is RetryDecision.TAKEN:
+            self._totals[service].retries += 1
+        return decision
+
+    def _decide(
+        self, service: str, priority: int, *, may_borrow: bool, is_hedge: bool
+    ) -> RetryDecision:
+        """Takes a retry if the budget and the priority allow it."""
         budget = self.for_service(service)
         now = self._clock.monotonic()
         if not self._prioritizes:
@@ -198,6 +244,7 @@
         self._pending_retries[service] += probability
         if self._pending_retries[service] >= 1:
             self._pending_retries[service] -= 1
+            self._totals[service].charged_calls += 1
             self.for_service(service).charge(self._clock.monotonic())
 
     def update_peer(self, node: str, usage: peer_updates.RetryUsage) -> None:
--- a/endivewind/callers/entry_routes.py
+++ b/endivewind/callers/entry_routes.py
@@ -7,11 +7,15 @@
 
 import datetime
 import itertools
+import logging
 from typing import Protocol
 
 from endivewind import clock as clocks
+from endivewind import logs
 from endivewind.decisions import peer_updates
 
+log = logging.getLogger(__name__)
+
 # Interval at which a node sends its entry routes to its neighbours, so that a
 # node that starts learns them soon.
 UPDATE_INTERVAL = datetime.timedelta(seconds=1)
@@ -79,7 +83,7 @@
             return True
         route = peer_updates.EntryRoute(service, prefix)
         if not self._local_target.has_active_work:
-            self._caller_routes.setdefault(route)
+            self._learn(route, "idle target")
         return route in self._caller_routes
 
     @property
@@ -107,9 +111,19 @@
             return 0.0
         return self._local_target.possible_duplicate_share
 
-    def add_route(self, route: peer_updates.EntryRoute) -> None:
+    def add_route(self, route: peer_updates.EntryRoute, sender: str) -> None:
         """Adds an entry route that a neighbour has sent."""
-        self._caller_routes.setdefault(route)
+        self._learn(route, sender)
+
+    def _learn(self, route: peer_updates.EntryRoute, source: str) -> None:
+        """Adds a route, and logs it if it is new."""
+        if route in self._caller_routes:
+            return
+        self._caller_routes[route] = None
+        fields = logs.fields(
+            service=route.service, prefix=route.prefix, source=source
+        )
+        log.info("entry route learned", extra=fields)
 
     def take_due_updates(self) -> tuple[peer_updates.EntryRoute, ...]:
         """Returns the routes to send to the neighbours now.
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -339,9 +339,11 @@
         charged with the probability that they are made for a retried request.
         """
         service, prefix = request.head.service, request.route.prefix
-        if self._entry_routes.is_from_caller(service, prefix):
-            self._budgets.for_service(service).record_request(request.started)
-        self._budgets.record_request(service, request.head.queue_priority)
+        self._budgets.record_request(
+            service,
+            request.head.queue_priority,
+            is_from_caller=self._entry_routes.is_from_caller(service, prefix),
+        )
         share = self._entry_routes.retry_probability(service, prefix)
         if share:
             self._budgets.charge(service, share)
@@ -368,6 +370,7 @@
                 request.deadline - request.started
             ),
             inherits=request.head.goes_ahead,
+            retry_budget_spent=round(self._spent_share(request), 2),
             tries=[step.as_log_fields() for step in request.attempts],
         )
         log.info("request", extra=fields)
--- a/endivewind/metrics.py
+++ b/endivewind/metrics.py
@@ -15,6 +15,7 @@
 from opentelemetry.sdk import metrics as sdk
 import prometheus_client
 
+from endivewind.callers import budgets
 from endivewind.callers import link_traffic
 from endivewind.callers import memory_control
 from endivewind.callers import request_metrics
@@ -56,6 +57,7 @@
       links: returns what this node has sent over shared links; nothing if links
         are not shared.
       granted_bytes: returns the bytes that this node has granted as an owner.
+      retry_totals: what the retry budgets have counted, by service.
       admission_refusals: numbers of requests below an admission level, by
         service.
       admission_levels: returns the admission levels in force.
@@ -93,6 +95,9 @@
     granted_bytes: collections.abc.Callable[
         [], collections.abc.Mapping[link_shares.Pair, int]
     ] = dict
+    retry_totals: collections.abc.Mapping[str, budgets.RetryTotals] = (
+        dataclasses.field(default_factory=dict)
+    )
     admission_refusals: collections.abc.Mapping[str, int] = dataclasses.field(
         default_factory=dict
     )
@@ -167,6 +172,16 @@
         yield api.Observation(count, {"service": service})
 
 
+def _charged_calls(sources: Sources) -> Observations:
+    for service, totals in sources.retry_totals.items():
+        yield api.Observation(totals.charged_calls, {"service": service})
+
+
+def _counted_requests(sources: Sources) -> Observations:
+    for service, totals in sources.retry_totals.items():
+        yield api.Observation(totals.requests, {"service": service})
+
+
 def _withheld_retries(sources: Sources) -> Observations:
     for service, count in sources.requests.withheld_retries.items():
         yield api.Observation(count, {"service": service})
@@ -370,6 +385,20 @@
         "Retries that were kept for more urgent requests, by service.",
         _withheld_retries,
     ),
+    Instrument(
+        "endivewind.retries.charged_calls",
+        InstrumentKind.COUNTER,
+        "{call}",
+        "Calls of the target on this VM charged as retries, by called service.",
+        _charged_calls,
+    ),
+    Instrument(
+        "endivewind.retries.counted_requests",
+        InstrumentKind.COUNTER,
+        "{request}",
+        "Callers' requests that add to the retry budget, by service.",
+        _counted_requests,
+    ),
     Instrument(
         "endivewind.calls.failed",
         InstrumentKind.COUNTER,
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -81,7 +81,6 @@
 PEER_STATE_TIMEOUT = datetime.timedelta(milliseconds=500)
 PEER_STATE_POLL_INTERVAL = datetime.timedelta(milliseconds=20)
 LEASE_CHECK_INTERVAL = datetime.timedelta(milliseconds=200)
-TRAFFIC_LOG_INTERVAL = datetime.timedelta(seconds=10)
 # The part of the platform's grace period that is reserved for closing the
 # remaining connections, writing the last records and ending the process.
 SHUTDOWN_MARGIN = datetime.timedelta(seconds=1)
@@ -204,7 +203,7 @@
             self._proof_service.run_peer_queries(),
             self._run_lease_checks(),
             self._run_target_checks(),
-            self._reports.log_traffic(),
+            self._reports.log_totals(),
         ):
             self._tasks.append(asyncio.create_task(work))
         if self._admission_service is not None:
@@ -698,6 +697,7 @@
                 self._placement,
                 self._outlier_monitor,
                 self._gateway.metrics,
+                self._gateway.budgets.totals,
                 lambda: self._listener.in_flight,
                 self._pool,
                 self._traffic,
@@ -883,7 +883,7 @@
         for retry_usage in update.retry_usages:
             self._gateway.budgets.update_peer(sender, retry_usage)
         for route in update.entry_routes:
-            self._gateway.entry_routes.add_route(route)
+            self._gateway.entry_routes.add_route(route, sender)
         if self._admission_service is not None:
             self._admission_service.handle_update(sender, update)
 
--- a/endivewind/reports.py
+++ b/endivewind/reports.py
@@ -11,6 +11,7 @@
 
 from endivewind import logs
 from endivewind.callers import admission_control
+from endivewind.callers import budgets
 from endivewind.callers import link_traffic
 from endivewind.callers import memory_control
 from endivewind.callers import placement
@@ -30,7 +31,7 @@
 
 log = logging.getLogger(__name__)
 
-TRAFFIC_LOG_INTERVAL = datetime.timedelta(seconds=10)
+TOTALS_LOG_INTERVAL = datetime.timedelta(seconds=10)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +47,7 @@
       placement: the choice of targets for callers' requests.
       outlier_monitor: the outlier detection of these targets.
       requests: the metrics of callers' requests.
+      retry_totals: what the retry budgets have counted, by service.
       in_flight: returns the number of callers' requests in progress.
       pool: the links to other nodes.
       traffic: the bytes sent to other nodes.
@@ -67,6 +69,7 @@
     placement: placement.Placement
     outlier_monitor: outlier_monitor.OutlierMonitor
     requests: request_metrics.RequestMetrics
+    retry_totals: collections.abc.Mapping[str, budgets.RetryTotals]
     in_flight: collections.abc.Callable[[], int]
     pool: links.LinkPool
     traffic: traffic.TrafficMeter
@@ -132,10 +135,10 @@
             self._metrics = module.NodeMetrics(self._metric_sources(module))
         return operator_api.Page(self._metrics.render(), module.CONTENT_TYPE)
 
-    async def log_traffic(self) -> None:
-        """Logs bytes sent and calls made by kind, until cancelled."""
+    async def log_totals(self) -> None:
+        """Logs bytes sent, calls made and retries, until cancelled."""
         while True:
-            await asyncio.sleep(TRAFFIC_LOG_INTERVAL.total_seconds())
+            await asyncio.sleep(TOTALS_LOG_INTERVAL.total_seconds())
             sent = self._report_sources.traffic.by_kind()
             log.info("bytes sent", extra=logs.fields(**sent))
             calls = {
@@ -143,6 +146,12 @@
                 for call, count in self._report_sources.platform.call_counts.items()
             }
             log.info("platform calls", extra=logs.fields(**calls))
+            retries = {
+                service: dataclasses.asdict(totals)
+                for service, totals in self._report_sources.retry_totals.items()
+            }
+            if retries:
+                log.info("retry budgets", extra=logs.fields(services=retries))
             if report_links := self._link_usages():
                 log.info("link shares", extra=logs.fields(links=report_links))
 
@@ -163,6 +172,7 @@
             sent_bytes=report_sources.traffic.counts,
             platform_calls=report_sources.platform.call_counts,
             memory=report_sources.memory,
+            retry_totals=report_sources.retry_totals,
             links=report_sources.shared_links.usages
             if report_sources.shared_links
             else list,
--- a/endivewind/tests/callers/entry_routes_tests.py
+++ b/endivewind/tests/callers/entry_routes_tests.py
@@ -62,7 +62,7 @@
         self.clock.advance(entry_routes.UPDATE_INTERVAL)
 
         for route in self.routes.take_due_updates():
-            other_node.add_route(route)
+            other_node.add_route(route, "n2")
 
         self.assertTrue(other_node.is_from_caller("riders", "/orders/"))
         self.assertFalse(other_node.is_from_caller("riders", "/calls/"))
--- a/endivewind/tests/callers/target_calls_tests.py
+++ b/endivewind/tests/callers/target_calls_tests.py
@@ -117,7 +117,9 @@
 
     def test_callers_behind_a_proxy_on_this_vm_send_no_calls(self):
         """Guards against callers that all seem to be on this VM."""
-        self.routes.add_route(peer_updates.EntryRoute("venues", "/status/"))
+        self.routes.add_route(
+            peer_updates.EntryRoute("venues", "/status/"), "n2"
+        )
 
         self.assertFalse(self.is_call())
 
@@ -126,7 +128,9 @@
 
         A single request by the route of calls makes it an entry route.
         """
-        self.routes.add_route(peer_updates.EntryRoute("venues", "/status/"))
+        self.routes.add_route(
+            peer_updates.EntryRoute("venues", "/status/"), "n2"
+        )
         self.is_call(ELSEWHERE)
 
         self.assertTrue(self.is_call())
@@ -136,13 +140,17 @@
 
         The address of a request is unknown once its connection is closed.
         """
-        self.routes.add_route(peer_updates.EntryRoute("venues", "/status/"))
+        self.routes.add_route(
+            peer_updates.EntryRoute("venues", "/status/"), "n2"
+        )
         self.is_call("", "")
 
         self.assertFalse(self.is_call())
 
     def test_callers_on_this_vm_make_the_route_ambiguous(self):
-        self.routes.add_route(peer_updates.EntryRoute("venues", "/status/"))
+        self.routes.add_route(
+            peer_updates.EntryRoute("venues", "/status/"), "n2"
+        )
         self.is_call(ELSEWHERE)
         running, self.target.running = self.target.running, []
         self.is_call()
--- a/endivewind/tests/metrics_tests.py
+++ b/endivewind/tests/metrics_tests.py
@@ -10,6 +10,7 @@
 from endivewind import clock as clocks
 from endivewind import exchange
 from endivewind import metrics
+from endivewind.callers import budgets
 from endivewind.callers import link_traffic
 from endivewind.callers import memory_control
 from endivewind.callers import request_metrics
@@ -81,6 +82,7 @@
         },
         platform_calls={client.CallLabels("watch", "config"): 6},
         memory=_memory(clock),
+        retry_totals={"venues": budgets.RetryTotals(40, 6, 2)},
         links=lambda: [
             link_traffic.LinkUsage("andina", "costa", 70, -8, 3, 5, True)
         ],
@@ -111,6 +113,8 @@
             'endivewind_placings_total{service="riders"} 2.0',
             'endivewind_retries_total{service="riders"} 1.0',
             'endivewind_retries_withheld_total{service="riders"} 1.0',
+            'endivewind_retries_charged_calls_total{service="venues"} 2.0',
+            'endivewind_retries_counted_requests_total{service="venues"} 40.0',
             'endivewind_calls_failed_total{cause="refused",service="venues"} 1.0',
             'endivewind_calls_inherited_total{basis="only",service="venues"} 1.0',
             'endivewind_target_health_changes_total{health="ejected",service="riders"} 2.0',
