Count retries for the whole window of the budget

Callers saw nothing of it; targets got up to twice the allowed retries within a window, beyond the fleet's bound (BUDGET).

Cause: the window moved in steps of a twentieth and dropped a step as a whole, so that a retry at the end of a step counted for 9.51 of 10 seconds. A node whose retries fell into that moment spent its whole budget again within the window. Requests now expire up to a step early and retries up to a step late.

test_retries_used_by_others... looks a twentieth of the window later, since that is when retries expire now.

--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -17,8 +17,9 @@
 # them a single failed request in a quiet minute could not be retried.
 DEFAULT_RESERVE = 3.0
 DEFAULT_WINDOW = datetime.timedelta(seconds=10)
-# The window slides in this many steps, so that no interval of its length can
-# exceed the bound by more than a twentieth.
+# The window slides in this many steps. Requests count for up to a step less than
+# the window and retries for up to a step more, so that no interval of its
+# length exceeds the bound.
 _BUCKETS_PER_WINDOW = 20
 
 # A node whose limit is this many retries or more does not need its neighbours'
@@ -86,6 +87,8 @@
 
     def __init__(self, limits: RetryLimits) -> None:
         self._limits = limits
+        # The first bucket may be just outside the window: its requests have
+        # expired and its retries have not.
         self._buckets: collections.deque[_Bucket] = collections.deque()
         self._requests = 0
         self._retries = 0
@@ -288,15 +291,17 @@
         return self._limits.share * requests + self._limits.reserve
 
     def _current_bucket(self, now: datetime.timedelta) -> _Bucket:
-        """Returns the current bucket and drops those outside the window."""
+        """Returns the current bucket and expires earlier ones."""
         number = now // (self._limits.window / _BUCKETS_PER_WINDOW)
-        while (
-            self._buckets
-            and self._buckets[0].number <= number - _BUCKETS_PER_WINDOW
-        ):
-            expired = self._buckets.popleft()
-            self._requests -= expired.requests
-            self._retries -= expired.retries
-        if not self._buckets or self._buckets[-1].number != number:
+        if not self._buckets or self._buckets[-1].number < number:
             self._buckets.append(_Bucket(number))
+            self._expire(number - _BUCKETS_PER_WINDOW)
         return self._buckets[-1]
+
+    def _expire(self, number: int) -> None:
+        """Expires requests up to a bucket, and retries before it."""
+        while self._buckets[0].number < number:
+            self._retries -= self._buckets.popleft().retries
+        self._requests = sum(
+            item.requests for item in self._buckets if item.number > number
+        )
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -133,7 +133,7 @@
         if not self.prioritizes:
             return budget.take(now, may_borrow=True)
         priority = self.rng.choice((0, 0, 0, 1))
-        node.budgets.record_request(SERVICE, priority)
+        node.budgets.record_request(SERVICE, priority, is_from_caller=False)
         decision = node.budgets.take(SERVICE, priority, may_borrow=True)
         is_taken = decision is budgets.RetryDecision.TAKEN
         self.wanted_counts[priority] += 1
@@ -235,7 +235,7 @@
             node = fleet.nodes[0]
             node.update_view(fleet.nodes)
             node.budgets.take_due_updates()
-            node.budgets.record_request(SERVICE, 1)
+            node.budgets.record_request(SERVICE, 1, is_from_caller=False)
             node.budgets.take(SERVICE, 1, may_borrow=True)
             fleet.clock.advance(TICK_INTERVAL)
 
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -68,11 +68,30 @@
                 taken.append(now)
 
         for end in taken:
-            window = 0.95 * limits.window
-            within = sum(end - window < at <= end for at in taken)
-            requests = sum(end - limits.window < at <= end for at in asked)
+            start = end - limits.window
+            within = sum(start <= at <= end for at in taken)
+            requests = sum(start <= at <= end for at in asked)
             self.assertLessEqual(within, 0.2 * requests + 2)
 
+    def test_retries_of_one_moment_count_for_the_whole_window(self):
+        """Guards against a budget that can be spent twice within a window.
+
+        All retries are made at the end of a step of the window, and count for
+        9.6 seconds only if the step expires as a whole.
+        """
+        budget = retry_budget.RetryBudget(retry_budget.RetryLimits(0.2))
+        taken = []
+        for number in range(220):
+            now = _NOW + number * _SECOND / 10
+            budget.record_request(now)
+            while number >= 114 and budget.take(now):
+                taken.append(now)
+
+        first = [at for at in taken if at == taken[0]]
+        within = [at for at in taken if at < taken[0] + 10 * _SECOND]
+        self.assertGreater(len(first), 10)
+        self.assertLessEqual(len(within), len(first) + 2)
+
     def test_node_uses_retries_that_neighbours_have_left(self):
         """Failures come in a burst at one of six nodes.
 
@@ -129,7 +148,7 @@
         self.assertFalse(budget.take(_NOW, may_borrow=True))
         self.assertEqual(1.0, budget.spent_share(_NOW))
 
-        later = _NOW + retry_budget.DEFAULT_WINDOW
+        later = _NOW + 1.05 * retry_budget.DEFAULT_WINDOW
         for _ in range(10):
             budget.record_request(later)
         self.assertEqual(0.0, budget.spent_share(later))
--- a/endivewind/tests/loads/retry_bound_tests.py
+++ b/endivewind/tests/loads/retry_bound_tests.py
@@ -22,8 +22,8 @@
         """Guards against nodes that spend the same retries, or spend them twice.
 
         All nodes borrow in the same moment, before any has heard of the others'
-        retries. What is spent at the begin of a step of the window is spent
-        again 9.5 seconds later.
+        retries. What is spent at the end of a step of the window is spent again
+        9.5 seconds later if the step expires as a whole.
         """
         for seed in SEEDS:
             for phase in PHASES:
