--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -1,7 +1,8 @@
 """Retry budgets of an entry node, one for each service.
 
 The gateway takes retries from them. The limits of a service hold for the whole
-fleet; each node has a share of them and exchanges its counts with nearby nodes.
+fleet; each node has a share of them, exchanges its counts with nearby nodes and
+borrows retries from them.
 """
 
 import collections
@@ -9,8 +10,10 @@
 import dataclasses
 import datetime
 import enum
+import random
 
 from endivewind import clock as clocks
+from endivewind.callers import retry_loans
 from endivewind.config import objects
 from endivewind.config import store
 from endivewind.decisions import load_balancing
@@ -108,6 +111,8 @@
         fleet: view.FleetView,
         locality: load_balancing.Locality,
         clock: clocks.Clock,
+        rng: random.Random,
+        request_loan: retry_loans.LoanRequester = retry_loans.request_nothing,
         *,
         prioritizes: bool = False,
     ) -> None:
@@ -118,6 +123,8 @@
           fleet: the nodes of the fleet.
           locality: the place of this node.
           clock: the clock; its monotonic time is used.
+          rng: chooses the nodes from which retries are borrowed.
+          request_loan: asks another node for retries.
           prioritizes: whether scarce retries go to urgent requests first
             (`overload.prioritized_retries`).
         """
@@ -138,6 +145,9 @@
         self._pending_retries: collections.defaultdict[str, float] = (
             collections.defaultdict(float)
         )
+        self._loans = retry_loans.RetryLoans(
+            request_loan, self._neighbours, locality.zone, clock, rng
+        )
         self._neighbour_count = 0
         # Number of known nodes at the last count of neighbours, and its time.
         self._counted_nodes_and_time = (0, -NEIGHBOUR_COUNT_INTERVAL)
@@ -189,41 +199,75 @@
         Args:
           service: the service of the request.
           priority: the queue priority of the request.
-          may_borrow: whether shared retries of other nodes may be used.
+          may_borrow: whether retries that other nodes have lent may be used.
           is_hedge: whether it is for a hedged request, which counts as wanted
             only if it gets the retry: it may succeed without.
         """
-        decision = self._decide(
+        if self._prioritizes and not is_hedge:
+            budget = self.for_service(service)
+            self._priorities_of(service, budget).record_wanted(
+                priority, self._clock.monotonic()
+            )
+        return self._try_take(
+            service, priority, may_borrow=may_borrow, is_hedge=is_hedge
+        )
+
+    async def obtain(
+        self,
+        service: str,
+        priority: int,
+        *,
+        may_borrow: bool,
+        is_hedge: bool = False,
+    ) -> RetryDecision:
+        """Takes a retry as `take` does, and borrows one if none is left."""
+        decision = self.take(
+            service, priority, may_borrow=may_borrow, is_hedge=is_hedge
+        )
+        if decision is not RetryDecision.SPENT or not may_borrow:
+            return decision
+        await self._borrow(service)
+        return self._try_take(
             service, priority, may_borrow=may_borrow, is_hedge=is_hedge
         )
-        if decision is RetryDecision.TAKEN:
-            self._totals[service].retries += 1
-        return decision
 
-    def _decide(
+    def _try_take(
         self, service: str, priority: int, *, may_borrow: bool, is_hedge: bool
     ) -> RetryDecision:
         """Takes a retry if the budget and the priority allow it."""
         budget = self.for_service(service)
         now = self._clock.monotonic()
-        if not self._prioritizes:
-            is_taken = budget.take(now, may_borrow=may_borrow)
-            return RetryDecision.TAKEN if is_taken else RetryDecision.SPENT
-        priorities = self._priorities_of(service, budget)
-        if not is_hedge:
-            priorities.record_wanted(priority, now)
-        remaining = budget.remaining(now, may_borrow=may_borrow)
-        if not priorities.may_take(
-            priority, remaining, now, counts_peers=may_borrow
-        ):
-            return RetryDecision.WITHHELD
-        if not budget.take(now, may_borrow=may_borrow):
+        if self._prioritizes:
+            priorities = self._priorities_of(service, budget)
+            remaining = budget.remaining(now, may_borrow=may_borrow)
+            if not priorities.may_take(
+                priority, remaining, now, counts_peers=may_borrow
+            ):
+                return RetryDecision.WITHHELD
+        if not budget.take(now, may_use_loans=may_borrow):
             return RetryDecision.SPENT
-        priorities.record_taken(priority, now)
-        if is_hedge:
-            priorities.record_wanted(priority, now)
+        self._totals[service].retries += 1
+        if self._prioritizes:
+            priorities.record_taken(priority, now)
+            if is_hedge:
+                priorities.record_wanted(priority, now)
         return RetryDecision.TAKEN
 
+    async def _borrow(self, service: str) -> None:
+        """Waits for a loan of nearby nodes, if they are likely to have one."""
+        budget = self.for_service(service)
+        if budget.should_borrow(self._clock.monotonic()):
+            await self._loans.borrow(service, budget)
+
+    def lend(self, service: str, amount: float) -> float:
+        """Lends retries of a service to another node; returns how many."""
+        budget = self._budgets.get(service)
+        if budget is None and self._configuration.service(service) is None:
+            # A node without requests for the service lends its reserve, but
+            # another node must not create budgets by any name.
+            return 0.0
+        return self.for_service(service).lend(amount, self._clock.monotonic())
+
     def _priorities_of(
         self, service: str, budget: retry_budget.RetryBudget
     ) -> retry_priorities.RetryPriorities:
@@ -280,7 +324,7 @@
             len(self._fleet.nodes) != nodes
             or now - counted_at >= NEIGHBOUR_COUNT_INTERVAL
         ):
-            self._neighbour_count = self._count_neighbours()
+            self._neighbour_count = len(self._neighbours())
             self._counted_nodes_and_time = (len(self._fleet.nodes), now)
         if now - self._last_update < peer_updates.MIN_UPDATE_INTERVAL:
             return ()
@@ -317,16 +361,18 @@
             service.retry_percent / 100, reserve, window, self._neighbour_count
         )
 
-    def _count_neighbours(self) -> int:
-        """Returns the number of other nodes that exchange retry usage."""
-        nodes = self._fleet.nodes.values()
-        region_size = sum(
-            node.region == self._locality.region for node in nodes
-        )
-        if peer_updates.shares_retries_in_region(region_size - 1):
-            return max(0, region_size - 1)
-        zone_size = sum(node.zone == self._locality.zone for node in nodes)
-        return min(max(0, zone_size - 1), peer_updates.MAX_PEERS)
+    def _neighbours(self) -> list[view.NodeRecord]:
+        """Returns the other nodes that share their retries with this one."""
+        region = [
+            node
+            for node in self._fleet.nodes.values()
+            if node.region == self._locality.region
+            and node.name != self._locality.node
+        ]
+        if peer_updates.shares_retries_in_region(len(region)):
+            return region
+        zone = [node for node in region if node.zone == self._locality.zone]
+        return zone[: peer_updates.MAX_PEERS]
 
 
 def _has_changed(
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -28,6 +28,7 @@
 from endivewind.callers import quota_client
 from endivewind.callers import request_metrics
 from endivewind.callers import request_queues
+from endivewind.callers import retry_loans
 from endivewind.callers import routed_request
 from endivewind.callers import routing
 from endivewind.callers import workspaces
@@ -105,6 +106,7 @@
         admission_control: admission_control.AdmissionControl | None = None,
         *,
         prioritizes_retries: bool = False,
+        request_loan: retry_loans.LoanRequester = retry_loans.request_nothing,
         aborts: abort_controller.AbortController | None = None,
     ) -> None:
         self._entry_routes = known_entry_routes or entry_routes.EntryRoutes(
@@ -125,6 +127,8 @@
             fleet,
             placement.locality,
             clock,
+            self._rng,
+            request_loan,
             prioritizes=prioritizes_retries,
         )
         self._quota_client = quota_client
@@ -318,7 +322,7 @@
                 last = await self._place_again(request, last)
                 continue
             if record is None:
-                if not self._take_retry(request.head):
+                if not await self._obtain_retry(request.head):
                     if request.head.call is not None:
                         request.head.call.lacked_retry = True
                     break
@@ -375,16 +379,19 @@
         )
         log.info("request", extra=fields)
 
-    def _take_retry(
+    async def _obtain_retry(
         self, head: exchange.RequestHead, *, is_hedge: bool = False
     ) -> bool:
-        """Takes one retry from the budget; returns False if none is left.
+        """Takes one retry from the budget, or borrows one from a nearby node.
 
         While requests for the service wait here for slots, a retry would
         displace one of them. During that time this entry node uses only its own
         retries and borrows none that other entry nodes have not used.
+
+        Returns:
+          Whether there was a retry.
         """
-        decision = self._budgets.take(
+        decision = await self._budgets.obtain(
             head.service,
             head.queue_priority,
             may_borrow=not self._request_queues.waiter_count(head.service),
@@ -536,7 +543,7 @@
                 second = (
                     None
                     if first.done()
-                    else self._hedge_attempt(request, max_spent_share)
+                    else await self._hedge_attempt(request, max_spent_share)
                 )
                 if second is not None:
                     tasks.add(asyncio.create_task(second))
@@ -546,7 +553,7 @@
         finally:
             await hedging.cancel_all(tasks)
 
-    def _hedge_attempt(
+    async def _hedge_attempt(
         self, request: routed_request.RoutedRequest, max_spent_share: float
     ) -> collections.abc.Coroutine[Any, Any, ResponseResult] | None:
         """Returns an attempt at another target with a free slot, or None.
@@ -567,7 +574,7 @@
         record = self._placement.choose(request.head.service, constraints)
         if record is None:
             return None
-        if not self._take_retry(request.head, is_hedge=True):
+        if not await self._obtain_retry(request.head, is_hedge=True):
             return None
         self._placement.record_start(
             record, len(request.body.buffered), request.traffic
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -1,8 +1,9 @@
 """Retry budget: bounds retries to a share of a service's recent requests.
 
-Counts requests and retries in a sliding window. Nodes near each other share
-what remains of their budgets. `callers/budgets.py` keeps one budget for each
-service and exchanges the counts with other nodes.
+Counts requests and retries in a sliding window. Nodes near each other lend
+each other what remains of their budgets. `callers/budgets.py` keeps one budget
+for each service and exchanges the counts with other nodes;
+`callers/retry_loans.py` borrows.
 """
 
 import collections
@@ -24,13 +25,18 @@
 
 # A node whose limit is this many retries or more does not need its neighbours'
 # retries: at this size random variation is about a fifth. Nodes with a lower
-# limit exchange their counts.
+# limit exchange their counts and borrow.
 MIN_INDEPENDENT_RETRIES = 25.0
-# Share of its own limit that a node keeps for itself. The rest is shared.
+# Share of its own limit, rounded down to whole retries, that a node does not
+# lend.
 KEPT_SHARE = 0.2
-# Time until the other nodes know what a node has used: the interval between
-# two messages with its counts, with one of the messages arriving late.
-PROPAGATION_DELAY = datetime.timedelta(milliseconds=500)
+# Time from the request for a loan in which the borrower may use it. The lender
+# has less for this time and a window, so that a retry of the borrower and one
+# of the lender never count for the same part of their limits.
+LOAN_LIFETIME = datetime.timedelta(milliseconds=500)
+# Loans are parts of retries, in thousandths on the wire. What is missing to a
+# whole retry by rounding does not count.
+_ROUNDING = 1e-6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,7 +61,20 @@
 class _Bucket:
     number: int
     requests: int = 0
-    retries: int = 0
+    retries: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Loan:
+    """Retries that change hands.
+
+    Attributes:
+      amount: how many, or parts of one.
+      until: when they expire, for the borrower, or return to the lender.
+    """
+
+    amount: float
+    until: datetime.timedelta
 
 
 class RetryBudget:
@@ -71,12 +90,13 @@
 
     A node with a few requests per second has a limit of two or three retries,
     and failures come in bursts: one node would give up while its neighbours
-    have used none. So each node keeps a fifth of its limit for itself and
-    shares the rest: what any node uses beyond its own fifth is taken from the
-    shared retries. What a node has used reaches the others with a delay
-    (`PROPAGATION_DELAY`). Within that time it uses at most an equal part of
-    what is left, so that nodes that act at the same time do not spend the same
-    retries twice. The sum of the limits remains the bound.
+    have used none. So nodes lend each other retries. What is lent is deducted
+    from the lender's limit before it is sent, and returns to it when no retry of
+    the borrower can count for it any more. So the sum of the limits remains the
+    bound, whatever is lost, delayed or done at the same time on the way.
+
+    The counts of the neighbours only tell how much is left nearby, for
+    decisions on hedged requests and on the choice of targets.
 
     A target that runs a retried request may call other services. These calls
     count as retries in the budgets of the called services
@@ -91,18 +111,17 @@
         # expired and its retries have not.
         self._buckets: collections.deque[_Bucket] = collections.deque()
         self._requests = 0
-        self._retries = 0
+        self._retries = 0.0
+        self._lent: collections.deque[_Loan] = collections.deque()
+        self._borrowed: collections.deque[_Loan] = collections.deque()
         self._peers: dict[str, tuple[RequestCounts, datetime.timedelta]] = {}
-        # Shared retries that this node may use now, and when it was computed.
-        self._allowance = float("inf")
-        self._allowance_at = datetime.timedelta()
 
     def configure(self, limits: RetryLimits) -> None:
         """Changes the limits; the counts are kept unless the window changes."""
         if limits.window != self._limits.window:
             self._buckets.clear()
             self._requests = 0
-            self._retries = 0
+            self._retries = 0.0
         self._limits = limits
 
     @property
@@ -115,10 +134,10 @@
         self._current_bucket(now).requests += 1
         self._requests += 1
 
-    def charge(self, now: datetime.timedelta) -> None:
-        """Counts a retry, even if the budget is spent."""
-        self._current_bucket(now).retries += 1
-        self._retries += 1
+    def charge(self, now: datetime.timedelta, amount: float = 1.0) -> None:
+        """Counts a retry, or a part of one, even if the budget is spent."""
+        self._current_bucket(now).retries += amount
+        self._retries += amount
 
     def update_peer(
         self, node: str, count: RequestCounts, now: datetime.timedelta
@@ -127,46 +146,94 @@
         self._peers[node] = (count, now)
 
     def counts(self, now: datetime.timedelta) -> RequestCounts:
-        """Returns this node's counts in the current window."""
-        self._current_bucket(now)
-        return RequestCounts(self._requests, self._retries)
+        """Returns this node's counts in the current window.
+
+        Retries that are lent count as made.
+        """
+        self._advance(now)
+        return RequestCounts(self._requests, round(self._used()))
 
     def needs_sharing(self, now: datetime.timedelta) -> bool:
         """Whether this node's limit is so low that it needs shared retries."""
-        self._current_bucket(now)
+        self._advance(now)
         return 0 < self._own_limit() < MIN_INDEPENDENT_RETRIES
 
     def take(
-        self, now: datetime.timedelta, *, may_borrow: bool = False
+        self, now: datetime.timedelta, *, may_use_loans: bool = True
     ) -> bool:
         """Takes one retry from the budget if one is left.
 
         Args:
           now: the current monotonic time.
-          may_borrow: whether this node may exceed its own limit by using
-            shared retries that other nodes have left.
+          may_use_loans: whether retries that other nodes have lent count.
 
         Returns:
           Whether the retry is allowed.
         """
-        self._current_bucket(now)
-        self._drop_expired(now)
-        if not self._has_private_retry():
-            limit = self._own_limit()
-            if not (may_borrow or self._retries + 1 <= limit):
-                return False
-            if not self._has_allowance(now):
-                return False
-            self._allowance -= 1
-        self.charge(now)
+        self._advance(now)
+        own = max(0.0, self._own_left())
+        borrowed = self._borrowed_amount() if may_use_loans else 0.0
+        if own + borrowed < 1 - _ROUNDING:
+            return False
+        # Loans first, since they expire sooner.
+        from_loans = min(1.0, borrowed)
+        self._spend_loans(from_loans)
+        self.charge(now, 1.0 - from_loans)
         return True
 
+    def missing(self, count: int, now: datetime.timedelta) -> float:
+        """Returns how many retries to borrow so that `count` can be made."""
+        self._advance(now)
+        left = max(0.0, self._own_left()) + self._borrowed_amount()
+        return max(0.0, count - left)
+
+    def should_borrow(self, now: datetime.timedelta) -> bool:
+        """Whether nearby nodes are likely to lend what is missing to a retry.
+
+        Parts that don't add up to a retry are of no use to the borrower, and
+        would be missing at their lenders.
+        """
+        return self.needs_sharing(now) and self._left_nearby() >= 1 - _ROUNDING
+
+    def lend(self, amount: float, now: datetime.timedelta) -> float:
+        """Lends retries to another node.
+
+        Args:
+          amount: how many it asks for.
+          now: the current monotonic time.
+
+        Returns:
+          How many it gets, or parts of one; they no longer belong to this node
+          until they have returned.
+        """
+        self._advance(now)
+        spare = self._own_left() - _kept(self._own_limit())
+        lent = max(0.0, min(amount, spare))
+        if lent > 0:
+            until = now + LOAN_LIFETIME + self._limits.window
+            self._lent.append(_Loan(lent, until))
+        return lent
+
+    def add_loan(self, amount: float, asked_at: datetime.timedelta) -> None:
+        """Adds retries that another node has lent.
+
+        Args:
+          amount: how many, or parts of one.
+          asked_at: when this node asked for them, before they were lent.
+        """
+        if amount > 0:
+            self._borrowed.append(_Loan(amount, asked_at + LOAN_LIFETIME))
+
     def spent_share(self, now: datetime.timedelta) -> float:
-        """Returns the share of the budget that is spent; 1 if none is left."""
-        if not self._has_retry(now):
+        """Returns the spent share of the budget of this node and its neighbours.
+
+        It is 1 if no retry is left.
+        """
+        self._advance(now)
+        if self._left_nearby() < 1 - _ROUNDING:
             return 1.0
-        used = self._retries + sum(item.retries for item in self._peer_counts())
-        return used / self._total_limit()
+        used = self._used() + sum(item.retries for item in self._peer_counts())
+        return min(1.0, used / self._total_limit())
 
     def remaining(
         self, now: datetime.timedelta, *, may_borrow: bool
@@ -175,88 +242,58 @@
 
         Args:
           now: the current monotonic time.
-          may_borrow: whether the shared retries that other nodes have left
-            count, too.
+          may_borrow: whether the retries that other nodes have left count, too.
         """
-        self._current_bucket(now)
-        self._drop_expired(now)
+        self._advance(now)
         own_limit = self._own_limit()
-        private = max(0.0, KEPT_SHARE * own_limit - self._retries)
+        own_left = max(0.0, self._own_left())
+        private = min(own_left, _kept(own_limit))
         if may_borrow:
             return retry_priorities.RemainingRetries(
-                private,
-                self._shared_left(),
-                self._total_limit(),
-                self._next_shared_after(now),
+                private, self._left_nearby() - private, self._total_limit()
             )
-        own_left = own_limit - self._retries - private
-        return retry_priorities.RemainingRetries(private, own_left, own_limit)
+        return retry_priorities.RemainingRetries(
+            private, own_left - private, own_limit
+        )
 
     def allows_retries(self, now: datetime.timedelta) -> bool:
         """Whether the limit is at least one retry, even if all are spent."""
-        self._current_bucket(now)
-        self._drop_expired(now)
+        self._advance(now)
         return self._total_limit() >= 1
 
-    def _has_retry(self, now: datetime.timedelta) -> bool:
-        """Whether one more retry stays within the bound."""
-        self._current_bucket(now)
-        self._drop_expired(now)
-        return self._has_private_retry() or self._shared_left() >= 1
+    def _used(self) -> float:
+        """Returns the retries that this node has made or lent."""
+        return self._retries + sum(item.amount for item in self._lent)
 
-    def _has_private_retry(self) -> bool:
-        """Whether the share that this node keeps allows one more retry."""
-        return self._retries + 1 <= KEPT_SHARE * self._own_limit()
+    def _own_left(self) -> float:
+        """Returns what is left of this node's limit; negative if overdrawn."""
+        return self._own_limit() - self._used()
 
-    def _has_allowance(self, now: datetime.timedelta) -> bool:
-        """Whether this node may use one of the shared retries now.
+    def _borrowed_amount(self) -> float:
+        return sum(item.amount for item in self._borrowed)
 
-        In each PROPAGATION_DELAY its allowance grows by an equal part of the
-        shared retries that remain.
-        """
-        left, peers = self._shared_left(), len(self._peer_counts())
-        if left < 1 or not peers:
-            return left >= 1
-        equal_part = left / (1 + peers)
-        elapsed = (now - self._allowance_at) / PROPAGATION_DELAY
-        self._allowance = min(
-            self._allowance + elapsed * equal_part, max(1.0, equal_part)
-        )
-        self._allowance_at = now
-        return self._allowance >= 1
-
-    def _next_shared_after(self, now: datetime.timedelta) -> datetime.timedelta:
-        """Returns how long after a shared retry now the next is allowed."""
-        left, peers = self._shared_left(), len(self._peer_counts())
-        if not peers:
-            return datetime.timedelta()
-        elapsed = (now - self._allowance_at) / PROPAGATION_DELAY
-        equal_part = left / (1 + peers)
-        allowance = min(
-            self._allowance + elapsed * equal_part, max(1.0, equal_part)
-        )
-        missing = max(1.0, 2 - allowance)
-        next_part = max(0.0, left - 1) / (1 + peers)
-        if missing * PROPAGATION_DELAY >= next_part * self._limits.window:
-            return self._limits.window
-        return missing / next_part * PROPAGATION_DELAY
+    def _spend_loans(self, amount: float) -> None:
+        """Uses up loans, those that expire first."""
+        while amount > 0 and self._borrowed:
+            first = self._borrowed[0]
+            part = min(amount, first.amount)
+            first.amount -= part
+            amount -= part
+            if first.amount <= 0:
+                self._borrowed.popleft()
 
-    def _shared_left(self) -> float:
-        """Returns how many shared retries are left.
+    def _left_nearby(self) -> float:
+        """Returns how many retries this node has or may borrow, as far as known.
 
         A neighbour that has sent no counts has made no retries. How many
         requests it has had is unknown, so only its reserve is added.
         """
-        counts = (
-            RequestCounts(self._requests, self._retries),
-            *self._peer_counts(),
-        )
-        left = 0.0
-        for count in counts:
+        lendable = 0.0
+        for count in self._peer_counts():
             limit = self._limit_for(count.requests)
-            used = max(0.0, count.retries - KEPT_SHARE * limit)
-            left += (1 - KEPT_SHARE) * limit - used
-        return left
+            lendable += limit - _kept(limit) - count.retries
+        own = max(0.0, self._own_left()) + self._borrowed_amount()
+        return own + max(0.0, lendable)
 
     def _peer_counts(self) -> list[RequestCounts]:
         """Returns the counts of this node's neighbours, zero if unknown."""
@@ -271,16 +308,6 @@
         )
         return self._own_limit() + peers
 
-    def _drop_expired(self, now: datetime.timedelta) -> None:
-        """Drops other nodes' counts that are older than the window."""
-        expired = [
-            node
-            for node, (_, received) in self._peers.items()
-            if now - received >= self._limits.window
-        ]
-        for node in expired:
-            del self._peers[node]
-
     def _own_limit(self) -> float:
         return self._limit_for(self._requests)
 
@@ -290,6 +317,20 @@
             return 0.0
         return self._limits.share * requests + self._limits.reserve
 
+    def _advance(self, now: datetime.timedelta) -> None:
+        """Drops what has expired."""
+        self._current_bucket(now)
+        for loans in (self._lent, self._borrowed):
+            while loans and loans[0].until <= now:
+                loans.popleft()
+        expired = [
+            node
+            for node, (_, received) in self._peers.items()
+            if now - received >= self._limits.window
+        ]
+        for node in expired:
+            del self._peers[node]
+
     def _current_bucket(self, now: datetime.timedelta) -> _Bucket:
         """Returns the current bucket and expires earlier ones."""
         number = now // (self._limits.window / _BUCKETS_PER_WINDOW)
@@ -301,7 +342,13 @@
     def _expire(self, number: int) -> None:
         """Expires requests up to a bucket, and retries before it."""
         while self._buckets[0].number < number:
-            self._retries -= self._buckets.popleft().retries
+            self._buckets.popleft()
+        self._retries = sum(item.retries for item in self._buckets)
         self._requests = sum(
             item.requests for item in self._buckets if item.number > number
         )
+
+
+def _kept(limit: float) -> int:
+    """Returns how many retries a node with this limit does not lend."""
+    return int(KEPT_SHARE * limit)
--- a/endivewind/decisions/retry_priorities.py
+++ b/endivewind/decisions/retry_priorities.py
@@ -29,14 +29,13 @@
 # that of all priorities. Failures of urgent requests are few at each node, but
 # a fault of the targets hits all priorities alike.
 _PRIOR_REQUESTS = 3
-# Expected retries of more urgent requests in the time for which a node can make
-# no other shared retry after this one. In a shortage, one in seven urgent
-# requests got no retry with 0.05, and one in twenty with 0.02, at which a third
-# fewer retries are made than without priorities.
-MAX_MISSED_RETRIES = 0.02
 # Bounds the bytes of a message. Beyond that, priorities with the fewest wanted
 # retries are left out, so that only slightly too few retries are kept.
 MAX_DEMANDS = 8
+# Share of the limit that other nodes may have spent since they sent their
+# counts. Without it one in three urgent requests got no retry in a shortage,
+# as less urgent ones had taken the last ones; with it one in four.
+UNREPORTED_SHARE = 0.1
 
 
 _Counts = collections.defaultdict[int, float]
@@ -71,14 +70,11 @@
       private: retries that only this node may still make.
       shared: retries that it may make in competition with its neighbours.
       limit: all retries of the window, spent ones included.
-      next_shared_after: the time after which the node may make another shared
-        retry if it makes one now.
     """
 
     private: float
     shared: float
     limit: float
-    next_shared_after: datetime.timedelta = datetime.timedelta()
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,7 +135,6 @@
 
     Attributes:
       computed_at: when it was computed.
-      nodes: the number of nodes whose demand it contains.
       own: the retries that requests of this node want.
       own_taken: those that they have taken in the window.
       all: the retries that requests of all these nodes want.
@@ -147,7 +142,6 @@
     """
 
     computed_at: datetime.timedelta
-    nodes: int
     own: _Counts
     own_taken: collections.Counter[int]
     all: _Counts
@@ -168,9 +162,8 @@
     window moves on, these are free again for the same priority. So a constant
     demand of urgent requests is served, and the rest goes to others.
 
-    Nodes share retries, and each may make only a part of them at a time. So a
-    less urgent request also gets none if an urgent one is likely to come before
-    the node may make the next. That leaves a part of a short budget unused.
+    What remains at other nodes is known from counts that are up to half a second
+    old, so a less urgent request leaves a part of it to urgent ones.
 
     This only withholds retries that the budget would allow, so the bound on
     retries is that of the budget. If the expected demand of all priorities is
@@ -277,14 +270,9 @@
         urgent = _more_urgent(demand.all, priority)
         if not urgent or sum(demand.all.values()) <= remaining.limit:
             return True
-        # A node with few requests may have had no urgent one in the window.
-        own_urgent = max(
-            _more_urgent(demand.own, priority), urgent / demand.nodes
-        )
-        missed = own_urgent * (remaining.next_shared_after / self._window)
-        if missed > MAX_MISSED_RETRIES:
-            return False
         reserve = _still_wanted(demand.all, demand.all_taken, priority)
+        if counts_peers:
+            reserve += UNREPORTED_SHARE * remaining.limit
         return remaining.private + remaining.shared - reserve >= 1
 
     def _demand(self, now: datetime.timedelta, counts_peers: bool) -> _Demand:
@@ -309,7 +297,7 @@
             for item in peer.demands:
                 expected[item.queue_priority] += growth * item.wanted
             taken.update(_estimate_taken(peer))
-        return _Demand(now, 1 + len(peers), own, own_taken, expected, taken)
+        return _Demand(now, own, own_taken, expected, taken)
 
     def _failing_share(
         self, peers: list[_PeerDemand], now: datetime.timedelta
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -58,6 +58,7 @@
 from endivewind.nodes import links
 from endivewind.nodes import proofs
 from endivewind.nodes import quotas
+from endivewind.nodes import retry_loans
 from endivewind.nodes import traffic
 from endivewind.nodes import view
 from endivewind.operators import operator_api
@@ -155,6 +156,7 @@
         self._gossip: gossip_service.GossipService
         self._proof_service: proofs.ProofService
         self._quota_service: quotas.QuotaService
+        self._retry_loans: retry_loans.RetryLoanService
         self._link_shares: link_shares.LinkShareService | None = None
         self._link_traffic: link_traffic.LinkTraffic | None
         self._admission_control: admission_control.AdmissionControl | None
@@ -275,6 +277,10 @@
             else None
         )
         aborts = abort_controller.AbortController()
+        self._retry_loans = retry_loans.RetryLoanService(
+            self._pool,
+            lambda service, amount: self._gateway.budgets.lend(service, amount),
+        )
         self._gateway = gateway.Gateway(
             node_settings.name,
             self._placement,
@@ -296,6 +302,7 @@
             ),
             self._admission_control,
             prioritizes_retries=node_settings.overload.prioritized_retries,
+            request_loan=self._retry_loans.request,
             aborts=aborts,
         )
         max_kept_bytes = node_settings.limits.kept_answer_bytes
@@ -506,11 +513,13 @@
     async def handle_query(self, query: Any) -> Any:
         """Handles another node's query; query and response are frames.
 
-        A query that is not for quota or for a share of a link is a query for a
-        proof of freshness.
+        A query that is not for quota, for retries or for a share of a link is a
+        query for a proof of freshness.
         """
         if query.quota_ask is not None:
             return await self._quota_service.handle_query(query.quota_ask)
+        if query.retry_loan_ask is not None:
+            return self._retry_loans.handle_query(query.retry_loan_ask)
         if query.link_share_ask is not None:
             return await self._handle_link_share_ask(query.link_share_ask)
         return self._proof_service.response_frame()
--- a/endivewind/nodes/link_server.py
+++ b/endivewind/nodes/link_server.py
@@ -201,6 +201,7 @@
                     frame.freshness_ask
                     or frame.quota_ask
                     or frame.link_share_ask
+                    or frame.retry_loan_ask
                 ):
                     await self._handle_query(frame, writer)
                 elif frame.heartbeat:
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -359,6 +359,18 @@
   2: i32 wait_ms
 }
 
+// Asks a nearby node for a part of its retry budget for a service, in thousandths
+// of a retry.
+struct RetryLoanAsk {
+  1: string service_name
+  2: i32 thousandths
+}
+
+// The retries that are lent, deducted from the sender's before this is sent.
+struct RetryLoanGrant {
+  1: i32 thousandths
+}
+
 // A message on a TCP link. Exactly one field is set.
 struct Frame {
   1: optional ForwardedRequest forward
@@ -379,4 +391,6 @@
   43: optional QuotaGrant quota_grant
   44: optional LinkShareAsk link_share_ask
   45: optional LinkShareGrant link_share_grant
+  46: optional RetryLoanAsk retry_loan_ask
+  47: optional RetryLoanGrant retry_loan_grant
 }
--- a/endivewind/nodes/traffic.py
+++ b/endivewind/nodes/traffic.py
@@ -15,8 +15,8 @@
     join or have missed changes. CONFIGURATION is exchanged by peers. CHANGES
     are gossiped changes of members and targets. PEER_UPDATES are sent to nodes
     of the same zone or region. PROBES detect failed nodes and carry the digests
-    for anti-entropy. QUERIES ask other nodes for proofs of freshness and for
-    shares of a quota.
+    for anti-entropy. QUERIES ask other nodes for proofs of freshness, for
+    shares of a quota and for retries.
     """
 
     REQUESTS = "requests"
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -48,6 +48,7 @@
             self.view,
             load_balancing.Locality(f"n{self.number}", "r", "z"),
             self._fleet.clock,
+            self._fleet.rng,
             prioritizes=self._fleet.prioritizes,
         )
 
@@ -131,7 +132,10 @@
 
     def _take(self, node, budget, now):
         if not self.prioritizes:
-            return budget.take(now, may_borrow=True)
+            if not budget.take(now):
+                self.borrow(node)
+                return budget.take(now)
+            return True
         priority = self.rng.choice((0, 0, 0, 1))
         node.budgets.record_request(SERVICE, priority, is_from_caller=False)
         decision = node.budgets.take(SERVICE, priority, may_borrow=True)
@@ -140,6 +144,20 @@
         self.taken_counts[priority] += is_taken
         return is_taken
 
+    def borrow(self, node):
+        """Borrows a retry of the other nodes; some loans are lost."""
+        now = self.clock.monotonic()
+        budget = node.budgets.for_service(SERVICE)
+        for lender in self.nodes:
+            missing = budget.missing(1, now)
+            if not missing:
+                return
+            if lender is node or lender.ticks_down:
+                continue
+            amount = lender.budgets.lend(SERVICE, missing)
+            if self.rng.random() >= 0.05:
+                budget.add_loan(amount, now)
+
     def _call(self, node, now):
         self.retry_counts[-1] += 1
         if not node.ticks_down:
@@ -273,7 +291,7 @@
             node.budgets.for_service(SERVICE)
             node.budgets.take_due_updates()
 
-        taken = sum(_take_all(node, fleet.clock) for node in fleet.nodes)
+        taken = sum(_take_all(node, fleet) for node in fleet.nodes)
 
         self.assertLessEqual(taken, RESERVE_PER_NODE * len(fleet.nodes))
         self.assertGreater(taken, 0)
@@ -292,7 +310,10 @@
         fleet.clock.advance(TICK_INTERVAL)
         first.update_view(fleet.nodes)
 
-        self.assertLessEqual(_take_all(first, fleet.clock), RESERVE_PER_NODE)
+        budget = first.budgets.for_service(SERVICE)
+        taken = sum(budget.take(fleet.clock.monotonic()) for _ in range(100))
+
+        self.assertLessEqual(taken, RESERVE_PER_NODE)
 
     def test_usage_of_restarted_neighbour_still_counts(self):
         fleet = _Fleet(2, random.Random(1))
@@ -311,12 +332,13 @@
         )
 
 
-def _take_all(node, clock):
-    """Takes retries until none is left; returns how many."""
+def _take_all(node, fleet):
+    """Takes and borrows retries until none is left; returns how many."""
     budget = node.budgets.for_service(SERVICE)
     taken = 0
-    while budget.take(clock.monotonic(), may_borrow=True):
+    while budget.take(fleet.clock.monotonic()):
         taken += 1
+        fleet.borrow(node)
     return taken
 
 
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -92,106 +92,143 @@
         self.assertGreater(len(first), 10)
         self.assertLessEqual(len(within), len(first) + 2)
 
-    def test_node_uses_retries_that_neighbours_have_left(self):
+    def test_node_uses_retries_that_neighbours_lend(self):
         """Failures come in a burst at one of six nodes.
 
-        Each has a limit of two and a half retries and keeps half a retry.
-        Without sharing, the third failure at one node would reach its caller
-        although the other nodes have ten shared retries left. Before its
-        counts can have reached the others, it uses at most a sixth of them.
+        Each has a limit of two and a half retries. Without loans the third
+        failure at one node would reach its caller although the other nodes have
+        twelve retries left.
         """
         limits = retry_budget.RetryLimits(0.2, reserve=0.5)
-        budget = retry_budget.RetryBudget(limits)
-        for _ in range(10):
-            budget.record_request(_NOW)
-        alone = sum(budget.take(_NOW, may_borrow=True) for _ in range(20))
-        for number in range(5):
-            budget.update_peer(
-                f"n{number}", retry_budget.RequestCounts(10, 0), _NOW
-            )
-
-        refused = sum(budget.take(_NOW) for _ in range(20))
-        at_once = sum(budget.take(_NOW, may_borrow=True) for _ in range(20))
-        soon = sum(
-            budget.take(_NOW + number * _SECOND / 10, may_borrow=True)
-            for number in range(90)
+        budget, *neighbours = [
+            retry_budget.RetryBudget(limits) for _ in range(6)
+        ]
+        for node in (budget, *neighbours):
+            for _ in range(10):
+                node.record_request(_NOW)
+        alone = sum(budget.take(_NOW) for _ in range(20))
+        for node in neighbours:
+            budget.add_loan(node.lend(5, _NOW), _NOW)
+
+        without_loans = sum(
+            budget.take(_NOW, may_use_loans=False) for _ in range(20)
         )
+        with_loans = sum(budget.take(_NOW) for _ in range(20))
 
-        self.assertEqual((2, 0, 1, 9), (alone, refused, at_once, soon))
+        self.assertEqual((2, 0, 13), (alone, without_loans, with_loans))
 
-    def test_neighbour_without_counts_shares_its_reserve(self):
-        """A fleet has just started; a node's first request failed.
+    def test_parts_of_retries_add_up(self):
+        """Guards against retries that nobody can use.
 
-        Its own limit is less than one retry; the zone shares two and a half.
+        Each of four nodes has six tenths of a retry left.
         """
-        limits = retry_budget.RetryLimits(0.2, reserve=0.6, neighbour_count=4)
-        budget = retry_budget.RetryBudget(limits)
-        budget.record_request(_NOW)
+        limits = retry_budget.RetryLimits(0.2, reserve=0.6)
+        budget, *neighbours = [
+            retry_budget.RetryBudget(limits) for _ in range(4)
+        ]
+        self.assertFalse(budget.take(_NOW))
+        self.assertAlmostEqual(0.4, budget.missing(1, _NOW))
+        for node in neighbours:
+            budget.add_loan(node.lend(budget.missing(1, _NOW), _NOW), _NOW)
 
+        self.assertEqual(0, budget.missing(1, _NOW))
+        self.assertTrue(budget.take(_NOW))
         self.assertFalse(budget.take(_NOW))
-        taken = sum(
-            budget.take(_NOW + number * _SECOND / 10, may_borrow=True)
-            for number in range(20)
+
+    def test_lender_keeps_a_fifth(self):
+        limits = retry_budget.RetryLimits(0.2, reserve=10)
+        budget = retry_budget.RetryBudget(limits)
+
+        self.assertEqual(8, budget.lend(20, _NOW))
+        self.assertEqual(0, budget.lend(20, _NOW))
+        self.assertEqual(2, sum(budget.take(_NOW) for _ in range(20)))
+
+    def test_unused_loan_expires_before_it_returns(self):
+        """Guards against a retry that counts for two nodes in one window.
+
+        The borrower uses the loan as late as it may. The lender gets it back
+        when that retry has left the window.
+        """
+        limits = retry_budget.RetryLimits(0.2, reserve=10)
+        lender = retry_budget.RetryBudget(limits)
+        borrower = retry_budget.RetryBudget(
+            retry_budget.RetryLimits(0.2, reserve=0)
         )
+        borrower.add_loan(lender.lend(8, _NOW), _NOW)
+        last = _NOW + 0.99 * retry_budget.LOAN_LIFETIME
+
+        self.assertTrue(borrower.take(last))
+        self.assertFalse(borrower.take(_NOW + retry_budget.LOAN_LIFETIME))
+        self.assertLess(lender.lend(8, last + limits.window), 1)
+        returned = _NOW + retry_budget.LOAN_LIFETIME + limits.window
+        self.assertEqual(8, lender.lend(8, returned))
+
+    def test_neighbour_without_counts_is_taken_to_have_its_reserve(self):
+        """A fleet has just started, and nobody has made a retry."""
+        limits = retry_budget.RetryLimits(0.2, reserve=0.6, neighbour_count=4)
+        budget = retry_budget.RetryBudget(limits)
+        budget.record_request(_NOW)
 
-        self.assertEqual(2, taken)
+        self.assertTrue(budget.allows_retries(_NOW))
+        self.assertEqual(0.0, budget.spent_share(_NOW))
 
-    def test_retries_used_by_others_are_not_shared_until_the_window_ends(self):
-        """The shared retries are spent; a node still has its own fifth."""
+    def test_budget_is_spent_if_neighbours_have_used_theirs(self):
+        """A node still has its own fifth, which it does not lend."""
         limits = retry_budget.RetryLimits(0.2, reserve=0.5)
         budget = retry_budget.RetryBudget(limits)
         for _ in range(25):
             budget.record_request(_NOW)
+        while budget.lend(1, _NOW):
+            pass
         budget.update_peer("n1", retry_budget.RequestCounts(25, 10), _NOW)
 
-        self.assertTrue(budget.take(_NOW, may_borrow=True))
-        self.assertFalse(budget.take(_NOW, may_borrow=True))
+        self.assertTrue(budget.take(_NOW))
+        self.assertFalse(budget.take(_NOW))
         self.assertEqual(1.0, budget.spent_share(_NOW))
 
-        later = _NOW + 1.05 * retry_budget.DEFAULT_WINDOW
+        later = (
+            _NOW
+            + 1.05 * retry_budget.DEFAULT_WINDOW
+            + retry_budget.LOAN_LIFETIME
+        )
         for _ in range(10):
             budget.record_request(later)
         self.assertEqual(0.0, budget.spent_share(later))
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
-    @hypothesis.given(
-        strategies.lists(
-            strategies.tuples(
-                strategies.integers(0, 30), strategies.integers(0, 20)
-            ),
-            min_size=2,
-            max_size=6,
-        )
-    )
-    def test_nodes_that_share_counts_stay_within_the_sum_of_their_limits(
-        self, wants
+    @hypothesis.given(strategies.integers(2, 6), strategies.integers(0, 10_000))
+    def test_nodes_that_lend_stay_within_the_sum_of_their_limits(
+        self, count, seed
     ):
-        """Failures come in bursts of any size, one node after the other.
+        """Guards against retries that are spent twice while they change hands.
 
-        A node may use retries that others have not used, and each keeps a fifth
-        for itself. No retry may be spent twice, as a shared one and a kept one.
+        Nodes retry and lend at any time, and every third loan is lost on the
+        way. Loans arrive up to three seconds late.
         """
-        limits = retry_budget.RetryLimits(
-            0.2, 0.5, neighbour_count=len(wants) - 1
-        )
-        nodes = [retry_budget.RetryBudget(limits) for _ in wants]
-        bound, taken = 0.0, 0
-        for number, (requests, _) in enumerate(wants):
-            bound += 0.2 * requests + 0.5
-            for _ in range(requests):
-                nodes[number].record_request(_NOW)
-            self._exchange_counts(nodes, number)
-        for number, (_, wanted) in enumerate(wants):
-            for _ in range(wanted):
-                taken += nodes[number].take(_NOW, may_borrow=True)
-            self._exchange_counts(nodes, number)
-
-        self.assertLessEqual(taken, bound)
-
-    def _exchange_counts(self, nodes, number):
-        for other, node in enumerate(nodes):
-            if other != number:
-                node.update_peer(str(number), nodes[number].counts(_NOW), _NOW)
+        rng = random.Random(seed)
+        limits = retry_budget.RetryLimits(0.2, reserve=2.5)
+        nodes = [retry_budget.RetryBudget(limits) for _ in range(count)]
+        now, taken, in_transit = _NOW, [], []
+        for _ in range(600):
+            now += _SECOND * rng.choice((0.0, 0.01, 0.1, 0.5))
+            for arrival, node, amount, asked_at in list(in_transit):
+                if arrival <= now:
+                    node.add_loan(amount, asked_at)
+                    in_transit.remove((arrival, node, amount, asked_at))
+            node, lender = rng.sample(nodes, 2)
+            if node.take(now):
+                taken.append(now)
+                continue
+            amount = lender.lend(node.missing(rng.choice((1, 2)), now), now)
+            delay = rng.choice((0.0, 0.2, 3.0)) * _SECOND
+            if rng.random() < 2 / 3:
+                in_transit.append((now + delay, node, amount, now))
+
+        for start in taken:
+            window = start + limits.window
+            within = sum(start <= at <= window for at in taken)
+            self.assertLessEqual(within, count * limits.reserve)
+        self.assertGreater(len(taken), count)
 
     def test_charged_retries_reduce_later_ones(self):
         """Calls made by a retried request are charged, but never refused."""
@@ -201,42 +238,9 @@
         for _ in range(4):
             budget.charge(_NOW)
 
-        self.assertFalse(budget.take(_NOW, may_borrow=True))
+        self.assertFalse(budget.take(_NOW))
         self.assertEqual(4, budget.counts(_NOW).retries)
 
-    def test_outage_at_all_nodes_stays_within_the_fleets_bound(self):
-        """Every request of a zone fails from one moment on.
-
-        Counts arrive a quarter of a second late, and in that time nodes may
-        spend the same shared retries twice. The sum stays below the fleet's
-        bound; the nodes' limits add up to four fifths of it.
-        """
-        for seed in range(20):
-            with self.subTest(seed):
-                asked, taken = self._run_outage(random.Random(seed))
-                self.assertLess(taken, 0.2 * asked + 16 * 2)
-                self.assertGreater(taken, 0.1 * asked)
-
-    def _run_outage(self, rng):
-        """Returns requests and retries of sixteen nodes in one window."""
-        limits = retry_budget.RetryLimits(0.16, reserve=1.6)
-        nodes = [retry_budget.RetryBudget(limits) for _ in range(16)]
-        taken, asked = 0, 0
-        for step in range(100):
-            now = _NOW + step * _SECOND / 10
-            for number, node in enumerate(nodes):
-                if rng.random() < 0.2:
-                    asked += 1
-                    node.record_request(now)
-                    taken += node.take(now, may_borrow=True)
-                if step % 3 == 0 and node.counts(now).retries:
-                    for other in nodes:
-                        if other is not node:
-                            other.update_peer(
-                                str(number), node.counts(now), now
-                            )
-        return asked, taken
-
     def test_share_of_zero_disables_retries(self):
         budget = retry_budget.RetryBudget(retry_budget.RetryLimits(0))
 
--- a/endivewind/tests/decisions/retry_priorities_tests.py
+++ b/endivewind/tests/decisions/retry_priorities_tests.py
@@ -10,10 +10,8 @@
 PATIENT, URGENT = 1, 9
 
 
-def _remaining(left, limit=10.0, next_shared_after=0.0):
-    return retry_priorities.RemainingRetries(
-        0.0, left, limit, next_shared_after * SECOND
-    )
+def _remaining(left, limit=10.0):
+    return retry_priorities.RemainingRetries(0.0, left, limit)
 
 
 class RetryPrioritiesTest(unittest.TestCase):
@@ -48,12 +46,22 @@
         self.assertTrue(self.may_take(PATIENT, _remaining(0.5)))
 
     def test_retries_that_urgent_requests_want_are_kept(self):
-        """Guards against urgent requests that come too late for a retry."""
+        """Guards against urgent requests that come too late for a retry.
+
+        They still want four of ten. One more may have been made by other nodes
+        since they sent their counts.
+        """
         self.want(URGENT, 6, taken=2)
         self.want(PATIENT, 20)
 
-        self.assertFalse(self.may_take(PATIENT, _remaining(4.9)))
-        self.assertTrue(self.may_take(PATIENT, _remaining(5.1)))
+        self.assertFalse(self.may_take(PATIENT, _remaining(5.9)))
+        self.assertTrue(self.may_take(PATIENT, _remaining(6.1)))
+        for left, expected in ((4.9, False), (5.1, True)):
+            with self.subTest(left):
+                may_take = self.may_take(
+                    PATIENT, _remaining(left), counts_peers=False
+                )
+                self.assertEqual(expected, may_take)
 
     def test_retries_beyond_the_urgent_demand_go_to_others(self):
         """Guards against a budget of which nothing is used.
@@ -63,7 +71,11 @@
         self.want(URGENT, 6, taken=6)
         self.want(PATIENT, 20)
 
-        self.assertTrue(self.may_take(PATIENT, _remaining(1.0)))
+        self.assertFalse(self.may_take(PATIENT, _remaining(1.9)))
+        self.assertTrue(self.may_take(PATIENT, _remaining(2.0)))
+        self.assertTrue(
+            self.may_take(PATIENT, _remaining(1.0), counts_peers=False)
+        )
 
     def test_most_urgent_requests_are_never_refused(self):
         self.want(URGENT, 30)
@@ -114,18 +126,6 @@
 
         self.assertTrue(self.may_take(PATIENT, _remaining(1.0, limit=3.0)))
 
-    def test_urgent_request_does_not_wait_for_the_next_shared_retry(self):
-        """Guards against an urgent request that comes just after another one.
-
-        A node may make a part of the shared retries at a time only.
-        """
-        self.want(URGENT, 6, taken=6)
-        self.want(PATIENT, 20)
-        remaining = _remaining(5.0, next_shared_after=2.0)
-
-        self.assertFalse(self.may_take(PATIENT, remaining))
-        self.assertTrue(self.may_take(URGENT, remaining))
-
     def test_demand_is_sent_once_a_second(self):
         """Guards against messages that take more than 10 KB/s."""
         self.want(URGENT, 2)
--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import datetime
+import functools
 import math
 import random
 
@@ -392,6 +393,7 @@
             self.rng,
             routes,
             prioritizes_retries=self._prioritizes_retries,
+            request_loan=functools.partial(self._request_loan, place),
             admission_control=self._make_admission_control(place),
         )
 
@@ -489,6 +491,20 @@
                     entry_placement.apply_update(update)
         self._send_retry_usages()
 
+    async def _request_loan(self, place, lender, service, amount):
+        """Asks the entry nodes of a zone in turn; returns what they lend.
+
+        Entry nodes take the homes of the targets, which the view contains, for
+        the nodes that share retries with them.
+        """
+        seconds = 2 * _delay_seconds(place.zone, lender.zone)
+        lent = 0.0
+        for name, zone, entry in self._all_entries():
+            if zone == lender.zone and name != place.node and lent < amount:
+                lent += entry.budgets.lend(service, amount - lent)
+                await asyncio.sleep(seconds)
+        return lent
+
     def _send_retry_usages(self):
         entries = self._all_entries()
         for name, zone, entry in entries:
--- a/endivewind/tests/loads/retry_bound.py
+++ b/endivewind/tests/loads/retry_bound.py
@@ -1,22 +1,23 @@
 """Simulates the retry budgets of nodes that retry as often as they may.
 
-Virtual time in steps. Every node asks for retries in each step of an outage
+On a virtual loop, in steps. Every node asks for retries in each step of an outage
 until it gets none, so that each retry that its budget allows is made. The
 bound on the retries of all nodes is checked in every window, wherever it
 begins.
 """
 
+import asyncio
 import bisect
 import dataclasses
 import datetime
 import random
 
-from endivewind import clock as clocks
 from endivewind.callers import budgets
 from endivewind.config import settings
 from endivewind.config import store
 from endivewind.decisions import load_balancing
 from endivewind.nodes import view
+from endivewind.standins import virtual_loop
 
 SERVICE = "riders"
 STEP = datetime.timedelta(milliseconds=20)
@@ -27,6 +28,9 @@
 # Steps between two messages of a node, and until a message arrives.
 MESSAGE_INTERVAL = 13
 MESSAGE_DELAY = 1
+# Time until a node receives the request for a loan, and until the response.
+LINK_SECONDS = 0.002
+QUERY_TIMEOUT_SECONDS = 0.25
 
 
 @dataclasses.dataclass
@@ -62,9 +66,9 @@
         """Stops the node, which starts again a second later."""
         self.steps_down = DOWN_STEPS
 
-    def take(self):
-        """Takes a retry; returns whether there was one."""
-        decision = self.budgets.take(SERVICE, 0, may_borrow=True)
+    async def obtain(self):
+        """Takes or borrows a retry; returns whether there was one."""
+        decision = await self.budgets.obtain(SERVICE, 0, may_borrow=True)
         return decision is budgets.RetryDecision.TAKEN
 
 
@@ -90,7 +94,8 @@
           reserve_per_node: further retries in each window, for each node.
           message_loss: share of the messages between nodes that are lost.
         """
-        self.clock = clocks.ManualClock()
+        self._loop = virtual_loop.VirtualLoop()
+        self.clock = virtual_loop.LoopClock(self._loop)
         self._rng = random.Random(seed)
         self._request_share = requests_per_second * STEP.total_seconds()
         self._message_loss = message_loss
@@ -121,8 +126,27 @@
             node.view,
             load_balancing.Locality(node.name, "r", "z"),
             self.clock,
+            self._rng,
+            self._request_loan,
         )
 
+    async def _request_loan(self, lender, service, amount):
+        """Delivers a request for a loan and its response, or loses one."""
+        node = next(item for item in self.nodes if item.name == lender.name)
+        await asyncio.sleep(LINK_SECONDS)
+        if not node.is_up or self._is_lost():
+            await asyncio.sleep(QUERY_TIMEOUT_SECONDS)
+            return 0.0
+        lent = node.budgets.lend(service, amount)
+        if self._is_lost():
+            await asyncio.sleep(QUERY_TIMEOUT_SECONDS)
+            return 0.0
+        await asyncio.sleep(LINK_SECONDS)
+        return lent
+
+    def _is_lost(self):
+        return self._rng.random() < self._message_loss
+
     def run(self, duration, *, is_outage=False, stops=()):
         """Runs the nodes.
 
@@ -133,6 +157,9 @@
           stops: pairs of the time from now at which a node is stopped, and its
             number.
         """
+        self._loop.run_until_complete(self._run(duration, is_outage, stops))
+
+    async def _run(self, duration, is_outage, stops):
         first = self._step
         stopped = {}
         for at, number in stops:
@@ -141,17 +168,22 @@
             for number in stopped.get(self._step, ()):
                 self.nodes[number].stop()
                 self._update_views()
-            self._run_step(is_outage)
+            await self._run_step(is_outage)
+        # Rounds of requests for loans that nobody waits for any more.
+        pending = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
 
-    def _run_step(self, is_outage):
+    async def _run_step(self, is_outage):
         self._step += 1
-        self.clock.advance(STEP)
+        await asyncio.sleep(STEP.total_seconds())
         self._restart_nodes()
         self._deliver_messages()
         running = [node for node in self.nodes if node.is_up]
-        self._rng.shuffle(running)
-        for node in running:
-            self._serve(node, is_outage)
+        await asyncio.gather(
+            *(self._serve(node, is_outage) for node in running)
+        )
         if self._step % MESSAGE_INTERVAL == 0:
             self._send_usages(running)
 
@@ -174,13 +206,12 @@
                 else:
                     node.view.remove_node(other.name)
 
-    def _serve(self, node, is_outage):
-        now = self.clock.monotonic()
+    async def _serve(self, node, is_outage):
         if self._rng.random() < self._request_share:
             node.budgets.record_request(SERVICE, 0, is_from_caller=True)
-            self.request_times.append(now)
-        while is_outage and node.take():
-            self.retry_times.append(now)
+            self.request_times.append(self.clock.monotonic())
+        while is_outage and await node.obtain():
+            self.retry_times.append(self.clock.monotonic())
 
     def _send_usages(self, running):
         for node in running:
@@ -196,8 +227,9 @@
         ]
         for item in due:
             for node in self.nodes:
-                is_lost = self._rng.random() < self._message_loss
-                if node.is_up and node.name != item.sender and not is_lost:
+                if node.name == item.sender or not node.is_up:
+                    continue
+                if not self._is_lost():
                     node.budgets.update_peer(item.sender, item.usage)
 
     def max_excess(self):
--- a/endivewind/tests/loads/retry_bound_tests.py
+++ b/endivewind/tests/loads/retry_bound_tests.py
@@ -34,6 +34,18 @@
 
                     self._check(fleet)
 
+    def test_nodes_that_hear_nothing_of_each_other(self):
+        """Guards against retries that several nodes take for unspent.
+
+        All messages between nodes are lost, as when datagrams are blocked.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = retry_bound.Fleet(seed, message_loss=1.0)
+                fleet.run(OUTAGE, is_outage=True)
+
+                self._check(fleet)
+
     def test_nodes_restart_in_turn_during_an_outage(self):
         """Guards against retries that a restarted node has forgotten."""
         for seed in SEEDS:
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -379,16 +379,23 @@
     Mutant(
         "retries that neighbours have used are not counted",
         "decisions/retry_budget.py",
-        "            left += (1 - KEPT_SHARE) * limit - used\n",
-        "            left += (1 - KEPT_SHARE) * limit\n",
+        "            lendable += limit - _kept(limit) - count.retries\n",
+        "            lendable += limit - _kept(limit)\n",
         "decisions.retry_budget_tests",
     ),
     Mutant(
-        "every node may use all remaining shared retries at once",
+        "a node still uses the retries that it has lent",
         "decisions/retry_budget.py",
-        "        return self._allowance >= 1\n",
-        "        return True\n",
-        "callers.budgets_tests",
+        "            self._lent.append(_Loan(lent, until))\n",
+        "            pass\n",
+        "decisions.retry_budget_tests",
+    ),
+    Mutant(
+        "a loan returns while the borrower's retry still counts",
+        "decisions/retry_budget.py",
+        "            until = now + LOAN_LIFETIME + self._limits.window\n",
+        "            until = now + self._limits.window\n",
+        "decisions.retry_budget_tests",
     ),
     Mutant(
         "after the loss of half the fleet the other nodes retry twice as much",
@@ -422,8 +429,8 @@
     Mutant(
         "the retry budget is unlimited",
         "decisions/retry_budget.py",
-        "            if not self._has_allowance(now):\n",
-        "            if not self._limits.share:\n",
+        "        if own + borrowed < 1 - _ROUNDING:\n",
+        "        if not self._limits.share:\n",
         "decisions.retry_budget_tests",
     ),
     Mutant(
