Leave a restarted node a third of its retries for a window

Targets got up to twice the retries that the fleet is allowed (BUDGET) while nodes were stopped or killed in turn and most requests failed.

Cause: a restarted node counts from zero. It had half of its reserve and a full share of its requests at once, and its neighbours added its reserve to what they took for unspent once for each incarnation. Class: state that is lost with a process was taken for unused.

A node that restarts has a third of its limit for a window: the limits of all nodes are three quarters of what the fleet is allowed, so that all may restart once. If its previous start, by its object on the platform, was less than a window before, it has nothing of its own; it may borrow in both cases. A node that starts for the first time has its whole limit. Counts of several incarnations of a neighbour are added up.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -27,12 +27,6 @@
 # How often neighbours are counted while the number of known nodes is the same.
 # Counting iterates over all nodes.
 NEIGHBOUR_COUNT_INTERVAL = datetime.timedelta(seconds=1)
-# Share of its reserve (see `RetryLimits`) that a node has immediately after it
-# starts; the rest is added over one window. How many retries the node made
-# before a restart is unknown, so a full reserve could be spent twice in one
-# window. With this share the retries before and after a restart of all nodes
-# together stay within the fleet's bound.
-INITIAL_RESERVE_SHARE = 0.5
 # New requests after which a node sends its counts even if it has made no
 # retries. The other nodes can't use budget from requests they don't know of.
 REQUESTS_PER_UPDATE = 5
@@ -114,6 +108,7 @@
         rng: random.Random,
         request_loan: retry_loans.LoanRequester = retry_loans.request_nothing,
         *,
+        previous_uptime: datetime.timedelta | None = None,
         prioritizes: bool = False,
     ) -> None:
         """Starts without any counts.
@@ -125,12 +120,15 @@
           clock: the clock; its monotonic time is used.
           rng: chooses the nodes from which retries are borrowed.
           request_loan: asks another node for retries.
+          previous_uptime: the time between this node's previous start and this
+            one; None if this is the first, zero if that is not known.
           prioritizes: whether scarce retries go to urgent requests first
             (`overload.prioritized_retries`).
         """
         self._prioritizes = prioritizes
         self._priorities: dict[str, retry_priorities.RetryPriorities] = {}
         self._started = clock.monotonic()
+        self._previous_uptime = previous_uptime
         self._size = PeakFleetSize()
         self._locality = locality
         self._configuration = configuration
@@ -295,7 +293,7 @@
         """Stores the retry usage of another nearby entry node.
 
         A node that restarts counts from zero. Its usage before the restart is
-        kept as that of a separate peer until its window has passed.
+        kept until its window has passed.
 
         Args:
           node: name of the sender.
@@ -304,12 +302,12 @@
         budget = self._budgets.get(usage.service)
         record = self._fleet.nodes.get(node)
         if budget is not None:
-            peer = f"{node}/{record.incarnation if record else 0}"
+            incarnation = record.incarnation if record else 0
             now = self._clock.monotonic()
-            budget.update_peer(peer, usage.counts, now)
+            budget.update_peer(node, incarnation, usage.counts, now)
             if self._prioritizes:
                 self._priorities_of(usage.service, budget).update_peer(
-                    peer, usage.demands, usage.counts, now
+                    f"{node}/{incarnation}", usage.demands, usage.counts, now
                 )
 
     def take_due_updates(self) -> tuple[peer_updates.RetryUsage, ...]:
@@ -355,10 +353,14 @@
             nodes = len(self._fleet.nodes)
             self._size.record(nodes, now, window)
             reserve = service.retry_reserve / max(1, self._size.peak(nodes))
-            age = min(1.0, (now - self._started) / window)
-            reserve *= INITIAL_RESERVE_SHARE + (1 - INITIAL_RESERVE_SHARE) * age
         return retry_budget.RetryLimits(
-            service.retry_percent / 100, reserve, window, self._neighbour_count
+            service.retry_percent / 100,
+            reserve,
+            window,
+            self._neighbour_count,
+            retry_budget.share_after_start(
+                now - self._started, self._previous_uptime, window
+            ),
         )
 
     def _neighbours(self) -> list[view.NodeRecord]:
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -28,7 +28,6 @@
 from endivewind.callers import quota_client
 from endivewind.callers import request_metrics
 from endivewind.callers import request_queues
-from endivewind.callers import retry_loans
 from endivewind.callers import routed_request
 from endivewind.callers import routing
 from endivewind.callers import workspaces
@@ -105,8 +104,7 @@
         quota_client: quota_client.QuotaClient | None = None,
         admission_control: admission_control.AdmissionControl | None = None,
         *,
-        prioritizes_retries: bool = False,
-        request_loan: retry_loans.LoanRequester = retry_loans.request_nothing,
+        retry_budgets: budgets.RetryBudgets | None = None,
         aborts: abort_controller.AbortController | None = None,
     ) -> None:
         self._entry_routes = known_entry_routes or entry_routes.EntryRoutes(
@@ -122,14 +120,8 @@
         self._pool = pool
         self._clock = clock
         self._routing_table = routing.RoutingTable()
-        self._budgets = budgets.RetryBudgets(
-            configuration,
-            fleet,
-            placement.locality,
-            clock,
-            self._rng,
-            request_loan,
-            prioritizes=prioritizes_retries,
+        self._budgets = retry_budgets or budgets.RetryBudgets(
+            configuration, fleet, placement.locality, clock, self._rng
         )
         self._quota_client = quota_client
         self._admission_control = admission_control
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -34,6 +34,10 @@
 # has less for this time and a window, so that a retry of the borrower and one
 # of the lender never count for the same part of their limits.
 LOAN_LIFETIME = datetime.timedelta(milliseconds=500)
+# Share of its limit that a node has for a window after it has restarted. What it
+# spent before is unknown, and may be all of it: three quarters of what the fleet
+# is allowed, of which this leaves the last one (see `settings.NODE_RETRY_SHARE`).
+RESTART_SHARE = 1 / 3
 # Loans are parts of retries, in thousandths on the wire. What is missing to a
 # whole retry by rounding does not count.
 _ROUNDING = 1e-6
@@ -46,6 +50,7 @@
     Attributes:
       share: retries allowed per request in the window.
       reserve: additional retries allowed in each window at this node.
+      own_share: share of both that this node may use itself or lend.
       window: the length of the window in which both are counted.
       neighbour_count: number of other nodes that send their counts to this
         one.
@@ -55,6 +60,7 @@
     reserve: float = DEFAULT_RESERVE
     window: datetime.timedelta = DEFAULT_WINDOW
     neighbour_count: int = 0
+    own_share: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,6 +83,29 @@
     until: datetime.timedelta
 
 
+def share_after_start(
+    uptime: datetime.timedelta,
+    previous_uptime: datetime.timedelta | None,
+    window: datetime.timedelta,
+) -> float:
+    """Returns the share of its limit that a node may use after its start.
+
+    Scenario: nodes are stopped or killed one after the other while a service
+    fails. Risk: each has forgotten the retries that it made, and makes them once
+    more within the window.
+
+    Args:
+      uptime: the time since its start.
+      previous_uptime: the time between its previous start and this one; None if
+        this is the first, zero if that is not known.
+      window: the window of the budget.
+    """
+    if previous_uptime is None or uptime >= window:
+        return 1.0
+    # A node that restarts again has used its share after the first restart.
+    return RESTART_SHARE if previous_uptime >= window else 0.0
+
+
 class RetryBudget:
     """Bounds the retries in every window to a share of the requests.
 
@@ -114,7 +143,10 @@
         self._retries = 0.0
         self._lent: collections.deque[_Loan] = collections.deque()
         self._borrowed: collections.deque[_Loan] = collections.deque()
-        self._peers: dict[str, tuple[RequestCounts, datetime.timedelta]] = {}
+        # Counts of other nodes by name and incarnation.
+        self._peers: dict[
+            tuple[str, int], tuple[RequestCounts, datetime.timedelta]
+        ] = {}
 
     def configure(self, limits: RetryLimits) -> None:
         """Changes the limits; the counts are kept unless the window changes."""
@@ -140,10 +172,14 @@
         self._retries += amount
 
     def update_peer(
-        self, node: str, count: RequestCounts, now: datetime.timedelta
+        self,
+        node: str,
+        incarnation: int,
+        count: RequestCounts,
+        now: datetime.timedelta,
     ) -> None:
-        """Stores another node's counts for the window that ends now."""
-        self._peers[node] = (count, now)
+        """Stores the counts of a node's incarnation for the window until now."""
+        self._peers[node, incarnation] = (count, now)
 
     def counts(self, now: datetime.timedelta) -> RequestCounts:
         """Returns this node's counts in the current window.
@@ -296,10 +332,18 @@
         return own + max(0.0, lendable)
 
     def _peer_counts(self) -> list[RequestCounts]:
-        """Returns the counts of this node's neighbours, zero if unknown."""
-        known = [count for count, _ in self._peers.values()]
+        """Returns the counts of this node's neighbours, zero if unknown.
+
+        Those of several incarnations of a node are added up.
+        """
+        known: dict[str, RequestCounts] = {}
+        for (node, _), (count, _) in self._peers.items():
+            other = known.get(node, RequestCounts())
+            known[node] = RequestCounts(
+                other.requests + count.requests, other.retries + count.retries
+            )
         unknown = max(0, self._limits.neighbour_count - len(known))
-        return [*known, *[RequestCounts()] * unknown]
+        return [*known.values(), *[RequestCounts()] * unknown]
 
     def _total_limit(self) -> float:
         """Returns how many retries this node and its neighbours may make."""
@@ -309,7 +353,7 @@
         return self._own_limit() + peers
 
     def _own_limit(self) -> float:
-        return self._limit_for(self._requests)
+        return self._limits.own_share * self._limit_for(self._requests)
 
     def _limit_for(self, requests: int) -> float:
         """Returns how many retries a node with this many requests may make."""
@@ -324,12 +368,12 @@
             while loans and loans[0].until <= now:
                 loans.popleft()
         expired = [
-            node
-            for node, (_, received) in self._peers.items()
+            peer
+            for peer, (_, received) in self._peers.items()
             if now - received >= self._limits.window
         ]
-        for node in expired:
-            del self._peers[node]
+        for peer in expired:
+            del self._peers[peer]
 
     def _current_bucket(self, now: datetime.timedelta) -> _Bucket:
         """Returns the current bucket and expires earlier ones."""
--- a/endivewind/durable/node_directory.py
+++ b/endivewind/durable/node_directory.py
@@ -194,6 +194,30 @@
     return registration.node.incarnation if registration else 0
 
 
+def previous_uptime(
+    listing: ZoneListing | None, name: str, incarnation: int
+) -> datetime.timedelta | None:
+    """Returns the time between a node's previous start and this one.
+
+    Incarnations are the microseconds of the starts by the clock of the VM, or
+    a little more if it went back.
+
+    Args:
+      listing: the node's zone at its start; None if there was no response.
+      name: the node's name.
+      incarnation: the incarnation that starts now.
+
+    Returns:
+      None if this is the first start; zero if that is not known.
+    """
+    if listing is None:
+        return datetime.timedelta()
+    registered = registered_incarnation(listing, name)
+    if not registered:
+        return None
+    return datetime.timedelta(microseconds=incarnation - registered)
+
+
 def _decode_node(stored: messages.StoredObject) -> view.NodeRecord | None:
     """Decodes a node's object; returns None if it is invalid."""
     value = stored.value
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -27,6 +27,7 @@
 from endivewind.callers import abort_controller
 from endivewind.callers import admission_control
 from endivewind.callers import authorization
+from endivewind.callers import budgets
 from endivewind.callers import caller_requests
 from endivewind.callers import entry_routes
 from endivewind.callers import gateway
@@ -138,6 +139,7 @@
         self._directory: node_directory.Directory
         self._initial_listing: node_directory.ZoneListing | None
         self._incarnation: int
+        self._previous_uptime: datetime.timedelta | None
         self._targets: registry.TargetRegistry
         self._outlier_monitor: outlier_monitor.OutlierMonitor
         self._dispatcher: dispatch.Dispatcher
@@ -227,6 +229,9 @@
         )
         now_us = int(self._clock.now().timestamp() * 1_000_000)
         self._incarnation = max(now_us, registered + 1)
+        self._previous_uptime = node_directory.previous_uptime(
+            self._initial_listing, node_settings.name, self._incarnation
+        )
         identity = registry.HomeIdentity(
             node_settings.name,
             self._incarnation,
@@ -277,10 +282,6 @@
             else None
         )
         aborts = abort_controller.AbortController()
-        self._retry_loans = retry_loans.RetryLoanService(
-            self._pool,
-            lambda service, amount: self._gateway.budgets.lend(service, amount),
-        )
         self._gateway = gateway.Gateway(
             node_settings.name,
             self._placement,
@@ -301,8 +302,7 @@
                 self._clock,
             ),
             self._admission_control,
-            prioritizes_retries=node_settings.overload.prioritized_retries,
-            request_loan=self._retry_loans.request,
+            retry_budgets=self._make_retry_budgets(locality),
             aborts=aborts,
         )
         max_kept_bytes = node_settings.limits.kept_answer_bytes
@@ -333,6 +333,25 @@
             aborts,
         )
 
+    def _make_retry_budgets(
+        self, locality: placement.Locality
+    ) -> budgets.RetryBudgets:
+        """Builds the retry budgets, and what borrows and lends retries."""
+        self._retry_loans = retry_loans.RetryLoanService(
+            self._pool,
+            lambda service, amount: self._gateway.budgets.lend(service, amount),
+        )
+        return budgets.RetryBudgets(
+            self._configuration,
+            self._fleet,
+            locality,
+            self._clock,
+            self._rng,
+            self._retry_loans.request,
+            previous_uptime=self._previous_uptime,
+            prioritizes=self._settings.overload.prioritized_retries,
+        )
+
     def _bound_memory(self) -> None:
         """Bounds the memory of requests, if the settings give it."""
         memory_bytes = self._settings.overload.memory_bytes
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -37,11 +37,17 @@
         self.incarnation = 0
         self.ticks_down = 0
         self._fleet = fleet
+        self._started_at = None
         self.start()
 
     def start(self):
         """Starts or restarts the node, without any counts."""
         self.incarnation += 1
+        now = self._fleet.clock.monotonic()
+        previous_uptime = (
+            None if self._started_at is None else now - self._started_at
+        )
+        self._started_at = now
         self.view = view.FleetView()
         self.budgets = budgets.RetryBudgets(
             self._fleet.configuration,
@@ -49,6 +55,7 @@
             load_balancing.Locality(f"n{self.number}", "r", "z"),
             self._fleet.clock,
             self._fleet.rng,
+            previous_uptime=previous_uptime,
             prioritizes=self._fleet.prioritizes,
         )
 
@@ -83,7 +90,6 @@
             store.SERVICE, SERVICE, 1, {"spec": spec, "operation": "o"}
         )
         self.nodes = [_Node(index, self) for index in range(node_count)]
-        # Only nodes that restart later begin with a part of their reserve.
         self.clock.advance(WINDOW_TICKS * TICK_INTERVAL)
         self.request_counts = []
         self.retry_counts = []
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -180,7 +180,7 @@
             budget.record_request(_NOW)
         while budget.lend(1, _NOW):
             pass
-        budget.update_peer("n1", retry_budget.RequestCounts(25, 10), _NOW)
+        budget.update_peer("n1", 1, retry_budget.RequestCounts(25, 10), _NOW)
 
         self.assertTrue(budget.take(_NOW))
         self.assertFalse(budget.take(_NOW))
@@ -257,7 +257,7 @@
         for _ in range(10):
             own.record_request(_NOW)
         shared = retry_budget.RetryBudget(limits)
-        shared.update_peer("n1", retry_budget.RequestCounts(10, 0), _NOW)
+        shared.update_peer("n1", 1, retry_budget.RequestCounts(10, 0), _NOW)
         end = _NOW + retry_budget.DEFAULT_WINDOW
 
         for name, budget in (("own", own), ("shared", shared)):
--- a/endivewind/tests/durable/node_directory_tests.py
+++ b/endivewind/tests/durable/node_directory_tests.py
@@ -1,5 +1,6 @@
 """Tests of the directory of nodes and of registered incarnations."""
 
+import datetime
 import unittest
 
 from endivewind.durable import node_directory
@@ -47,6 +48,25 @@
             self.platform.standin.set_faults(faults.Fault(mode=mode))
             self.assertEqual(0, await self.registered_incarnation())
 
+    async def test_time_since_the_previous_start_is_known(self):
+        """Guards against a restarted node that repeats what it has forgotten.
+
+        Without a response it has to assume that it has just been running.
+        """
+        listing = await self.directory.list_zone_at_start("z")
+        self.assertIsNone(
+            node_directory.previous_uptime(listing, "node-a", 900)
+        )
+        await self.directory.register(_record(700))
+        listing = await self.directory.list_zone_at_start("z")
+
+        for known, expected in ((listing, 200), (None, 0)):
+            with self.subTest(expected):
+                self.assertEqual(
+                    datetime.timedelta(microseconds=expected),
+                    node_directory.previous_uptime(known, "node-a", 900),
+                )
+
     async def test_a_registration_replaces_an_earlier_one(self):
         await self.directory.register(_record(700))
 
--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -15,6 +15,7 @@
 import random
 
 from endivewind import exchange
+from endivewind.callers import budgets
 from endivewind.callers import gateway
 from endivewind.callers import placement
 from endivewind.callers import request_queues
@@ -392,8 +393,15 @@
             None,
             self.rng,
             routes,
-            prioritizes_retries=self._prioritizes_retries,
-            request_loan=functools.partial(self._request_loan, place),
+            retry_budgets=budgets.RetryBudgets(
+                configuration,
+                self._view,
+                place,
+                self.clock,
+                self.rng,
+                functools.partial(self._request_loan, place),
+                prioritizes=self._prioritizes_retries,
+            ),
             admission_control=self._make_admission_control(place),
         )
 
--- a/endivewind/tests/loads/retry_bound.py
+++ b/endivewind/tests/loads/retry_bound.py
@@ -47,6 +47,7 @@
         self.name = name
         self.incarnation = 0
         self.steps_down = 0
+        self.previous_uptime = None
         self.view = view.FleetView()
         self._fleet = fleet
         self.start()
@@ -58,6 +59,10 @@
 
     def start(self):
         """Starts or restarts the node without its counts."""
+        now = self._fleet.clock.monotonic()
+        if self.incarnation:
+            self.previous_uptime = now - self._started
+        self._started = now
         self.incarnation += 1
         self.view = view.FleetView()
         self.budgets = self._fleet.make_budgets(self)
@@ -128,6 +133,7 @@
             self.clock,
             self._rng,
             self._request_loan,
+            previous_uptime=node.previous_uptime,
         )
 
     async def _request_loan(self, lender, service, amount):
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -390,6 +390,13 @@
         "            pass\n",
         "decisions.retry_budget_tests",
     ),
+    Mutant(
+        "a restarted node has its whole budget at once",
+        "decisions/retry_budget.py",
+        "    return RESTART_SHARE if previous_uptime >= window else 0.0\n",
+        "    return 1.0\n",
+        "loads.retry_bound_tests",
+    ),
     Mutant(
         "a loan returns while the borrower's retry still counts",
         "decisions/retry_budget.py",
