Count retries from when they are sent

Targets got retries in a window that had been counted in an earlier one.

Cause: a retry was counted when it was taken from the budget. It then waited for a slot, up to half of the time that its request had left, and those that waited were sent together. One that found no slot was lost to the budget, too.

A retry is held until it is sent, and counts for a window from then on; it is given back if it reaches no target. A hedged request whose first response arrives during the wait for a loan gives back its retry, too. What was borrowed counts for the borrower if it is sent later than the loan lasts.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -12,6 +12,8 @@
 import enum
 import random
 
+import expression
+
 from endivewind import clock as clocks
 from endivewind.callers import retry_loans
 from endivewind.config import objects
@@ -50,17 +52,19 @@
 _NO_USAGE = peer_updates.RetryUsage("", retry_budget.RequestCounts())
 
 
-class RetryDecision(enum.Enum):
-    """Whether a request gets a retry.
+class NoRetry(enum.Enum):
+    """Why a request gets no retry.
 
     WITHHELD means that some are left, but kept for more urgent requests.
     """
 
-    TAKEN = enum.auto()
     SPENT = enum.auto()
     WITHHELD = enum.auto()
 
 
+RetryResult = expression.Result[retry_budget.TakenRetry, NoRetry]
+
+
 class PeakFleetSize:
     """The largest number of nodes known at any time in the last window.
 
@@ -191,7 +195,7 @@
         *,
         may_borrow: bool,
         is_hedge: bool = False,
-    ) -> RetryDecision:
+    ) -> RetryResult:
         """Takes a retry for a request, if it gets one.
 
         Args:
@@ -200,6 +204,9 @@
           may_borrow: whether retries that other nodes have lent may be used.
           is_hedge: whether it is for a hedged request, which counts as wanted
             only if it gets the retry: it may succeed without.
+
+        Returns:
+          The retry, which has to be sent or cancelled.
         """
         if self._prioritizes and not is_hedge:
             budget = self.for_service(service)
@@ -217,13 +224,13 @@
         *,
         may_borrow: bool,
         is_hedge: bool = False,
-    ) -> RetryDecision:
+    ) -> RetryResult:
         """Takes a retry as `take` does, and borrows one if none is left."""
-        decision = self.take(
+        result = self.take(
             service, priority, may_borrow=may_borrow, is_hedge=is_hedge
         )
-        if decision is not RetryDecision.SPENT or not may_borrow:
-            return decision
+        if result.is_ok() or result.error is NoRetry.WITHHELD or not may_borrow:
+            return result
         await self._borrow(service)
         return self._try_take(
             service, priority, may_borrow=may_borrow, is_hedge=is_hedge
@@ -231,7 +238,7 @@
 
     def _try_take(
         self, service: str, priority: int, *, may_borrow: bool, is_hedge: bool
-    ) -> RetryDecision:
+    ) -> RetryResult:
         """Takes a retry if the budget and the priority allow it."""
         budget = self.for_service(service)
         now = self._clock.monotonic()
@@ -241,15 +248,16 @@
             if not priorities.may_take(
                 priority, remaining, now, counts_peers=may_borrow
             ):
-                return RetryDecision.WITHHELD
-        if not budget.take(now, may_use_loans=may_borrow):
-            return RetryDecision.SPENT
+                return expression.Error(NoRetry.WITHHELD)
+        retry = budget.take_for_later(now, may_use_loans=may_borrow)
+        if retry is None:
+            return expression.Error(NoRetry.SPENT)
         self._totals[service].retries += 1
         if self._prioritizes:
             priorities.record_taken(priority, now)
             if is_hedge:
                 priorities.record_wanted(priority, now)
-        return RetryDecision.TAKEN
+        return expression.Ok(retry)
 
     async def _borrow(self, service: str) -> None:
         """Waits for a loan of nearby nodes, if they are likely to have one."""
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -11,7 +11,6 @@
 import datetime
 import logging
 import random
-from typing import Any
 
 import expression
 
@@ -35,6 +34,7 @@
 from endivewind.config import store
 from endivewind.decisions import admission
 from endivewind.decisions import load_balancing
+from endivewind.decisions import retry_budget
 from endivewind.decisions import traffic_splitting
 from endivewind.nodes import links
 from endivewind.nodes import view
@@ -303,6 +303,16 @@
     ) -> ResponseResult:
         """Makes attempts until one succeeds or no further one is allowed."""
         self._count_request(request)
+        try:
+            return await self._attempt_and_retry(request)
+        finally:
+            if request.retry is not None:
+                request.retry.cancel()
+
+    async def _attempt_and_retry(
+        self, request: routed_request.RoutedRequest
+    ) -> ResponseResult:
+        """Makes attempts; a retry that was not sent remains in the request."""
         last = await self._place_unsent(request)
         while request.has_attempts_left(MAX_ATTEMPTS) and request.can_retry(
             last
@@ -314,7 +324,8 @@
                 last = await self._place_again(request, last)
                 continue
             if record is None:
-                if not await self._obtain_retry(request.head):
+                request.retry = await self._obtain_retry(request.head)
+                if request.retry is None:
                     if request.head.call is not None:
                         request.head.call.lacked_retry = True
                     break
@@ -325,7 +336,7 @@
             self._placement.record_start(
                 record, len(request.body.buffered), request.traffic
             )
-            last = await self._attempt(request, record)
+            last = await self._attempt(request, record, request.retry)
         return request.final_result(last)
 
     def _count_request(self, request: routed_request.RoutedRequest) -> None:
@@ -373,7 +384,7 @@
 
     async def _obtain_retry(
         self, head: exchange.RequestHead, *, is_hedge: bool = False
-    ) -> bool:
+    ) -> retry_budget.TakenRetry | None:
         """Takes one retry from the budget, or borrows one from a nearby node.
 
         While requests for the service wait here for slots, a retry would
@@ -381,15 +392,17 @@
         retries and borrows none that other entry nodes have not used.
 
         Returns:
-          Whether there was a retry.
+          The retry, which has to be sent or cancelled; None if there is none.
         """
-        decision = await self._budgets.obtain(
+        result = await self._budgets.obtain(
             head.service,
             head.queue_priority,
             may_borrow=not self._request_queues.waiter_count(head.service),
             is_hedge=is_hedge,
         )
-        if decision is budgets.RetryDecision.WITHHELD:
+        if result.is_ok():
+            return result.ok
+        if result.error is budgets.NoRetry.WITHHELD:
             self._metrics.record_withheld_retry(head.service)
             fields = logs.fields(
                 request_id=head.request_id,
@@ -397,7 +410,7 @@
                 queue_priority=head.queue_priority,
             )
             log.info("retry withheld", extra=fields)
-        return decision is budgets.RetryDecision.TAKEN
+        return None
 
     def _relocated_target(
         self, request: routed_request.RoutedRequest, last: ResponseResult
@@ -471,7 +484,7 @@
             request.is_placement_refused = True
             return expression.Error(placed.error)
         if not request.can_hedge:
-            return await self._attempt(request, placed.ok)
+            return await self._attempt(request, placed.ok, request.retry)
         return await self._send_hedged(request, placed.ok)
 
     async def _wait_for_slot(
@@ -517,7 +530,9 @@
         responded in time. Both attempts continue, and the first result
         that is not a failure is returned.
         """
-        first = asyncio.create_task(self._attempt(request, record))
+        first = asyncio.create_task(
+            self._attempt(request, record, request.retry)
+        )
         tasks = {first}
         started = self._clock.monotonic()
         # If little time remains, as with a route whose time limit is shorter
@@ -535,23 +550,29 @@
                 second = (
                     None
                     if first.done()
-                    else await self._hedge_attempt(request, max_spent_share)
+                    else await self._start_hedge(
+                        request, first, max_spent_share
+                    )
                 )
                 if second is not None:
-                    tasks.add(asyncio.create_task(second))
+                    tasks.add(second)
                 if first.done() or second is not None:
                     break
             return await hedging.first_success(tasks)
         finally:
             await hedging.cancel_all(tasks)
 
-    async def _hedge_attempt(
-        self, request: routed_request.RoutedRequest, max_spent_share: float
-    ) -> collections.abc.Coroutine[Any, Any, ResponseResult] | None:
-        """Returns an attempt at another target with a free slot, or None.
+    async def _start_hedge(
+        self,
+        request: routed_request.RoutedRequest,
+        first: asyncio.Task[ResponseResult],
+        max_spent_share: float,
+    ) -> asyncio.Task[ResponseResult] | None:
+        """Starts an attempt at another target with a free slot, if possible.
 
         Args:
           request: The request.
+          first: The attempt that is slow.
           max_spent_share: The spent share of the retry budget up to which the
             attempt is allowed.
         """
@@ -566,12 +587,29 @@
         record = self._placement.choose(request.head.service, constraints)
         if record is None:
             return None
-        if not await self._obtain_retry(request.head, is_hedge=True):
+        retry = await self._obtain_retry(request.head, is_hedge=True)
+        if retry is None:
+            return None
+        if first.done():
+            # The response has arrived during the wait for a loan.
+            retry.cancel()
             return None
         self._placement.record_start(
             record, len(request.body.buffered), request.traffic
         )
-        return self._attempt(request, record)
+        return asyncio.create_task(self._attempt_once(request, record, retry))
+
+    async def _attempt_once(
+        self,
+        request: routed_request.RoutedRequest,
+        record: records.TargetRecord,
+        retry: retry_budget.TakenRetry,
+    ) -> ResponseResult:
+        """Makes an attempt; gives back its retry if it reaches no target."""
+        try:
+            return await self._attempt(request, record, retry)
+        finally:
+            retry.cancel()
 
     def _spent_share(self, request: routed_request.RoutedRequest) -> float:
         """Returns the spent share of its service's retry budget."""
@@ -608,8 +646,15 @@
         self,
         request: routed_request.RoutedRequest,
         record: records.TargetRecord,
+        retry: retry_budget.TakenRetry | None,
     ) -> ResponseResult:
-        """Sends the request to a target for which it is already counted."""
+        """Sends the request to a target for which it is already counted.
+
+        Args:
+          request: The request.
+          record: The target.
+          retry: The retry that the attempt uses; None for the first attempt.
+        """
         request.attempt_count += 1
         request.tried_targets.add(record.id)
         request.last_target = record
@@ -628,6 +673,8 @@
             progress=progress,
         )
         request.active_attempts += 1
+        if retry is not None:
+            retry.record_sent(started)
         result: ResponseResult | None = None
         try:
             result = await self._forward(record, head, request.body)
@@ -639,6 +686,8 @@
             )
         finally:
             latency = self._clock.monotonic() - started
+            if retry is not None and _reached_no_target(result, progress):
+                retry.record_unsent()
             self._record_attempt(request, record, result, started, suspicion)
             request.has_cancelled_attempt = request.has_cancelled_attempt or (
                 result is None and not progress.ended_unsent
@@ -698,6 +747,20 @@
             return await self._pool.forward(home, record.id, head, body)
 
 
+def _reached_no_target(
+    result: ResponseResult | None, progress: exchange.AttemptProgress
+) -> bool:
+    """Returns whether an attempt ended before anything was sent to a target.
+
+    Args:
+      result: The result of the attempt; None if it was cancelled.
+      progress: How far it had come if it was cancelled.
+    """
+    if result is None:
+        return progress.ended_unsent
+    return routed_request.was_undelivered(result)
+
+
 def _max_suspicion(suspicion: float) -> float:
     """Returns the suspicion above which the target's home refuses the request.
 
--- a/endivewind/callers/routed_request.py
+++ b/endivewind/callers/routed_request.py
@@ -13,6 +13,7 @@
 from endivewind.config import objects
 from endivewind.decisions import link_shares
 from endivewind.decisions import load_balancing
+from endivewind.decisions import retry_budget
 from endivewind.targets import records
 
 ResponseResult = expression.Result[exchange.Response, exchange.Refusal]
@@ -97,6 +98,7 @@
       has_cancelled_attempt: Whether an attempt was cancelled after it may have
         been sent, so that its outcome is unknown.
       traffic: What it sends over links; None if links are not shared.
+      retry: The retry of its current attempt; None for the first one.
     """
 
     route: objects.Route
@@ -114,6 +116,7 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     has_cancelled_attempt: bool = False
     traffic: link_shares.Traffic | None = None
+    retry: retry_budget.TakenRetry | None = None
 
     @property
     def is_idempotent(self) -> bool:
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -83,6 +83,68 @@
     until: datetime.timedelta
 
 
+class TakenRetry:
+    """A retry that was taken from a budget and may be made later.
+
+    Scenario: failed requests wait for a slot before they are sent to another
+    target. Risk: they wait for seconds, and many are sent at the same moment, so
+    that retries arrive in a window that were counted in an earlier one. So a
+    retry counts until it is sent, and for a window from then on.
+    """
+
+    def __init__(
+        self,
+        budget: "RetryBudget",
+        own: float,
+        borrowed: float,
+        taken_at: datetime.timedelta,
+    ) -> None:
+        """Initializes a retry that is not sent yet.
+
+        Args:
+          budget: the budget that it was taken from.
+          own: the part of it that belongs to the budget's node.
+          borrowed: the part that other nodes have lent.
+          taken_at: when it was taken.
+        """
+        self._budget = budget
+        self._own = own
+        self._borrowed = borrowed
+        self._taken_at = taken_at
+        self._is_held = True
+        self._bucket: _Bucket | None = None
+        self._counted = 0.0
+
+    def record_sent(self, now: datetime.timedelta) -> None:
+        """Counts the retry from now on, as it is sent to a target."""
+        if not self._is_held:
+            return
+        self._counted = self._own
+        if now - self._taken_at > LOAN_LIFETIME:
+            # What was lent may return before the retry has left the window.
+            self._counted += self._borrowed
+        self._release()
+        self._bucket = self._budget._count(self._counted, now)
+
+    def record_unsent(self) -> None:
+        """Keeps the retry for another attempt, as no target was reached."""
+        if self._bucket is None:
+            return
+        self._budget._uncount(self._counted, self._bucket)
+        self._bucket = None
+        self._is_held = True
+        self._budget._hold(self._own)
+
+    def cancel(self) -> None:
+        """Gives back the retry unless it was sent."""
+        if self._is_held:
+            self._release()
+
+    def _release(self) -> None:
+        self._is_held = False
+        self._budget._hold(-self._own)
+
+
 def share_after_start(
     uptime: datetime.timedelta,
     previous_uptime: datetime.timedelta | None,
@@ -141,6 +203,8 @@
         self._buckets: collections.deque[_Bucket] = collections.deque()
         self._requests = 0
         self._retries = 0.0
+        # Retries that are taken and not sent yet.
+        self._held = 0.0
         self._lent: collections.deque[_Loan] = collections.deque()
         self._borrowed: collections.deque[_Loan] = collections.deque()
         # Counts of other nodes by name and incarnation.
@@ -166,10 +230,9 @@
         self._current_bucket(now).requests += 1
         self._requests += 1
 
-    def charge(self, now: datetime.timedelta, amount: float = 1.0) -> None:
-        """Counts a retry, or a part of one, even if the budget is spent."""
-        self._current_bucket(now).retries += amount
-        self._retries += amount
+    def charge(self, now: datetime.timedelta) -> None:
+        """Counts a retry, even if the budget is spent."""
+        self._count(1.0, now)
 
     def update_peer(
         self,
@@ -197,7 +260,7 @@
     def take(
         self, now: datetime.timedelta, *, may_use_loans: bool = True
     ) -> bool:
-        """Takes one retry from the budget if one is left.
+        """Takes a retry that is sent now, if one is left.
 
         Args:
           now: the current monotonic time.
@@ -206,16 +269,34 @@
         Returns:
           Whether the retry is allowed.
         """
+        retry = self.take_for_later(now, may_use_loans=may_use_loans)
+        if retry is None:
+            return False
+        retry.record_sent(now)
+        return True
+
+    def take_for_later(
+        self, now: datetime.timedelta, *, may_use_loans: bool = True
+    ) -> TakenRetry | None:
+        """Takes a retry that is sent once there is a target for it.
+
+        Args:
+          now: the current monotonic time.
+          may_use_loans: whether retries that other nodes have lent count.
+
+        Returns:
+          The retry, which has to be sent or cancelled; None if none is left.
+        """
         self._advance(now)
         own = max(0.0, self._own_left())
         borrowed = self._borrowed_amount() if may_use_loans else 0.0
         if own + borrowed < 1 - _ROUNDING:
-            return False
+            return None
         # Loans first, since they expire sooner.
         from_loans = min(1.0, borrowed)
         self._spend_loans(from_loans)
-        self.charge(now, 1.0 - from_loans)
-        return True
+        self._hold(1.0 - from_loans)
+        return TakenRetry(self, 1.0 - from_loans, from_loans, now)
 
     def missing(self, count: int, now: datetime.timedelta) -> float:
         """Returns how many retries to borrow so that `count` can be made."""
@@ -297,9 +378,26 @@
         self._advance(now)
         return self._total_limit() >= 1
 
+    def _hold(self, amount: float) -> None:
+        """Adds to the retries that are taken and not sent yet."""
+        self._held += amount
+
+    def _count(self, amount: float, now: datetime.timedelta) -> _Bucket:
+        """Counts retries that are made now; returns where."""
+        bucket = self._current_bucket(now)
+        bucket.retries += amount
+        self._retries += amount
+        return bucket
+
+    def _uncount(self, amount: float, bucket: _Bucket) -> None:
+        """Takes back retries that were counted, unless they have expired."""
+        bucket.retries -= amount
+        self._retries = sum(item.retries for item in self._buckets)
+
     def _used(self) -> float:
-        """Returns the retries that this node has made or lent."""
-        return self._retries + sum(item.amount for item in self._lent)
+        """Returns the retries that this node has made, holds or has lent."""
+        lent = sum(item.amount for item in self._lent)
+        return self._retries + self._held + lent
 
     def _own_left(self) -> float:
         """Returns what is left of this node's limit; negative if overdrawn."""
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -144,8 +144,10 @@
             return True
         priority = self.rng.choice((0, 0, 0, 1))
         node.budgets.record_request(SERVICE, priority, is_from_caller=False)
-        decision = node.budgets.take(SERVICE, priority, may_borrow=True)
-        is_taken = decision is budgets.RetryDecision.TAKEN
+        result = node.budgets.take(SERVICE, priority, may_borrow=True)
+        is_taken = result.is_ok()
+        if is_taken:
+            result.ok.record_sent(now)
         self.wanted_counts[priority] += 1
         self.taken_counts[priority] += is_taken
         return is_taken
--- a/endivewind/tests/callers/gateway_retries_tests.py
+++ b/endivewind/tests/callers/gateway_retries_tests.py
@@ -174,6 +174,18 @@
             attempt_count, 1.1 * requests + retry_budget.DEFAULT_RESERVE
         )
 
+    async def test_retry_without_a_target_is_given_back(self):
+        """Guards against a budget that is spent by what targets never get.
+
+        Each request fails at one target, and the other homes have no slot.
+        """
+        with mock.patch.object(gateway, "MAX_ATTEMPTS", 3):
+            for _ in range(10):
+                await self.send_request([FAILURE, BUSY, BUSY])
+
+        budget = self.gateway.budgets.for_service(SERVICE)
+        self.assertEqual(0, budget.counts(self.clock.monotonic()).retries)
+
     async def test_call_without_a_retry_left_is_marked(self):
         """Guards against a wrong cause in the count of failed calls."""
         for _ in range(20):
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -92,6 +92,68 @@
         self.assertGreater(len(first), 10)
         self.assertLessEqual(len(within), len(first) + 2)
 
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=50)
+    @hypothesis.given(strategies.integers(0, 10_000))
+    def test_retries_that_wait_count_when_they_are_sent(self, seed):
+        """Guards against retries that wait for slots and are sent together.
+
+        Each waits up to four seconds and is then sent or given up.
+        """
+        rng = random.Random(seed)
+        limits = retry_budget.RetryLimits(0.2, reserve=6)
+        budget = retry_budget.RetryBudget(limits)
+        now, waiting, sent = _NOW, [], []
+        for _ in range(600):
+            now += _SECOND * rng.choice((0.01, 0.1, 0.5))
+            retry = budget.take_for_later(now)
+            if retry is not None:
+                waiting.append((now + rng.choice((0, 1, 4)) * _SECOND, retry))
+            for item in list(waiting):
+                if item[0] <= now:
+                    waiting.remove(item)
+                    if rng.random() < 0.8:
+                        item[1].record_sent(now)
+                        sent.append(now)
+                    else:
+                        item[1].cancel()
+
+        for start in sent:
+            window = start + limits.window
+            within = sum(start <= at <= window for at in sent)
+            self.assertLessEqual(within, limits.reserve)
+        self.assertGreater(len(sent), limits.reserve)
+
+    def test_retry_that_reaches_no_target_is_left_for_another_attempt(self):
+        """Guards against retries that are lost at targets without a slot."""
+        budget = retry_budget.RetryBudget(
+            retry_budget.RetryLimits(0.2, reserve=1)
+        )
+        retry = budget.take_for_later(_NOW)
+        for _ in range(3):
+            retry.record_sent(_NOW)
+            retry.record_unsent()
+
+        self.assertFalse(budget.take(_NOW))
+        retry.cancel()
+        self.assertTrue(budget.take(_NOW))
+
+    def test_retry_of_a_loan_that_is_sent_late_counts_for_the_borrower(self):
+        """Guards against a retry that counts for nobody.
+
+        The loan has returned to the lender before the retry leaves the window.
+        """
+        for waits, own_used in ((0.4, 0), (0.6, 1)):
+            with self.subTest(waits):
+                budget = retry_budget.RetryBudget(
+                    retry_budget.RetryLimits(0.2, reserve=0)
+                )
+                budget.add_loan(1.0, _NOW)
+                retry = budget.take_for_later(_NOW)
+                retry.record_sent(_NOW + waits * _SECOND)
+
+                used = budget.counts(_NOW + _SECOND).retries
+                self.assertEqual(own_used, used)
+
     def test_node_uses_retries_that_neighbours_lend(self):
         """Failures come in a burst at one of six nodes.
 
--- a/endivewind/tests/loads/retry_bound.py
+++ b/endivewind/tests/loads/retry_bound.py
@@ -73,8 +73,10 @@
 
     async def obtain(self):
         """Takes or borrows a retry; returns whether there was one."""
-        decision = await self.budgets.obtain(SERVICE, 0, may_borrow=True)
-        return decision is budgets.RetryDecision.TAKEN
+        result = await self.budgets.obtain(SERVICE, 0, may_borrow=True)
+        if result.is_ok():
+            result.ok.record_sent(self._fleet.clock.monotonic())
+        return result.is_ok()
 
 
 class Fleet:
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -390,6 +390,15 @@
         "            pass\n",
         "decisions.retry_budget_tests",
     ),
+    Mutant(
+        "a retry that waits for a slot counts from when it was taken",
+        "decisions/retry_budget.py",
+        "        self._bucket = self._budget._count(self._counted, now)\n",
+        "        self._bucket = self._budget._count(\n"
+        "            self._counted, self._taken_at\n"
+        "        )\n",
+        "decisions.retry_budget_tests",
+    ),
     Mutant(
         "a restarted node has its whole budget at once",
         "decisions/retry_budget.py",
