Charge the calls of retried requests where they belong, and all of them

Cause: a call was charged with the share of retried requests among all that its target ran, also those that make no calls. And calls can't be refused: what they exceeded a node's limit by was counted by nobody nearby, whose limits were still used in full.

The charge goes by how often each class of requests makes such calls, which is known for the priority of calls. What is charged beyond the limit is handed over to nodes that lend retries for it. A request that is taken for a call adds nothing to the budget, also by a route that callers use.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -295,7 +295,11 @@
         if self._pending_retries[service] >= 1:
             self._pending_retries[service] -= 1
             self._totals[service].charged_calls += 1
-            self.for_service(service).charge(self._clock.monotonic())
+            now = self._clock.monotonic()
+            budget = self.for_service(service)
+            budget.charge(now)
+            if budget.overdraft(now) and budget.should_borrow(now):
+                self._loans.cover_overdraft(service, budget)
 
     def update_peer(self, node: str, usage: peer_updates.RetryUsage) -> None:
         """Stores the retry usage of another nearby entry node.
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -346,14 +346,20 @@
         charged with the probability that they are made for a retried request.
         """
         service, prefix = request.head.service, request.route.prefix
+        call = request.head.call
+        is_from_caller = self._entry_routes.is_from_caller(service, prefix)
         self._budgets.record_request(
             service,
             request.head.queue_priority,
-            is_from_caller=self._entry_routes.is_from_caller(service, prefix),
+            is_from_caller=is_from_caller and call is None,
         )
-        share = self._entry_routes.retry_probability(service, prefix)
-        if share:
-            self._budgets.charge(service, share)
+        probability = (
+            self._entry_routes.retry_probability(service, prefix)
+            if call is None
+            else call.retry_probability
+        )
+        if probability:
+            self._budgets.charge(service, probability)
 
     def _log(
         self, request: routed_request.RoutedRequest, result: ResponseResult
--- a/endivewind/callers/retry_loans.py
+++ b/endivewind/callers/retry_loans.py
@@ -74,6 +74,7 @@
         self._clock = clock
         self._rng = rng
         self._rounds: dict[str, _Round] = {}
+        self._covering: dict[str, asyncio.Task[None]] = {}
         self._backoff_until: dict[str, datetime.timedelta] = {}
 
     async def borrow(
@@ -103,6 +104,19 @@
         finally:
             current.waiter_count -= 1
 
+    def cover_overdraft(
+        self, service: str, budget: retry_budget.RetryBudget
+    ) -> None:
+        """Starts to borrow what was charged beyond the budget's limit."""
+        now = self._clock.monotonic()
+        if service in self._covering or now < self._backoff_until.get(
+            service, now
+        ):
+            return
+        self._covering[service] = asyncio.create_task(
+            self._cover(service, budget)
+        )
+
     async def _run(
         self, service: str, budget: retry_budget.RetryBudget, current: _Round
     ) -> None:
@@ -121,6 +135,24 @@
         finally:
             del self._rounds[service]
 
+    async def _cover(
+        self, service: str, budget: retry_budget.RetryBudget
+    ) -> None:
+        """Asks one lender after the other until nothing is overdrawn."""
+        try:
+            for lender in self._lenders():
+                overdraft = budget.overdraft(self._clock.monotonic())
+                if not overdraft:
+                    return
+                budget.hand_over(
+                    await self._request_loan(lender, service, overdraft)
+                )
+            now = self._clock.monotonic()
+            if budget.overdraft(now):
+                self._backoff_until[service] = now + BACKOFF
+        finally:
+            del self._covering[service]
+
     def _lenders(self) -> list[view.NodeRecord]:
         """Returns the neighbours in random order, those of this zone first."""
         lenders = self._neighbours()
--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -184,11 +184,15 @@
         self, prefix: str, head: exchange.RequestHead
     ) -> exchange.RequestHead:
         """Returns the head with what the call inherits."""
-        call = exchange.TargetCall()
-        if not self._inherits_priority:
-            return dataclasses.replace(head, call=call)
         route = inherited_priority.CallRoute(head.service, prefix)
         running = self._target.running_requests()
+        call = exchange.TargetCall(
+            retry_probability=self._frequencies.duplicate_probability(
+                route, running
+            )
+        )
+        if not self._inherits_priority:
+            return dataclasses.replace(head, call=call)
         inheritance = self._frequencies.inherit(route, running)
         if inheritance is None:
             # The request was abandoned, but the target still works on it.
--- a/endivewind/decisions/inherited_priority.py
+++ b/endivewind/decisions/inherited_priority.py
@@ -41,11 +41,13 @@
       queue_priority: its priority in queues; higher values go first.
       latency_objective: the time within which its caller wants a response.
       workspace: the workspace whose fair share it counts towards.
+      may_be_duplicate: whether a target may have received it before.
     """
 
     queue_priority: int
     latency_objective: datetime.timedelta
     workspace: str
+    may_be_duplicate: bool = False
 
     @property
     def request_class(self) -> "RequestClass":
@@ -161,6 +163,32 @@
             least = min(self._calls, key=lambda key: self._call_count(key))
             del self._calls[least]
 
+    def duplicate_probability(
+        self,
+        route: CallRoute,
+        running: collections.abc.Sequence[RunningRequest],
+    ) -> float:
+        """Returns the probability that a call is made for a retried request.
+
+        Scenario: a target runs some requests that make calls and many that make
+        none, and only the former are retried. Risk: if each call were taken to
+        belong to any of them, most calls of retried requests would not be
+        charged to the retry budget of the called service.
+
+        Args:
+          route: the route of the call.
+          running: the requests that run now.
+        """
+        rates = self._rates(route, running)
+        if not any(rates):
+            rates = [1.0] * len(running)
+        duplicates = sum(
+            rate
+            for request, rate in zip(running, rates, strict=True)
+            if request.may_be_duplicate
+        )
+        return duplicates / sum(rates) if running else 0.0
+
     def inherit(
         self,
         route: CallRoute,
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -193,7 +193,9 @@
     count as retries in the budgets of the called services
     (`callers/gateway.py` charges each call with the probability that it is made
     for a retried request). They can't be refused for that, so they are charged
-    even if the budget is spent (`charge`), and later retries have to wait.
+    even if the budget is spent (`charge`), and later retries have to wait. What
+    exceeds the limit (`overdraft`) is handed over to nodes that lend retries for
+    it, so that the fleet's bound holds while one nearby has some left.
     """
 
     def __init__(self, limits: RetryLimits) -> None:
@@ -341,6 +343,22 @@
         if amount > 0:
             self._borrowed.append(_Loan(amount, asked_at + LOAN_LIFETIME))
 
+    def overdraft(self, now: datetime.timedelta) -> float:
+        """Returns how many charged retries exceed this node's limit."""
+        self._advance(now)
+        return max(0.0, -self._own_left())
+
+    def hand_over(self, amount: float) -> None:
+        """Takes off charged retries that another node counts from now on.
+
+        Args:
+          amount: how many, or parts of one; that node lends them for this.
+        """
+        for bucket in reversed(self._buckets):
+            part = min(amount, bucket.retries)
+            self._uncount(part, bucket)
+            amount -= part
+
     def spent_share(self, now: datetime.timedelta) -> float:
         """Returns the spent share of the budget of this node and its neighbours.
 
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -95,11 +95,14 @@
       fair_workspace: the workspace of that request, whose fair share the call
         counts towards; empty if it has none.
       lacked_retry: whether the call failed because no retry was left.
+      retry_probability: the probability that the call is made for a retried
+        request.
     """
 
     inherits: bool = False
     fair_workspace: str = ""
     lacked_retry: bool = False
+    retry_probability: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -80,6 +80,7 @@
             self._head.queue_priority,
             self._head.latency_objective,
             self._head.queue_workspace,
+            self.may_be_duplicate,
         )
 
     @property
--- a/endivewind/tests/callers/gateway_retries_tests.py
+++ b/endivewind/tests/callers/gateway_retries_tests.py
@@ -186,6 +186,18 @@
         budget = self.gateway.budgets.for_service(SERVICE)
         self.assertEqual(0, budget.counts(self.clock.monotonic()).retries)
 
+    async def test_call_of_a_retried_request_is_charged(self):
+        """Guards against calls that count as requests of callers."""
+        for probability in (0.0, 1.0):
+            call = exchange.TargetCall(retry_probability=probability)
+            await self.send_request([OK], call=call)
+
+        budget = self.gateway.budgets.for_service(SERVICE)
+        self.assertEqual(
+            retry_budget.RequestCounts(0, 1),
+            budget.counts(self.clock.monotonic()),
+        )
+
     async def test_call_without_a_retry_left_is_marked(self):
         """Guards against a wrong cause in the count of failed calls."""
         for _ in range(20):
--- a/endivewind/tests/callers/retry_loans_tests.py
+++ b/endivewind/tests/callers/retry_loans_tests.py
@@ -104,6 +104,24 @@
         self.assertEqual((0, False), (served, later))
         self.assertEqual(2, len(lenders.asked))
 
+    def test_overdraft_is_borrowed_once(self):
+        """Guards against calls that are paid for by several nodes."""
+        lenders = _Lenders(a1=3.0, b1=3.0)
+        loans = retry_loans.RetryLoans(
+            lenders.request, lenders.nodes, "a", self.clock, random.Random(1)
+        )
+
+        async def charge_and_cover():
+            for _ in range(2):
+                self.budget.charge(self.clock.monotonic())
+                loans.cover_overdraft(SERVICE, self.budget)
+            await asyncio.sleep(1)
+
+        self.loop.run_until_complete(charge_and_cover())
+
+        self.assertEqual(0, self.budget.overdraft(self.clock.monotonic()))
+        self.assertEqual(4, sum(lenders.amounts.values()))
+
     def test_request_does_not_wait_for_a_node_that_hangs(self):
         """Guards against a caller that waits because a neighbour has died."""
         started = self.clock.monotonic()
--- a/endivewind/tests/callers/target_calls_tests.py
+++ b/endivewind/tests/callers/target_calls_tests.py
@@ -1,5 +1,6 @@
 """Tests that calls of the local target are recognized, and failed ones counted."""
 
+import dataclasses
 import datetime
 import unittest
 from unittest import mock
@@ -91,6 +92,18 @@
         return self.heads[-1]
 
 
+class RetriedRequestTest(_TargetCallsTest):
+    def test_call_has_the_probability_of_a_retried_request(self):
+        """Guards against retries of one service that flood another."""
+        retried = dataclasses.replace(_running(), may_be_duplicate=True)
+        self.target.running = [_running(), retried]
+        for inherits in (False, True):
+            with self.subTest(inherits=inherits):
+                self.configure(inherits=inherits)
+
+                self.assertEqual(0.5, self.serve().call.retry_probability)
+
+
 class RecognitionTest(_TargetCallsTest):
     def test_request_from_this_vm_is_a_call(self):
         for peer in (VM, TARGET_HOST, "127.0.0.1", "::1", "::ffff:127.0.0.1"):
--- a/endivewind/tests/decisions/inherited_priority_tests.py
+++ b/endivewind/tests/decisions/inherited_priority_tests.py
@@ -1,5 +1,6 @@
 """Tests of what a target's call inherits from the requests that run."""
 
+import dataclasses
 import datetime
 import random
 import unittest
@@ -40,6 +41,25 @@
         self.assertEqual("b", inherited.workspace)
         self.assertIs(inherited_priority.Basis.ONLY, inherited.basis)
 
+    def test_call_of_a_duplicate_is_recognized_among_other_requests(self):
+        """Guards against calls of retried requests that are charged in part.
+
+        Only patient requests make calls. One that was retried runs beside two
+        urgent ones, or an urgent one was.
+        """
+        retried = dataclasses.replace(PATIENT, may_be_duplicate=True)
+        retried_urgent = dataclasses.replace(URGENT, may_be_duplicate=True)
+        probability = self.frequencies.duplicate_probability
+        self.assertAlmostEqual(
+            1 / 3, probability(ROUTE, [URGENT, retried, URGENT])
+        )
+        _learn(self.frequencies, [PATIENT], 40)
+        _learn(self.frequencies, [URGENT], 0)
+
+        self.assertGreater(probability(ROUTE, [URGENT, retried, URGENT]), 0.5)
+        self.assertLess(probability(ROUTE, [retried_urgent, PATIENT]), 0.3)
+        self.assertEqual(0.0, probability(ROUTE, []))
+
     def test_classes_take_bounded_memory(self):
         """Guards against growth with many new classes between two samples."""
         running = [_running(priority) for priority in range(100)]
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -302,6 +302,26 @@
         self.assertFalse(budget.take(_NOW))
         self.assertEqual(4, budget.counts(_NOW).retries)
 
+    def test_overdraft_is_handed_over(self):
+        """Guards against calls of retried requests that nobody counts.
+
+        They exceed the limit of the node where they arrive, and another node
+        has retries left.
+        """
+        limits = retry_budget.RetryLimits(0.2, reserve=3)
+        node, other = (retry_budget.RetryBudget(limits) for _ in range(2))
+        for _ in range(5):
+            node.charge(_NOW)
+
+        self.assertEqual(2, node.overdraft(_NOW))
+        node.hand_over(other.lend(node.overdraft(_NOW), _NOW))
+
+        self.assertEqual(0, node.overdraft(_NOW))
+        self.assertFalse(node.take(_NOW))
+        self.assertEqual(1, sum(other.take(_NOW) for _ in range(5)))
+        later = _NOW + 1.05 * limits.window
+        self.assertEqual(3, sum(node.take(later) for _ in range(5)))
+
     def test_share_of_zero_disables_retries(self):
         budget = retry_budget.RetryBudget(retry_budget.RetryLimits(0))
 
