Don't take calls for callers' requests after a restart or an abandoned request

A called service could get far more retries than the fleet is allowed (BUDGET): calls would add to its budget like requests of callers, and those of retried requests would not be charged.

Cause: a request that arrives while the target on the VM is idle makes its route an entry route, at all nodes of the zone and until they restart. A target counted as idle half a second after a request was abandoned, though it may work on it until its deadline, and at the start of a node, though it may work on what an earlier incarnation sent. Class: state that is lost with a process was taken for none.

A target counts as active until the deadline of what was abandoned (ten seconds at most), and for two seconds after a restart of its node. One that could not be reached has nothing to work on.

Evidence: found by reading. The tests of both cases fail on the code before.

--- a/endivewind/callers/entry_routes.py
+++ b/endivewind/callers/entry_routes.py
@@ -19,6 +19,10 @@
 # Interval at which a node sends its entry routes to its neighbours, so that a
 # node that starts learns them soon.
 UPDATE_INTERVAL = datetime.timedelta(seconds=1)
+# Time after a restart in which the target may still work on requests that were
+# sent before. Usual requests end sooner; a longer time would delay that callers'
+# routes are learned when all nodes have restarted.
+UNKNOWN_WORK_TIME = datetime.timedelta(seconds=2)
 # Number of routes that fit into one datagram. If there are more, successive
 # updates send them in turn.
 MAX_ROUTES_PER_UPDATE = 16
@@ -56,7 +60,11 @@
     """
 
     def __init__(
-        self, clock: clocks.Clock, local_target: LocalTarget | None = None
+        self,
+        clock: clocks.Clock,
+        local_target: LocalTarget | None = None,
+        *,
+        is_restart: bool = False,
     ) -> None:
         """Starts without any known routes.
 
@@ -65,12 +73,18 @@
           local_target: the target whose calls enter at this node; None if
             targets send their calls through shared nodes. Then all requests
             count as callers'.
+          is_restart: whether the target may run requests that an earlier
+            incarnation of this node sent to it.
         """
         self._clock = clock
         self._local_target = local_target
         # The keys are the routes, those that were sent last at the end.
         self._caller_routes: dict[peer_updates.EntryRoute, None] = {}
         self._last_update = clock.monotonic()
+        # Until then nothing is known of the target's earlier requests.
+        self._unknown_until = clock.monotonic()
+        if is_restart:
+            self._unknown_until += UNKNOWN_WORK_TIME
 
     def is_from_caller(self, service: str, prefix: str) -> bool:
         """Whether a request that arrives now is known to be a caller's.
@@ -82,16 +96,25 @@
         if self._local_target is None:
             return True
         route = peer_updates.EntryRoute(service, prefix)
-        if not self._local_target.has_active_work:
+        if not self.is_target_active:
             self._learn(route, "idle target")
         return route in self._caller_routes
 
     @property
     def is_target_active(self) -> bool:
-        """Whether the local target runs a request, so that it may call."""
+        """Whether the local target may run a request, so that it may call.
+
+        Scenario: a node is stopped or killed, and starts again while its target
+        works on a request that it got before. Risk: a call for that request
+        would make its route an entry route, at all nodes of the zone and until
+        they restart. Then calls would add to the retry budget of the called
+        service, and those of retried requests would not be charged.
+        """
+        if self._local_target is None:
+            return False
         return (
-            self._local_target is not None
-            and self._local_target.has_active_work
+            self._clock.monotonic() < self._unknown_until
+            or self._local_target.has_active_work
         )
 
     def is_entry_route(self, service: str, prefix: str) -> bool:
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -293,7 +293,9 @@
             self._outlier_monitor.record_remote,
             self._rng,
             entry_routes.EntryRoutes(
-                self._clock, self._dispatcher if node_settings.beside else None
+                self._clock,
+                self._dispatcher if node_settings.beside else None,
+                is_restart=self._previous_uptime is not None,
             ),
             quota_client.QuotaClient(
                 lambda workspace, count: self._quota_service.request_tokens(
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -42,8 +42,6 @@
 # Errors and rejections may be written by a proxy, or by a process that crashes
 # or is overloaded, and need not name the target's rate limit.
 _MIN_ERROR_STATUS = 400
-# A target may continue for this long with a request that was abandoned.
-ABANDONED_WORK_TIME = datetime.timedelta(milliseconds=500)
 ResponseResult = expression.Result[exchange.Response, exchange.Refusal]
 Run = collections.abc.Callable[[], collections.abc.Awaitable[ResponseResult]]
 # Runs a request, or refuses it as not run.
@@ -145,10 +143,7 @@
         now = self._clock.monotonic()
         return any(
             item.pending_requests
-            or (
-                item.last_abandoned_at is not None
-                and now - item.last_abandoned_at < ABANDONED_WORK_TIME
-            )
+            or (item.may_work_until is not None and now < item.may_work_until)
             for item in self._targets.home_targets()
         )
 
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -93,8 +93,8 @@
       suspicion: estimates the probability that it is unhealthy.
       last_sequence: number of the latest announcement of its incarnation.
       pending_requests: requests that are running at it.
-      last_abandoned_at: when a request last ended without a response, so that
-        the target may still be executing it; None if none has.
+      may_work_until: until when it may be executing a request that was
+        abandoned; None if none was.
       latencies: distribution of its response times.
       rate_limit: the limit that its responses name.
       is_leaving: whether a response has said that it is about to stop.
@@ -109,7 +109,7 @@
     suspicion: suspicion.SuspicionEstimator
     last_sequence: int = 0
     pending_requests: dict[Any, None] = dataclasses.field(default_factory=dict)
-    last_abandoned_at: datetime.timedelta | None = None
+    may_work_until: datetime.timedelta | None = None
     latencies: response_times.ResponseTimes = dataclasses.field(
         default_factory=response_times.ResponseTimes
     )
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -26,6 +26,11 @@
 # If the latency of a successful response is more than this many times likelier
 # at an unhealthy target than at a healthy one, the response counts as overdue.
 LATE_LIKELIHOOD_RATIO = 16.0
+# A target may continue for this long with a request that was abandoned, also if
+# its deadline has passed.
+MIN_ABANDONED_WORK = datetime.timedelta(milliseconds=500)
+# Bounds the time in which a target counts as active because of one request.
+MAX_ABANDONED_WORK = datetime.timedelta(seconds=10)
 _SIGNALS = {
     evidence.ResultKind.SUCCESS: suspicion.SuspicionSignal.SUCCESS,
     evidence.ResultKind.ERROR: suspicion.SuspicionSignal.FAILURE,
@@ -218,14 +223,26 @@
                 ),
             )
 
+    def _record_abandonment(self) -> None:
+        """Records until when the target may go on with the request.
+
+        Many targets drop a request whose connection is closed; others work on
+        it until the deadline that they were given.
+        """
+        now = self._clock.monotonic()
+        left = self.started_at + self._head.remaining_time - now
+        until = now + max(MIN_ABANDONED_WORK, min(left, MAX_ABANDONED_WORK))
+        item = self.home_target
+        item.may_work_until = max(until, item.may_work_until or until)
+
     def finish(self, kind: evidence.ResultKind | None = None) -> None:
         """Releases the slot and reports the result; idempotent."""
         if self._is_finished:
             return
         self._is_finished = True
         self.home_target.pending_requests.pop(self, None)
-        if self._latency is None:
-            self.home_target.last_abandoned_at = self._clock.monotonic()
+        if self._latency is None and self.may_have_been_sent:
+            self._record_abandonment()
         self.home_target.slots.release(self.home_target.record.slots)
         if self.home_target.work_time is not None:
             self._record_work(self.home_target.work_time, kind)
--- a/endivewind/tests/callers/entry_routes_tests.py
+++ b/endivewind/tests/callers/entry_routes_tests.py
@@ -36,6 +36,21 @@
         self.assertTrue(self.routes.is_from_caller("riders", "/orders/"))
         self.assertFalse(self.routes.is_from_caller("riders", "/calls/"))
 
+    def test_restarted_node_learns_nothing_of_a_target_that_goes_on(self):
+        """Guards against calls that add to the budget of the called service.
+
+        The target still works on a request that the node sent before its
+        restart, and calls another service for it.
+        """
+        routes = entry_routes.EntryRoutes(
+            self.clock, self.local_target, is_restart=True
+        )
+        self.assertFalse(routes.is_from_caller("venues", "/status/"))
+        self.clock.advance(entry_routes.UNKNOWN_WORK_TIME)
+
+        self.assertTrue(routes.is_from_caller("riders", "/orders/"))
+        self.assertFalse(routes.is_entry_route("venues", "/status/"))
+
     def test_retry_probability_is_share_of_retried_requests(self):
         """The probability is zero for known routes of callers."""
         self.routes.is_from_caller("riders", "/orders/")
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -123,10 +123,11 @@
         """Counts the changes to publish."""
         self.change_count += 1
 
-    async def send(self):
+    async def send(self, timeout=9):
         """Sends an idempotent request."""
+        remaining_time = datetime.timedelta(seconds=timeout)
         head = exchange.RequestHead(
-            "r", "GET", "/", (), "riders", "", datetime.timedelta(seconds=9)
+            "r", "GET", "/", (), "riders", "", remaining_time
         )
         return await self.dispatcher.run("t", head, exchange.RequestBody())
 
@@ -292,6 +293,32 @@
         )
         self.assertEqual([evidence.ResultKind.REFUSED_CONNECTION], self.kinds)
 
+    def test_target_may_work_on_an_abandoned_request_until_its_deadline(self):
+        """Guards against calls of abandoned requests that count as callers'.
+
+        Two seconds are given to the target, and the caller leaves after one.
+        """
+        self.pooled.is_silent = True
+
+        async def abandon():
+            task = asyncio.create_task(self.send(timeout=2))
+            await asyncio.sleep(1)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.loop.run_until_complete(abandon())
+
+        self.loop.advance(datetime.timedelta(seconds=0.9))
+        self.assertTrue(self.dispatcher.has_active_work)
+        self.loop.advance(datetime.timedelta(seconds=0.2))
+        self.assertFalse(self.dispatcher.has_active_work)
+
+    def test_target_that_got_nothing_is_idle(self):
+        self.pooled.refuses_connections = True
+        self.loop.run_until_complete(self.send())
+
+        self.assertFalse(self.dispatcher.has_active_work)
+
     def test_timeout_means_unknown_outcome(self):
         self.fresh.is_silent = True
 
