Divide the reserve of retries among nodes that are out of reach, too

Two parts of a fleet could each use the whole reserve of retries (BUDGET): when regions had lost each other for longer than a window, and in the first moments of all nodes, when each knows its zone only.

Cause: a node divides the reserve by the nodes that it knows to be alive. Class: what can't be seen was taken for gone. Nodes that have died without leaving count, and for a window from its start a node takes other zones to be as large as its own.

Evidence: found by reading; test_parts_of_the_fleet_do_not_use_its_whole_reserve needs the new interface, and a node that knows 5 of 20 takes 6 in place of 2 retries without it. Nodes that are lost for good count for as long as they are remembered, four hours, or until their names start again: a smaller reserve.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -79,25 +79,25 @@
             collections.deque()
         )
 
+    def is_due(self, now: datetime.timedelta) -> bool:
+        """Whether the number of nodes is to be recorded again."""
+        return (
+            not self._samples
+            or now - self._samples[-1][0] >= _SIZE_SAMPLE_INTERVAL
+        )
+
     def record(
         self, nodes: int, now: datetime.timedelta, window: datetime.timedelta
     ) -> None:
-        """Records the number of nodes that are known now."""
+        """Records the number of nodes now, and drops those of earlier windows."""
         while self._samples and now - self._samples[0][0] > window:
             self._samples.popleft()
-        if (
-            not self._samples
-            or now - self._samples[-1][0] >= _SIZE_SAMPLE_INTERVAL
-        ):
-            self._samples.append((now, nodes))
+        self._samples.append((now, nodes))
 
-    def peak(self, nodes: int) -> int:
-        """Returns the maximum in the window.
-
-        Args:
-          nodes: the number of nodes known now, used if there is no sample.
-        """
-        return max((count for _, count in self._samples), default=nodes)
+    @property
+    def peak(self) -> int:
+        """The maximum in the window; 1 if nothing was recorded."""
+        return max((count for _, count in self._samples), default=1)
 
 
 class RetryBudgets:
@@ -113,6 +113,8 @@
         request_loan: retry_loans.LoanRequester = retry_loans.request_nothing,
         *,
         previous_uptime: datetime.timedelta | None = None,
+        unreachable_count: collections.abc.Callable[[], int] = lambda: 0,
+        zone_count: int = 0,
         prioritizes: bool = False,
     ) -> None:
         """Starts without any counts.
@@ -126,6 +128,9 @@
           request_loan: asks another node for retries.
           previous_uptime: the time between this node's previous start and this
             one; None if this is the first, zero if that is not known.
+          unreachable_count: returns the number of nodes that are not in `fleet`
+            and may still serve callers, as on the other side of a partition.
+          zone_count: the number of zones of the fleet; 0 if it is not known.
           prioritizes: whether scarce retries go to urgent requests first
             (`overload.prioritized_retries`).
         """
@@ -133,6 +138,8 @@
         self._priorities: dict[str, retry_priorities.RetryPriorities] = {}
         self._started = clock.monotonic()
         self._previous_uptime = previous_uptime
+        self._unreachable_count = unreachable_count
+        self._zone_count = zone_count
         self._size = PeakFleetSize()
         self._locality = locality
         self._configuration = configuration
@@ -362,9 +369,10 @@
         window = datetime.timedelta(milliseconds=service.retry_window_ms)
         reserve = retry_budget.DEFAULT_RESERVE
         if service.retry_reserve:
-            nodes = len(self._fleet.nodes)
-            self._size.record(nodes, now, window)
-            reserve = service.retry_reserve / max(1, self._size.peak(nodes))
+            if self._size.is_due(now):
+                nodes = self._node_count(now, window)
+                self._size.record(nodes, now, window)
+            reserve = service.retry_reserve / max(1, self._size.peak)
         return retry_budget.RetryLimits(
             service.retry_percent / 100,
             reserve,
@@ -375,6 +383,23 @@
             ),
         )
 
+    def _node_count(
+        self, now: datetime.timedelta, window: datetime.timedelta
+    ) -> int:
+        """Returns how many nodes divide the reserve among them.
+
+        Scenario: regions lose each other for longer than a window, or all nodes
+        start and know only their zones. Risk: each part of the fleet divides the
+        whole reserve among its own nodes.
+        """
+        nodes = self._fleet.nodes
+        count = len(nodes) + self._unreachable_count()
+        if now - self._started >= window:
+            return count
+        zone = self._locality.zone
+        zone_size = sum(node.zone == zone for node in nodes.values())
+        return max(count, self._zone_count * zone_size)
+
     def _neighbours(self) -> list[view.NodeRecord]:
         """Returns the other nodes that share their retries with this one."""
         region = [
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -123,9 +123,9 @@
 
 
 # Share of the retries allowed to the whole fleet that the nodes' retry budgets
-# allow. The rest covers inaccurate counts: several nodes may spend the same
-# retries while their counts propagate, retries may be sent shortly before they
-# are counted, and the window slides in steps, not continuously.
+# allow. The rest is for retries that restarted nodes have forgotten (see
+# `retry_budget.RESTART_SHARE`), for calls of retried requests, which can't be
+# refused, and for the time between the sending of a retry and its arrival.
 NODE_RETRY_SHARE = 0.75
 
 
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -351,6 +351,8 @@
             self._rng,
             self._retry_loans.request,
             previous_uptime=self._previous_uptime,
+            unreachable_count=lambda: self._gossip.unreachable_count,
+            zone_count=len(self._settings.zones),
             prioritizes=self._settings.overload.prioritized_retries,
         )
 
--- a/endivewind/nodes/gossip_service.py
+++ b/endivewind/nodes/gossip_service.py
@@ -199,6 +199,11 @@
             and self.not_ready_reason() is None
         )
 
+    @property
+    def unreachable_count(self) -> int:
+        """Number of nodes that have disappeared without shutting down."""
+        return self._members.dead_count
+
     def departed_nodes(self) -> tuple[str, ...]:
         """Returns the nodes that shut down as planned and have not returned."""
         return tuple(
--- a/endivewind/nodes/membership.py
+++ b/endivewind/nodes/membership.py
@@ -227,6 +227,11 @@
         """All known members by name, including this node and dead nodes."""
         return self._members
 
+    @property
+    def dead_count(self) -> int:
+        """Number of members that are dead, as far as this node can tell."""
+        return sum(item.state is State.DEAD for item in self._members.values())
+
     @property
     def is_superseded(self) -> bool:
         """Whether a later incarnation of this node is known."""
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -323,6 +323,34 @@
 
         self.assertLessEqual(taken, RESERVE_PER_NODE)
 
+    def test_parts_of_the_fleet_do_not_use_its_whole_reserve_each(self):
+        """Guards against a reserve that a partition or a start multiplies.
+
+        A node knows its zone only: it has just started, or the nodes of the
+        other three zones are beyond its reach for longer than a window.
+        """
+        fleet = _Fleet(20, random.Random(1))
+        for unreachable, zone_count, age in ((0, 4, 0), (15, 0, 2)):
+            node = budgets.RetryBudgets(
+                fleet.configuration,
+                view.FleetView(),
+                load_balancing.Locality("n0", "r", "z"),
+                fleet.clock,
+                fleet.rng,
+                unreachable_count=lambda count=unreachable: count,
+                zone_count=zone_count,
+            )
+            for number in range(5):
+                record = view.NodeRecord(f"n{number}", 1, "", "r", "z")
+                node._fleet.put_node(record)
+            fleet.clock.advance(age * WINDOW_TICKS * TICK_INTERVAL)
+            budget = node.for_service(SERVICE)
+            with self.subTest(age=age):
+                taken = sum(
+                    budget.take(fleet.clock.monotonic()) for _ in range(100)
+                )
+                self.assertLessEqual(taken, RESERVE_PER_NODE)
+
     def test_usage_of_restarted_neighbour_still_counts(self):
         fleet = _Fleet(2, random.Random(1))
         first, second = fleet.nodes
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -421,7 +421,8 @@
     Mutant(
         "after the loss of half the fleet the other nodes retry twice as much",
         "callers/budgets.py",
-        "            reserve = service.retry_reserve / max(1, self._size.peak(nodes))\n",
+        "            reserve = service.retry_reserve / max(1, self._size.peak)\n",
+        "            nodes = self._node_count(now, window)\n"
         "            reserve = service.retry_reserve / max(1, nodes)\n",
         "callers.budgets_tests",
     ),
