Give back a retry that is replaced while it is not sent

A node's budget shrank for ever by a retry each time that the retried attempt of a request found no slot while its hedged request failed: the request obtained another retry and dropped the one that it held. Callers would get fewer and fewer retries.

Found by reading the diff; test_retry_that_is_replaced_is_given_back counts 3 in place of 2 retries on the code before.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -306,8 +306,7 @@
         try:
             return await self._attempt_and_retry(request)
         finally:
-            if request.retry is not None:
-                request.retry.cancel()
+            request.cancel_retry()
 
     async def _attempt_and_retry(
         self, request: routed_request.RoutedRequest
@@ -324,7 +323,7 @@
                 last = await self._place_again(request, last)
                 continue
             if record is None:
-                request.retry = await self._obtain_retry(request.head)
+                await self._replace_retry(request)
                 if request.retry is None:
                     if request.head.call is not None:
                         request.head.call.lacked_retry = True
@@ -388,6 +387,17 @@
         )
         log.info("request", extra=fields)
 
+    async def _replace_retry(
+        self, request: routed_request.RoutedRequest
+    ) -> None:
+        """Obtains the retry for the next attempt of a request, if there is one.
+
+        The last one may not have been sent: its attempt reached no target, and
+        a hedged request failed meanwhile.
+        """
+        request.cancel_retry()
+        request.retry = await self._obtain_retry(request.head)
+
     async def _obtain_retry(
         self, head: exchange.RequestHead, *, is_hedge: bool = False
     ) -> retry_budget.TakenRetry | None:
--- a/endivewind/callers/routed_request.py
+++ b/endivewind/callers/routed_request.py
@@ -208,6 +208,12 @@
             return last
         return self.possibly_executed_result
 
+    def cancel_retry(self) -> None:
+        """Gives back the retry unless it was sent."""
+        if self.retry is not None:
+            self.retry.cancel()
+            self.retry = None
+
     def abort_result(self) -> ResponseResult:
         """Returns the caller's result if the request is aborted."""
         if self.has_cancelled_attempt:
--- a/endivewind/tests/callers/gateway_hedging_tests.py
+++ b/endivewind/tests/callers/gateway_hedging_tests.py
@@ -20,6 +20,7 @@
 SERVICE = "riders"
 OK = expression.Ok(exchange.Response(200, ()))
 FAILURE = expression.Ok(exchange.Response(500, ()))
+BUSY = expression.Error(exchange.not_run_refusal(exchange.Reason.BUSY))
 
 
 class _Dispatcher:
@@ -141,6 +142,21 @@
 
         self.assertEqual(1, len(self.dispatcher.called_targets))
 
+    def test_retry_that_is_replaced_is_given_back(self):
+        """Guards against retries that are held for ever.
+
+        The retry of a failed request finds no slot, and its hedged request
+        fails. Two retries are sent, the hedged one and the last one.
+        """
+        result, _ = self.send_request(
+            (0.01, FAILURE), (0.7, BUSY), (0.2, FAILURE), (0.01, OK), attempts=4
+        )
+
+        budget = self.gateway.budgets.for_service(SERVICE)
+        now = datetime.timedelta(seconds=self.loop.time())
+        self.assertEqual(OK, result)
+        self.assertEqual(2, budget.counts(now).retries)
+
     def test_slow_responses_leave_retries_for_failures(self):
         """All responses are late for a while, and then a target fails.
 
