Keep the counts of a retry budget when its window changes

An operator who changed a service's retry_window_ms gave every node its whole budget once more within the window. Cause: a change of the window cleared the counts, since steps were numbered by their length; they carry their times now. test_retries_still_count_after_a_change_of_the_window fails on the code before, for a shorter and a longer window.

--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -65,7 +65,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
-    number: int
+    """Counts of one step of the window."""
+
+    start: datetime.timedelta
+    end: datetime.timedelta
     requests: int = 0
     retries: float = 0.0
 
@@ -215,11 +218,7 @@
         ] = {}
 
     def configure(self, limits: RetryLimits) -> None:
-        """Changes the limits; the counts are kept unless the window changes."""
-        if limits.window != self._limits.window:
-            self._buckets.clear()
-            self._requests = 0
-            self._retries = 0.0
+        """Changes the limits; the counts are kept as far as they are known."""
         self._limits = limits
 
     @property
@@ -493,19 +492,23 @@
 
     def _current_bucket(self, now: datetime.timedelta) -> _Bucket:
         """Returns the current bucket and expires earlier ones."""
-        number = now // (self._limits.window / _BUCKETS_PER_WINDOW)
-        if not self._buckets or self._buckets[-1].number < number:
-            self._buckets.append(_Bucket(number))
-            self._expire(number - _BUCKETS_PER_WINDOW)
+        if not self._buckets or self._buckets[-1].end <= now:
+            step = self._limits.window / _BUCKETS_PER_WINDOW
+            start = now // step * step
+            self._buckets.append(_Bucket(start, start + step))
+            self._expire(now - self._limits.window)
         return self._buckets[-1]
 
-    def _expire(self, number: int) -> None:
-        """Expires requests up to a bucket, and retries before it."""
-        while self._buckets[0].number < number:
+    def _expire(self, limit: datetime.timedelta) -> None:
+        """Expires the retries of buckets that have ended by a time.
+
+        Requests of buckets that have begun by then expire, too.
+        """
+        while self._buckets[0].end <= limit:
             self._buckets.popleft()
         self._retries = sum(item.retries for item in self._buckets)
         self._requests = sum(
-            item.requests for item in self._buckets if item.number > number
+            item.requests for item in self._buckets if item.start > limit
         )
 
 
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -322,6 +322,24 @@
         later = _NOW + 1.05 * limits.window
         self.assertEqual(3, sum(node.take(later) for _ in range(5)))
 
+    def test_retries_still_count_after_a_change_of_the_window(self):
+        """Guards against a budget that can be spent once more by a change."""
+        for seconds in (5, 20):
+            with self.subTest(seconds):
+                budget = retry_budget.RetryBudget(
+                    retry_budget.RetryLimits(0.2, reserve=3)
+                )
+                self.assertEqual(3, sum(budget.take(_NOW) for _ in range(9)))
+                limits = retry_budget.RetryLimits(
+                    0.2, reserve=3, window=seconds * _SECOND
+                )
+                budget.configure(limits)
+
+                before = _NOW + (seconds - 1) * _SECOND
+                after = _NOW + (seconds + 1) * _SECOND
+                self.assertFalse(budget.take(before))
+                self.assertTrue(budget.take(after))
+
     def test_share_of_zero_disables_retries(self):
         budget = retry_budget.RetryBudget(retry_budget.RetryLimits(0))
 
