Remember the size of the fleet for the longest window

With services whose windows differ, the one with the shortest window dropped the earlier size of the fleet for all: after a loss of nodes the others' parts of the reserve grew while the retries of the lost nodes still counted. test_size_of_the_fleet_is_remembered... fails on the code before (10 for 20).

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -78,6 +78,7 @@
         self._samples: collections.deque[tuple[datetime.timedelta, int]] = (
             collections.deque()
         )
+        self._longest_window = datetime.timedelta()
 
     def is_due(self, now: datetime.timedelta) -> bool:
         """Whether the number of nodes is to be recorded again."""
@@ -89,8 +90,17 @@
     def record(
         self, nodes: int, now: datetime.timedelta, window: datetime.timedelta
     ) -> None:
-        """Records the number of nodes now, and drops those of earlier windows."""
-        while self._samples and now - self._samples[0][0] > window:
+        """Records the number of nodes now, and drops those of earlier windows.
+
+        Args:
+          nodes: the number of nodes.
+          now: the current monotonic time.
+          window: the window of one service; the longest counts for all.
+        """
+        self._longest_window = max(self._longest_window, window)
+        while (
+            self._samples and now - self._samples[0][0] > self._longest_window
+        ):
             self._samples.popleft()
         self._samples.append((now, nodes))
 
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -323,6 +323,20 @@
 
         self.assertLessEqual(taken, RESERVE_PER_NODE)
 
+    def test_size_of_the_fleet_is_remembered_for_the_longest_window(self):
+        """Guards against a service whose window hides the loss of nodes.
+
+        Another service has a window ten times as long.
+        """
+        size = budgets.PeakFleetSize()
+        second = datetime.timedelta(seconds=1)
+        size.record(20, 0 * second, 10 * second)
+        size.record(10, 5 * second, 1 * second)
+
+        self.assertEqual(20, size.peak)
+        size.record(10, 11 * second, 1 * second)
+        self.assertEqual(10, size.peak)
+
     def test_parts_of_the_fleet_do_not_use_its_whole_reserve_each(self):
         """Guards against a reserve that a partition or a start multiplies.
 
