Log retries as homes send them, and calls beyond the limit

The logs could not tell calls of retried requests that exceed the budget from retries that arrive late. The homes log each request that another target may have received, with the time that it waited; retry budgets count the calls that were charged though none was left (log line and metric).

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -42,11 +42,13 @@
       requests: requests of callers, which add to the budget.
       retries: retries taken from the budget.
       charged_calls: calls of the local target that were charged as retries.
+      overdrawn_calls: those of them that were charged beyond the limit.
     """
 
     requests: int = 0
     retries: int = 0
     charged_calls: int = 0
+    overdrawn_calls: int = 0
 
 
 _NO_USAGE = peer_updates.RetryUsage("", retry_budget.RequestCounts())
@@ -315,7 +317,10 @@
             now = self._clock.monotonic()
             budget = self.for_service(service)
             budget.charge(now)
-            if budget.overdraft(now) and budget.should_borrow(now):
+            if not budget.overdraft(now):
+                return
+            self._totals[service].overdrawn_calls += 1
+            if budget.should_borrow(now):
                 self._loans.cover_overdraft(service, budget)
 
     def update_peer(self, node: str, usage: peer_updates.RetryUsage) -> None:
--- a/endivewind/metrics.py
+++ b/endivewind/metrics.py
@@ -177,6 +177,11 @@
         yield api.Observation(totals.charged_calls, {"service": service})
 
 
+def _overdrawn_calls(sources: Sources) -> Observations:
+    for service, totals in sources.retry_totals.items():
+        yield api.Observation(totals.overdrawn_calls, {"service": service})
+
+
 def _counted_requests(sources: Sources) -> Observations:
     for service, totals in sources.retry_totals.items():
         yield api.Observation(totals.requests, {"service": service})
@@ -392,6 +397,13 @@
         "Calls of the target on this VM charged as retries, by called service.",
         _charged_calls,
     ),
+    Instrument(
+        "endivewind.retries.overdrawn_calls",
+        InstrumentKind.COUNTER,
+        "{call}",
+        "Calls charged as retries beyond this node's limit, by called service.",
+        _overdrawn_calls,
+    ),
     Instrument(
         "endivewind.retries.counted_requests",
         InstrumentKind.COUNTER,
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -262,7 +262,8 @@
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> ResponseResult:
-        deadline = self._clock.monotonic() + head.remaining_time
+        arrived_at = self._clock.monotonic()
+        deadline = arrived_at + head.remaining_time
         item = self._targets.get(target)
         if item is None:
             return expression.Error(self._unknown_target(target))
@@ -295,11 +296,29 @@
         if refusal is not None:
             item.slots.release(item.record.slots)
             return refusal
+        if head.may_be_duplicate:
+            self._log_retry(target, head, arrived_at)
         remaining = max(deadline - self._clock.monotonic(), _MIN_TIMEOUT)
         return await self._dispatch_in_slot(
             item, head.for_attempt(head.attempt, remaining), body
         )
 
+    def _log_retry(
+        self,
+        target: str,
+        head: exchange.RequestHead,
+        arrived_at: datetime.timedelta,
+    ) -> None:
+        """Logs how long a request waited here that may be a duplicate."""
+        waited = self._clock.monotonic() - arrived_at
+        fields = logs.fields(
+            request_id=head.request_id,
+            service=head.service,
+            target=target,
+            waited_ms=waited // datetime.timedelta(milliseconds=1),
+        )
+        log.info("retry sent to target", extra=fields)
+
     async def _acquire_slot(
         self,
         item: registry.HomeTarget,
