--- a/endivewind/tests/loads/calling_fleet.py
+++ b/endivewind/tests/loads/calling_fleet.py
@@ -86,9 +86,7 @@
             remaining = float(headers[http_headers.TIMEOUT_MS]) / 1000
             due_at = self._simulated.loop.time() + remaining
             await self.work(work)
-            if not await self._simulated.call(
-                self._name, headers["Kind"], due_at
-            ):
+            if not await self._simulated.call(self._name, headers, due_at):
                 trace_request_ctx.has_connection = True
                 return fleet.make_response(500)
             headers = {**headers, "Work": str(work)}
@@ -125,16 +123,29 @@
             for number in CALLED_NUMBERS:
                 self._add_target(f"{zone}-{number}", zone)
 
-    async def call(self, name, kind, due_at):
-        """Sends a call from a target; returns whether it succeeded."""
+    async def call(self, name, headers, due_at):
+        """Sends a call from a target; returns whether it succeeded.
+
+        Args:
+          name: of the target.
+          headers: of the request that makes the call.
+          due_at: when that request ends, in seconds.
+        """
+        kind = headers["Kind"]
         route, request_kind = CALL_ROUTE, self.call_kinds[kind]
         node = self.nodes[name]
         work = self.rng.expovariate(1 / request_kind.mean_work)
+        request_id = f"{self.rng.getrandbits(64):x}"
         head = exchange.RequestHead(
-            f"{self.rng.getrandbits(64):x}",
+            request_id,
             "GET",
             CALL_PREFIX,
-            ((b"Work", str(work).encode()), (b"Kind", b"call")),
+            (
+                (b"Id", request_id.encode()),
+                (b"Work", str(work).encode()),
+                (b"Kind", b"call"),
+                (b"Caller-Id", headers["Id"].encode()),
+            ),
             CALLED_SERVICE,
             "",
             datetime.timedelta(seconds=request_kind.timeout),
@@ -177,17 +188,17 @@
         return await serve(head)
 
     def _make_target(self, name):
-        if _is_called(name):
+        if is_called(name):
             return super()._make_target(name)
         return CallingTarget(self, name)
 
     def _announcement_of(self, name):
-        service = CALLED_SERVICE if _is_called(name) else fleet.SERVICE
+        service = CALLED_SERVICE if is_called(name) else fleet.SERVICE
         return self._announcement.model_copy(update={"service": service})
 
     def _start_home(self, name, zone):
         super()._start_home(name, zone)
-        if not _is_called(name):
+        if not is_called(name):
             self.nodes[name] = self._make_node(name, zone)
 
     def _make_node(self, name, zone):
@@ -227,5 +238,6 @@
     metrics: request_metrics.RequestMetrics
 
 
-def _is_called(name):
+def is_called(name):
+    """Returns whether a target, by its name, belongs to the called service."""
     return int(name.rpartition("-")[2]) in CALLED_NUMBERS
--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -260,6 +260,8 @@
         self.rng = random.Random(seed)
         self.stats = collections.defaultdict(RequestStats)
         self.forwards_by_distance = collections.Counter()
+        # Further delay of requests on their way to a home node.
+        self.request_delay_seconds = 0.0
         self.targets: dict[str, FakeTarget] = {}
         self._dispatchers = {}
         self._registries = {}
@@ -370,18 +372,11 @@
         )
         self._placements[zone].append(entry_placement)
         configuration = store.ConfigurationStore()
-        configuration.apply(
-            store.SERVICE,
-            SERVICE,
-            1,
-            {
-                "spec": {
-                    "retry_percent": self._retries[0],
-                    "retry_reserve": self._retries[1],
-                },
-                "operation": "o",
-            },
-        )
+        for service, (percent, reserve) in self._retry_limits().items():
+            spec = {"retry_percent": percent, "retry_reserve": reserve}
+            configuration.apply(
+                store.SERVICE, service, 1, {"spec": spec, "operation": "o"}
+            )
         return gateway.Gateway(
             place.node,
             entry_placement,
@@ -405,6 +400,10 @@
             admission_control=self._make_admission_control(place),
         )
 
+    def _retry_limits(self):
+        """Returns the retry budget of each service that has one."""
+        return {SERVICE: self._retries}
+
     async def delay(self, seconds):
         """Waits for a time on the virtual loop."""
         await asyncio.sleep(seconds)
@@ -421,7 +420,7 @@
         """Delivers a request to a home node and returns its result."""
         self.forwards_by_distance[_distance(zone, home.zone)] += 1
         seconds = _delay_seconds(zone, home.zone)
-        await asyncio.sleep(seconds)
+        await asyncio.sleep(seconds + self.request_delay_seconds)
         result = await self._dispatchers[home.name].run_forwarded(
             target, 1, head, body
         )
@@ -548,6 +547,7 @@
         work = self.rng.lognormvariate(mean, kind.work_sigma)
         request_id = f"{self.rng.getrandbits(64):x}"
         headers = [
+            (b"Id", request_id.encode()),
             (b"Work", str(work).encode()),
             (b"Kind", kind.name.encode()),
         ]
--- a/endivewind/tests/loads/retry_bound.py
+++ b/endivewind/tests/loads/retry_bound.py
@@ -252,22 +252,44 @@
         or in that half a window earlier, whichever has most. It is negative if
         all windows are within the bound.
         """
-        return max(
-            (
-                self._count(self.retry_times, start) - self._bound(start)
-                for start in self.retry_times
-            ),
-            default=-self._limits.retry_reserve,
+        return max_excess(
+            self.request_times,
+            self.retry_times,
+            self._limits.retry_share,
+            self._limits.retry_reserve,
         )
 
-    def _bound(self, start):
+
+def max_excess(
+    request_times, retry_times, retry_share, retry_reserve, window=WINDOW
+):
+    """Returns the most retries above the bound in any window.
+
+    Args:
+      request_times: when callers sent requests, in order.
+      retry_times: when retries arrived at targets, in order.
+      retry_share: retries allowed for each request.
+      retry_reserve: further retries allowed in each window.
+      window: its length, in the unit of the times.
+    """
+
+    def bound(start):
         requests = max(
-            self._count(self.request_times, start - offset)
-            for offset in (0 * WINDOW, WINDOW / 2, WINDOW)
+            _count(request_times, start - offset, window)
+            for offset in (0 * window, window / 2, window)
         )
-        return self._limits.retry_share * requests + self._limits.retry_reserve
+        return retry_share * requests + retry_reserve
+
+    return max(
+        (
+            _count(retry_times, start, window) - bound(start)
+            for start in retry_times
+        ),
+        default=-retry_reserve,
+    )
+
 
-    def _count(self, times, start):
-        """Returns how many of the times are in the window from a time on."""
-        first = bisect.bisect_left(times, start)
-        return bisect.bisect_right(times, start + WINDOW) - first
+def _count(times, start, window):
+    """Returns how many of the times are in the window from a time on."""
+    first = bisect.bisect_left(times, start)
+    return bisect.bisect_right(times, start + window) - first
