Count retries as long as they may still arrive

Callers saw nothing of it, targets did: more repeats reached a service in a window than the fleet is allowed (BUDGET).

Cause: a retry counted from when its entry node forwarded it. A home holds it in the queue for its target's slots, or is slow, so that it arrived seconds later, together with retries of the next window.

A retry counts from when it is taken until its attempt ends, and then for a window from the latest time at which it may have arrived: the end of the attempt less the time since the home sent it to the target, which the home tells for requests that may be duplicates (one field, absent otherwise). A lent retry that is under way for longer than its lender counts it counts for the borrower.

Why it works: whatever the delay, a retry counts at its arrival and for a whole window after it.

The unit test of a retry that reaches no target called record_unsent, which is gone, as nothing is counted that early: the retry stays taken, which it still checks; that a gateway keeps it over attempts without a target is checked by gateway_retries_tests.test_retry_without_a_target_is_given_back.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -689,8 +689,6 @@
             progress=progress,
         )
         request.active_attempts += 1
-        if retry is not None:
-            retry.record_sent(started)
         result: ResponseResult | None = None
         try:
             result = await self._forward(record, head, request.body)
@@ -702,8 +700,10 @@
             )
         finally:
             latency = self._clock.monotonic() - started
-            if retry is not None and _reached_no_target(result, progress):
-                retry.record_unsent()
+            if retry is not None and not _reached_no_target(result, progress):
+                retry.record_sent(
+                    self._clock.monotonic() - _time_at_target(result)
+                )
             self._record_attempt(request, record, result, started, suspicion)
             request.has_cancelled_attempt = request.has_cancelled_attempt or (
                 result is None and not progress.ended_unsent
@@ -777,6 +777,15 @@
     return routed_request.was_undelivered(result)
 
 
+def _time_at_target(result: ResponseResult | None) -> datetime.timedelta:
+    """Returns how long ago the request of a result was sent to its target.
+
+    It is zero if that is not known, as without a response from its home.
+    """
+    report = exchange.target_report(result) if result is not None else None
+    return report.request_age if report is not None else datetime.timedelta()
+
+
 def _max_suspicion(suspicion: float) -> float:
     """Returns the suspicion above which the target's home refuses the request.
 
--- a/endivewind/callers/placement.py
+++ b/endivewind/callers/placement.py
@@ -432,7 +432,7 @@
         cooldown = _cooldown_after(result, service_latency)
         known = self._load_of(record.id)
         now = self._clock.monotonic()
-        status = _target_report(result)
+        status = exchange.target_report(result)
         if status is not None:
             known.update_status(status, now)
             self._record_capacity(record, status)
@@ -642,7 +642,7 @@
         when it stops, and are lost. So each entry node remembers the departure
         for as long as the target's incarnation lasts.
         """
-        report = _target_report(result)
+        report = exchange.target_report(result)
         if report is None or not report.leaving_incarnation:
             return
         known = self._departures.pop(record.id, 0)
@@ -781,15 +781,6 @@
             self._slow_start.start(target, now)
 
 
-def _target_report(
-    result: expression.Result[exchange.Response, exchange.Refusal],
-) -> exchange.TargetReport | None:
-    """Returns the report that the target's home attached to a result."""
-    if result.is_ok():
-        return result.ok.target_report
-    return result.error.target_report
-
-
 def _body_size(response: exchange.Response) -> int:
     """Returns the size of a response's body, as far as its headers tell."""
     size = exchange.body_size(response)
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -87,12 +87,13 @@
 
 
 class TakenRetry:
-    """A retry that was taken from a budget and may be made later.
+    """A retry that was taken from a budget, until it is sent or cancelled.
 
-    Scenario: failed requests wait for a slot before they are sent to another
-    target. Risk: they wait for seconds, and many are sent at the same moment, so
-    that retries arrive in a window that were counted in an earlier one. So a
-    retry counts until it is sent, and for a window from then on.
+    Scenario: retries wait for a slot, here or at the homes of their targets,
+    or homes are slow. Risk: they arrive seconds after they were counted,
+    together with retries of the next window. So a retry counts as long as it
+    may still arrive, and then for a window from the latest time at which it
+    may have arrived.
     """
 
     def __init__(
@@ -100,7 +101,7 @@
         budget: "RetryBudget",
         own: float,
         borrowed: float,
-        taken_at: datetime.timedelta,
+        lent_until: datetime.timedelta,
     ) -> None:
         """Initializes a retry that is not sent yet.
 
@@ -108,44 +109,45 @@
           budget: the budget that it was taken from.
           own: the part of it that belongs to the budget's node.
           borrowed: the part that other nodes have lent.
-          taken_at: when it was taken.
+          lent_until: until when the borrowed part may be sent. Its lenders
+            count it for a window from then on.
         """
         self._budget = budget
         self._own = own
         self._borrowed = borrowed
-        self._taken_at = taken_at
-        self._is_held = True
-        self._bucket: _Bucket | None = None
-        self._counted = 0.0
-
-    def record_sent(self, now: datetime.timedelta) -> None:
-        """Counts the retry from now on, as it is sent to a target."""
-        if not self._is_held:
-            return
-        self._counted = self._own
-        if now - self._taken_at > LOAN_LIFETIME:
-            # What was lent may return before the retry has left the window.
-            self._counted += self._borrowed
-        self._release()
-        self._bucket = self._budget._count(self._counted, now)
-
-    def record_unsent(self) -> None:
-        """Keeps the retry for another attempt, as no target was reached."""
-        if self._bucket is None:
+        self._lent_until = lent_until
+        budget._outstanding[self] = None
+
+    @property
+    def own(self) -> float:
+        """The part that counts at the budget's node."""
+        return self._own
+
+    def record_sent(self, at: datetime.timedelta) -> None:
+        """Counts the retry for a window.
+
+        Args:
+          at: the latest time at which it may have arrived at a target.
+        """
+        if self not in self._budget._outstanding:
             return
-        self._budget._uncount(self._counted, self._bucket)
-        self._bucket = None
-        self._is_held = True
-        self._budget._hold(self._own)
+        if at > self._lent_until:
+            # The lenders have it back before it has left the window.
+            self._own += self._borrowed
+        self.cancel()
+        self._budget._count(self._own, at)
 
     def cancel(self) -> None:
         """Gives back the retry unless it was sent."""
-        if self._is_held:
-            self._release()
+        self._budget._outstanding.pop(self, None)
 
-    def _release(self) -> None:
-        self._is_held = False
-        self._budget._hold(-self._own)
+    def take_over_loans(
+        self, now: datetime.timedelta, window: datetime.timedelta
+    ) -> None:
+        """Counts the borrowed part here once its lenders have it back."""
+        if now >= self._lent_until + window:
+            self._own += self._borrowed
+            self._borrowed = 0.0
 
 
 def share_after_start(
@@ -208,8 +210,8 @@
         self._buckets: collections.deque[_Bucket] = collections.deque()
         self._requests = 0
         self._retries = 0.0
-        # Retries that are taken and not sent yet.
-        self._held = 0.0
+        # Retries that are taken and may still arrive at a target.
+        self._outstanding: dict[TakenRetry, None] = {}
         self._lent: collections.deque[_Loan] = collections.deque()
         self._borrowed: collections.deque[_Loan] = collections.deque()
         # Counts of other nodes by name and incarnation.
@@ -295,9 +297,8 @@
             return None
         # Loans first, since they expire sooner.
         from_loans = min(1.0, borrowed)
-        self._spend_loans(from_loans)
-        self._hold(1.0 - from_loans)
-        return TakenRetry(self, 1.0 - from_loans, from_loans, now)
+        lent_until = self._spend_loans(from_loans, now)
+        return TakenRetry(self, 1.0 - from_loans, from_loans, lent_until)
 
     def missing(self, count: int, now: datetime.timedelta) -> float:
         """Returns how many retries to borrow so that `count` can be made."""
@@ -395,16 +396,13 @@
         self._advance(now)
         return self._total_limit() >= 1
 
-    def _hold(self, amount: float) -> None:
-        """Adds to the retries that are taken and not sent yet."""
-        self._held += amount
-
-    def _count(self, amount: float, now: datetime.timedelta) -> _Bucket:
-        """Counts retries that are made now; returns where."""
-        bucket = self._current_bucket(now)
+    def _count(self, amount: float, at: datetime.timedelta) -> None:
+        """Counts retries from a time on, which may have passed."""
+        bucket = next(
+            (item for item in self._buckets if item.end > at), None
+        ) or self._current_bucket(at)
         bucket.retries += amount
         self._retries += amount
-        return bucket
 
     def _uncount(self, amount: float, bucket: _Bucket) -> None:
         """Takes back retries that were counted, unless they have expired."""
@@ -412,9 +410,10 @@
         self._retries = sum(item.retries for item in self._buckets)
 
     def _used(self) -> float:
-        """Returns the retries that this node has made, holds or has lent."""
+        """Returns the retries that this node has made, is making or has lent."""
         lent = sum(item.amount for item in self._lent)
-        return self._retries + self._held + lent
+        outstanding = sum(item.own for item in self._outstanding)
+        return self._retries + outstanding + lent
 
     def _own_left(self) -> float:
         """Returns what is left of this node's limit; negative if overdrawn."""
@@ -423,8 +422,15 @@
     def _borrowed_amount(self) -> float:
         return sum(item.amount for item in self._borrowed)
 
-    def _spend_loans(self, amount: float) -> None:
-        """Uses up loans, those that expire first."""
+    def _spend_loans(
+        self, amount: float, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Uses up loans, those that expire first.
+
+        Returns:
+          When the first of them expires; the time now without any.
+        """
+        until = self._borrowed[0].until if amount > 0 else now
         while amount > 0 and self._borrowed:
             first = self._borrowed[0]
             part = min(amount, first.amount)
@@ -432,6 +438,7 @@
             amount -= part
             if first.amount <= 0:
                 self._borrowed.popleft()
+        return until
 
     def _left_nearby(self) -> float:
         """Returns how many retries this node has or may borrow, as far as known.
@@ -482,6 +489,8 @@
         for loans in (self._lent, self._borrowed):
             while loans and loans[0].until <= now:
                 loans.popleft()
+        for retry in self._outstanding:
+            retry.take_over_loans(now, self._limits.window)
         expired = [
             peer
             for peer, (_, received) in self._peers.items()
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -13,6 +13,8 @@
 import enum
 from typing import Protocol
 
+import expression
+
 HeaderList = tuple[tuple[bytes, bytes], ...]
 
 
@@ -76,6 +78,8 @@
         is about to stop; otherwise, or if it does not number them, 0.
       work_seconds: mean time that it works on a request; 0 if unknown or not
         measured.
+      request_age: time since the request of the response was sent to it. Zero
+        if it was not sent, or if no target can have received it before.
     """
 
     load: int
@@ -83,6 +87,7 @@
     rate_limit_wait: datetime.timedelta = datetime.timedelta()
     leaving_incarnation: int = 0
     work_seconds: float = 0.0
+    request_age: datetime.timedelta = datetime.timedelta()
 
 
 @dataclasses.dataclass(slots=True)
@@ -291,6 +296,15 @@
     target_report: TargetReport | None = None
 
 
+def target_report(
+    result: expression.Result[Response, Refusal],
+) -> TargetReport | None:
+    """Returns the report that the target's home attached to a result."""
+    if result.is_ok():
+        return result.ok.target_report
+    return result.error.target_report
+
+
 def content_length(headers: HeaderList) -> int | None:
     """Returns the length that a head declares for its body; None if none."""
     for name, value in headers:
--- a/endivewind/nodes/codec.py
+++ b/endivewind/nodes/codec.py
@@ -80,6 +80,7 @@
         math.ceil(report.rate_limit_wait / _MILLISECOND) or None,
         report.leaving_incarnation or None,
         _work_ms(report.work_seconds) if report.work_seconds else None,
+        min(report.request_age // _MILLISECOND, 2**31 - 1) or None,
     )
 
 
@@ -98,6 +99,7 @@
         max(0, report.limit_wait_ms or 0) * _MILLISECOND,
         report.leaving_incarnation or 0,
         max(0, report.work_ms or 0) / 1000,
+        max(0, report.request_age_ms or 0) * _MILLISECOND,
     )
 
 
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -46,12 +46,15 @@
 // leaving_incarnation: the target's incarnation, if its responses have said
 // that it is about to stop.
 // work_ms: mean time that the target works on a request, if its home measures.
+// request_age_ms: time since the request was sent to the target; absent unless
+// another target may have received it before.
 struct TargetReport {
   1: i32 load
   2: i32 suspicion
   3: i32 limit_wait_ms
   4: i64 leaving_incarnation
   5: i32 work_ms
+  6: i32 request_age_ms
 }
 
 // A part of a request or response body.
--- a/endivewind/targets/connections.py
+++ b/endivewind/targets/connections.py
@@ -163,16 +163,28 @@
     """What is known about the sending of one request.
 
     Attributes:
+      clock: the clock; its monotonic time is used. None if nobody asks for the
+        time of the connection.
       has_connection: whether a connection was obtained, so that bytes of the
         request may have been sent.
+      connected_at: when it was obtained; None before, or without a clock.
       is_reused: whether the connection has served another request before.
       body_error: the error in reading the caller's body, if there was one.
     """
 
+    clock: clocks.Clock | None = None
     has_connection: bool = False
+    connected_at: datetime.timedelta | None = None
     is_reused: bool = False
     body_error: exchange.RequestBodyError | None = None
 
+    def record_connection(self, *, is_reused: bool = False) -> None:
+        """Records that a connection was obtained."""
+        self.has_connection = True
+        self.is_reused = is_reused
+        if self.clock is not None:
+            self.connected_at = self.clock.monotonic()
+
 
 def make_session(connector: aiohttp.BaseConnector) -> aiohttp.ClientSession:
     """Returns a session for requests to targets.
@@ -223,7 +235,7 @@
     context: types.SimpleNamespace,
     params: aiohttp.TraceConnectionCreateEndParams,
 ) -> None:
-    context.trace_request_ctx.has_connection = True
+    context.trace_request_ctx.record_connection()
 
 
 async def _on_connection_reused(
@@ -231,5 +243,4 @@
     context: types.SimpleNamespace,
     params: aiohttp.TraceConnectionReuseconnParams,
 ) -> None:
-    context.trace_request_ctx.has_connection = True
-    context.trace_request_ctx.is_reused = True
+    context.trace_request_ctx.record_connection(is_reused=True)
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -406,6 +406,18 @@
     def _report(self, item: registry.HomeTarget) -> exchange.TargetReport:
         return item.report(self._clock.monotonic())
 
+    def _report_after(
+        self,
+        item: registry.HomeTarget,
+        head: exchange.RequestHead,
+        request: target_request.TargetRequest,
+    ) -> exchange.TargetReport:
+        """Returns the report that goes with the result of a request."""
+        report = self._report(item)
+        if not head.may_be_duplicate:
+            return report
+        return dataclasses.replace(report, request_age=request.age)
+
     async def _dispatch_in_slot(
         self,
         item: registry.HomeTarget,
@@ -428,14 +440,13 @@
             raise
         if result.is_error():
             request.finish()
+            report = self._report_after(item, head, request)
             return expression.Error(
-                dataclasses.replace(
-                    result.error, target_report=self._report(item)
-                )
+                dataclasses.replace(result.error, target_report=report)
             )
         if result.ok.stream is None:
             request.finish()
-        result.ok.target_report = self._report(item)
+        result.ok.target_report = self._report_after(item, head, request)
         return result
 
     def check_overdue(self) -> None:
@@ -512,7 +523,7 @@
         head: exchange.RequestHead,
         body: exchange.RequestBody,
     ) -> ResponseResult:
-        progress = connections.SendState()
+        progress = connections.SendState(self._clock)
         request.progress = progress
         response = await session.request(
             head.method,
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -96,6 +96,14 @@
         """
         return self.progress.has_connection
 
+    @property
+    def age(self) -> datetime.timedelta:
+        """The time since it was sent; zero if it was not, or is not known."""
+        sent_at = self.progress.connected_at
+        if sent_at is None:
+            return datetime.timedelta()
+        return self._clock.monotonic() - sent_at
+
     def record_response_head(self, status: int) -> None:
         """Records the status and latency of the response."""
         self.result_kind = evidence.classify_status(status)
--- a/endivewind/tests/callers/gateway_retries_tests.py
+++ b/endivewind/tests/callers/gateway_retries_tests.py
@@ -186,6 +186,42 @@
         budget = self.gateway.budgets.for_service(SERVICE)
         self.assertEqual(0, budget.counts(self.clock.monotonic()).retries)
 
+    async def test_retry_counts_from_when_its_target_may_have_got_it(self):
+        """Guards against retries that count in an earlier window than they arrive.
+
+        A retry takes two seconds, of which its target works on it for a half.
+        """
+        budget = self.gateway.budgets.for_service(SERVICE)
+        for work_seconds in (0, 0.5):
+            report = exchange.TargetReport(
+                0, 0.0, request_age=datetime.timedelta(seconds=work_seconds)
+            )
+            retried = expression.Ok(
+                exchange.Response(200, (), target_report=report)
+            )
+
+            results = [FAILURE, retried]
+            await self.send_request(self._respond_after_two_seconds(results))
+            self.clock.advance(
+                budget.window - datetime.timedelta(seconds=work_seconds + 0.1)
+            )
+            with self.subTest(work_seconds):
+                now = self.clock.monotonic()
+                self.assertEqual(1, budget.counts(now).retries)
+                self.clock.advance(datetime.timedelta(seconds=1))
+                now = self.clock.monotonic()
+                self.assertEqual(0, budget.counts(now).retries)
+
+    def _respond_after_two_seconds(self, results):
+        """Returns a dispatcher's method; its first response comes at once."""
+
+        async def run(*_):
+            if len(results) == 1:
+                self.clock.advance(datetime.timedelta(seconds=2))
+            return results.pop(0)
+
+        return run
+
     async def test_call_of_a_retried_request_is_charged(self):
         """Guards against calls that count as requests of callers."""
         for probability in (0.0, 1.0):
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -129,9 +129,6 @@
             retry_budget.RetryLimits(0.2, reserve=1)
         )
         retry = budget.take_for_later(_NOW)
-        for _ in range(3):
-            retry.record_sent(_NOW)
-            retry.record_unsent()
 
         self.assertFalse(budget.take(_NOW))
         retry.cancel()
@@ -154,6 +151,26 @@
                 used = budget.counts(_NOW + _SECOND).retries
                 self.assertEqual(own_used, used)
 
+    def test_lent_retry_that_is_under_way_for_long_counts_for_the_borrower(
+        self,
+    ):
+        """Guards against a retry that counts for nobody while it may arrive.
+
+        Its lender has it back after a window.
+        """
+        budget = retry_budget.RetryBudget(
+            retry_budget.RetryLimits(0.2, reserve=0)
+        )
+        budget.add_loan(1.0, _NOW)
+        retry = budget.take_for_later(_NOW)
+
+        for waits, own_used in ((10.4, 0), (10.6, 1)):
+            with self.subTest(waits):
+                counts = budget.counts(_NOW + waits * _SECOND)
+                self.assertEqual(own_used, counts.retries)
+        retry.record_sent(_NOW + 11 * _SECOND)
+        self.assertEqual(1, budget.counts(_NOW + 20 * _SECOND).retries)
+
     def test_node_uses_retries_that_neighbours_lend(self):
         """Failures come in a burst at one of six nodes.
 
--- a/endivewind/tests/loads/calling_fleet.py
+++ b/endivewind/tests/loads/calling_fleet.py
@@ -87,7 +87,7 @@
             due_at = self._simulated.loop.time() + remaining
             await self.work(work)
             if not await self._simulated.call(self._name, headers, due_at):
-                trace_request_ctx.has_connection = True
+                trace_request_ctx.record_connection()
                 return fleet.make_response(500)
             headers = {**headers, "Work": str(work)}
         return await super().request(
--- a/endivewind/tests/loads/fleet.py
+++ b/endivewind/tests/loads/fleet.py
@@ -129,7 +129,7 @@
 
     async def request(self, method, url, *, headers, trace_request_ctx, **_):
         """Stands in for `aiohttp.ClientSession.request`."""
-        trace_request_ctx.has_connection = True
+        trace_request_ctx.record_connection()
         self.arrivals.append(asyncio.get_running_loop().time())
         draw = self._rng.random()
         if draw < self.hang_share:
--- a/endivewind/tests/loads/repeat_counts_tests.py
+++ b/endivewind/tests/loads/repeat_counts_tests.py
@@ -20,6 +20,7 @@
     rank=2,
     service=calling_fleet.CALLED_SERVICE,
 )
+LOOKUP = fleet.RequestKind("lookup", 60, 0.14, 0.3, 1.2, 8.0)
 KINDS = (TRIP, PAYOUT, SLIP)
 CALLS = {
     "trip": calling_fleet.CallKind(mean_work=0.035, timeout=0.4),
@@ -44,7 +45,43 @@
         target.failure_share = called_share if is_called else calling_share
 
 
-class CalledServiceTest(unittest.TestCase):
+class _RepeatsTest(unittest.TestCase):
+    def _check(self, simulated):
+        for service, counts in simulated.counts.items():
+            with self.subTest(service=service):
+                self.assertLessEqual(counts.max_excess(), 0)
+                # A fleet without any retries would pass the check above.
+                allowed = repeat_counts.RETRY_SHARE * len(counts.requests)
+                self.assertGreater(len(counts.repeats), 0.5 * allowed)
+
+
+class LateArrivalTest(_RepeatsTest):
+    def test_delayed_retries_arrive_with_later_ones(self):
+        """Guards against retries that arrive in a later window than they count in.
+
+        Requests take three seconds to their homes at first and none later, as
+        when homes are slow or have long queues.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulated = repeat_counts.RepeatFleet(
+                    seed,
+                    entries_per_zone=2,
+                    retries=repeat_counts.NODE_LIMITS,
+                )
+                simulated.run(WARM_UP_SECONDS, (LOOKUP,))
+                for target in simulated.targets.values():
+                    target.failure_share = 1.0
+                simulated.request_delay_seconds = 3.0
+                simulated.loop.call_later(
+                    4, setattr, simulated, "request_delay_seconds", 0.0
+                )
+                simulated.run(OUTAGE_SECONDS, (LOOKUP,))
+
+                self._check(simulated)
+
+
+class CalledServiceTest(_RepeatsTest):
     def test_calls_of_repeats_while_the_calling_service_fails(self):
         """Guards against calls that exceed the budget of the called service.
 
@@ -59,14 +96,6 @@
 
                 self._check(simulated)
 
-    def _check(self, simulated):
-        for service, counts in simulated.counts.items():
-            with self.subTest(service=service):
-                self.assertLessEqual(counts.max_excess(), 0)
-                # A fleet without any retries would pass the check above.
-                allowed = repeat_counts.RETRY_SHARE * len(counts.requests)
-                self.assertGreater(len(counts.repeats), 0.5 * allowed)
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -393,17 +393,33 @@
     Mutant(
         "a retry that is never sent is lost to the budget",
         "decisions/retry_budget.py",
-        "        if self._is_held:\n            self._release()\n",
+        "        self._budget._outstanding.pop(self, None)\n",
         "        pass\n",
         "decisions.retry_budget_tests",
     ),
     Mutant(
         "a retry that waits for a slot does not count until it is sent",
         "decisions/retry_budget.py",
-        "        return self._retries + self._held + lent\n",
+        "        return self._retries + outstanding + lent\n",
         "        return self._retries + lent\n",
         "decisions.retry_budget_tests",
     ),
+    Mutant(
+        "a retry counts from when it is forwarded",
+        "callers/gateway.py",
+        "                retry.record_sent(\n"
+        "                    self._clock.monotonic() - _time_at_target(result)\n"
+        "                )\n",
+        "                retry.record_sent(started)\n",
+        "loads.repeat_counts_tests",
+    ),
+    Mutant(
+        "a lent retry that is under way for long counts for nobody",
+        "decisions/retry_budget.py",
+        "        if now >= self._lent_until + window:\n",
+        "        if False:\n",
+        "decisions.retry_budget_tests",
+    ),
     Mutant(
         "a restarted node has its whole budget at once",
         "decisions/retry_budget.py",
--- a/endivewind/tests/nodes/codec_tests.py
+++ b/endivewind/tests/nodes/codec_tests.py
@@ -38,11 +38,26 @@
                 received, codec.decode_target_report(encoded).work_seconds
             )
 
+    def test_age_of_a_request_is_not_rounded_up(self):
+        """Guards against a retry that counts from before its target got it."""
+        for age, received in ((0.0, 0), (0.9, 0), (2.9, 2), (300, 300)):
+            report = exchange.TargetReport(
+                0, 0.0, request_age=age * _MILLISECOND
+            )
+
+            encoded = codec.encode_target_report(report)
+
+            self.assertEqual(
+                received * _MILLISECOND,
+                codec.decode_target_report(encoded).request_age,
+            )
+
     def test_unknown_work_time_takes_no_bytes(self):
         """Guards against new bytes on the wire while capacity is not used."""
         encoded = codec.encode_target_report(exchange.TargetReport(3, 0.25))
 
         self.assertIsNone(encoded.work_ms)
+        self.assertIsNone(encoded.request_age_ms)
 
     def test_report_of_an_earlier_release_has_no_limit_and_no_departure(self):
         encoded = codec.messages.TargetReport(2, 50)
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -60,6 +60,8 @@
         self.is_silent = False
         self.refuses_connections = False
         self.is_connecting = False
+        self.connect_seconds = 0.0
+        self.work_seconds = 0.0
         self.request_count = 0
         self.content_length = 0
         self.responses = []
@@ -70,13 +72,13 @@
             raise aiohttp.ClientConnectionError("refused")
         if self.is_connecting:
             await asyncio.Event().wait()
+        await asyncio.sleep(self.connect_seconds)
         self.request_count += 1
         self.sent_headers.append(headers)
-        trace_request_ctx.has_connection = True
-        trace_request_ctx.is_reused = self.reused
+        trace_request_ctx.record_connection(is_reused=self.reused)
         if self.is_silent:
             await asyncio.Event().wait()
-        await asyncio.sleep(0)
+        await asyncio.sleep(self.work_seconds)
         return (
             self.responses.pop(0)
             if self.responses
@@ -151,6 +153,49 @@
         )
 
 
+class RequestAgeTest(_Case):
+    """Homes tell how long ago they sent a request that may be a duplicate."""
+
+    def age(self, **options):
+        head = exchange.RequestHead(
+            "r",
+            "GET",
+            "/",
+            (),
+            "riders",
+            "",
+            datetime.timedelta(seconds=9),
+            **options,
+        )
+        result = self.loop.run_until_complete(
+            self.dispatcher.run("t", head, exchange.RequestBody())
+        )
+        return exchange.target_report(result).request_age.total_seconds()
+
+    def test_time_before_the_request_is_sent_does_not_count(self):
+        """Guards against retries that count from before they arrive."""
+        self.pooled.connect_seconds = 0.7
+        self.pooled.work_seconds = 0.5
+
+        self.assertAlmostEqual(0.5, self.age(may_be_duplicate=True))
+
+    def test_failed_request_has_an_age(self):
+        self.pooled.is_silent = True
+
+        self.assertAlmostEqual(9, self.age(may_be_duplicate=True))
+
+    def test_request_that_was_not_sent_has_none(self):
+        self.pooled.refuses_connections = True
+
+        self.assertEqual(0, self.age(may_be_duplicate=True))
+
+    def test_first_request_has_none(self):
+        """Guards against bytes on the wire that nobody needs."""
+        self.pooled.work_seconds = 0.5
+
+        self.assertEqual(0, self.age())
+
+
 class StopLimitTest(_Case):
     """The node reaches its stop limit; the target has two slots.
 
