Reserve retries for the calls of a retried request before it is sent

Cause: a request that runs once more makes its calls once more, and these count as repeats of the called service. They were charged when they arrived and could not be refused, so that they came on top of the called service's own retries. An overdraft stopped later retries of that service only, not the retries of the calling one, and its calls that failed for want of a retry failed their requests, which were retried and called again.

The home of a target learns how many calls requests of each class make. Before it sends one that may be a duplicate, it takes that many retries from the budgets of the called services, borrows them if need be, or refuses the request as not run (call-budget), which ends its retries: the caller gets the first result. Calls spend what their request has reserved; the rest is given back when it ends, and counts for a window if it was abandoned, as its target may go on.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -43,12 +43,17 @@
       retries: retries taken from the budget.
       charged_calls: calls of the local target that were charged as retries.
       overdrawn_calls: those of them that were charged beyond the limit.
+      reserved_calls: retries reserved for calls, whether or not they were made.
+      refused_reservations: retried requests that were not sent to the local
+        target, as there were no retries for their calls.
     """
 
     requests: int = 0
     retries: int = 0
     charged_calls: int = 0
     overdrawn_calls: int = 0
+    reserved_calls: float = 0.0
+    refused_reservations: int = 0
 
 
 _NO_USAGE = peer_updates.RetryUsage("", retry_budget.RequestCounts())
@@ -64,7 +69,7 @@
     WITHHELD = enum.auto()
 
 
-RetryResult = expression.Result[retry_budget.TakenRetry, NoRetry]
+RetryResult = expression.Result[retry_budget.TakenRetries, NoRetry]
 
 
 class PeakFleetSize:
@@ -278,11 +283,36 @@
                 priorities.record_wanted(priority, now)
         return expression.Ok(retry)
 
-    async def _borrow(self, service: str) -> None:
+    async def reserve(
+        self, service: str, count: float
+    ) -> retry_budget.TakenRetries | None:
+        """Reserves retries for calls, borrows them if there are too few.
+
+        Args:
+          service: the service that is called.
+          count: how many, or parts of one.
+
+        Returns:
+          The retries, which have to be spent or cancelled; None if there are
+          too few.
+        """
+        budget = self.for_service(service)
+        totals = self._totals[service]
+        retries = budget.reserve(count, self._clock.monotonic())
+        if retries is None:
+            await self._borrow(service, count)
+            retries = budget.reserve(count, self._clock.monotonic())
+        if retries is None:
+            totals.refused_reservations += 1
+        else:
+            totals.reserved_calls = round(totals.reserved_calls + count, 2)
+        return retries
+
+    async def _borrow(self, service: str, count: float = 1.0) -> None:
         """Waits for a loan of nearby nodes, if they are likely to have one."""
         budget = self.for_service(service)
         if budget.should_borrow(self._clock.monotonic()):
-            await self._loans.borrow(service, budget)
+            await self._loans.borrow(service, budget, count)
 
     def lend(self, service: str, amount: float) -> float:
         """Lends retries of a service to another node; returns how many."""
--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -400,7 +400,7 @@
 
     async def _obtain_retry(
         self, head: exchange.RequestHead, *, is_hedge: bool = False
-    ) -> retry_budget.TakenRetry | None:
+    ) -> retry_budget.TakenRetries | None:
         """Takes one retry from the budget, or borrows one from a nearby node.
 
         While requests for the service wait here for slots, a retry would
@@ -619,7 +619,7 @@
         self,
         request: routed_request.RoutedRequest,
         record: records.TargetRecord,
-        retry: retry_budget.TakenRetry,
+        retry: retry_budget.TakenRetries,
     ) -> ResponseResult:
         """Makes an attempt; gives back its retry if it reaches no target."""
         try:
@@ -662,7 +662,7 @@
         self,
         request: routed_request.RoutedRequest,
         record: records.TargetRecord,
-        retry: retry_budget.TakenRetry | None,
+        retry: retry_budget.TakenRetries | None,
     ) -> ResponseResult:
         """Sends the request to a target for which it is already counted.
 
--- a/endivewind/callers/problems.py
+++ b/endivewind/callers/problems.py
@@ -39,6 +39,7 @@
     exchange.Reason.RATE_LIMITED: 429,
     exchange.Reason.UNAUTHENTICATED: 401,
     exchange.Reason.POISON: 503,
+    exchange.Reason.CALL_BUDGET: 503,
     exchange.Reason.CUT_SHORT: 504,
     exchange.Reason.INTERNAL: 500,
 }
--- a/endivewind/callers/retry_loans.py
+++ b/endivewind/callers/retry_loans.py
@@ -40,11 +40,11 @@
     """Requests to lenders, one after the other.
 
     Attributes:
-      waiter_count: requests of callers that wait for a retry.
+      wanted: retries, or parts of one, that requests wait for.
       task: sends the requests.
     """
 
-    waiter_count: int = 0
+    wanted: float = 0.0
     task: asyncio.Task[None] | None = None
 
 
@@ -78,15 +78,23 @@
         self._backoff_until: dict[str, datetime.timedelta] = {}
 
     async def borrow(
-        self, service: str, budget: retry_budget.RetryBudget
+        self,
+        service: str,
+        budget: retry_budget.RetryBudget,
+        count: float = 1.0,
     ) -> None:
-        """Waits until the budget has a retry, or nobody nearby lends one.
+        """Waits until the budget has enough, or nobody nearby lends any.
 
         Scenario: failures come in a burst at one of several nodes that get a
         few requests per second each. Risk: its requests fail although its
         neighbours have retries left.
 
         Returns immediately after a round that has borrowed nothing.
+
+        Args:
+          service: the service of the budget.
+          budget: the budget.
+          count: how many retries, or parts of one, the request needs.
         """
         now = self._clock.monotonic()
         if now < self._backoff_until.get(service, now):
@@ -98,11 +106,11 @@
                 self._run(service, budget, current)
             )
         assert current.task is not None
-        current.waiter_count += 1
+        current.wanted += count
         try:
             await asyncio.wait({current.task}, timeout=MAX_WAIT.total_seconds())
         finally:
-            current.waiter_count -= 1
+            current.wanted -= count
 
     def cover_overdraft(
         self, service: str, budget: retry_budget.RetryBudget
@@ -124,7 +132,7 @@
         try:
             for lender in self._lenders():
                 asked_at = self._clock.monotonic()
-                missing = budget.missing(current.waiter_count, asked_at)
+                missing = budget.missing(current.wanted, asked_at)
                 if not missing:
                     return
                 amount = await self._request_loan(lender, service, missing)
--- a/endivewind/callers/routed_request.py
+++ b/endivewind/callers/routed_request.py
@@ -30,8 +30,13 @@
         exchange.Reason.STALE_HOME,
         exchange.Reason.UNREACHABLE,
         exchange.Reason.HOME_UNREACHABLE,
+        exchange.Reason.CALL_BUDGET,
     }
 )
+# Reasons that hold for a further attempt as well.
+_FINAL_REASONS = frozenset(
+    {exchange.Reason.DEADLINE, exchange.Reason.CALL_BUDGET}
+)
 # Share of its latency objective that a request may wait for a near target
 # before it goes to a more distant one. A usual request runs for a quarter of
 # its objective, so its response is still in time. When this share was less than
@@ -116,7 +121,7 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     has_cancelled_attempt: bool = False
     traffic: link_shares.Traffic | None = None
-    retry: retry_budget.TakenRetry | None = None
+    retry: retry_budget.TakenRetries | None = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -189,7 +194,7 @@
         if result.is_ok():
             failed = result.ok.status in FAILURE_STATUSES
             return failed and self.is_idempotent and result.ok.stream is None
-        if result.error.reason is exchange.Reason.DEADLINE:
+        if result.error.reason in _FINAL_REASONS:
             return False
         return self.is_idempotent or result.error.was_not_run
 
--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -4,6 +4,7 @@
 inherits from the request for which it is made, and counts those that fail.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import datetime
@@ -144,7 +145,15 @@
         if not self._entry_routes.is_target_active:
             self._local_routes.add(route)
             return False
-        if not self._entry_routes.is_entry_route(service, prefix):
+        return self._may_be_call(route)
+
+    def _may_be_call(self, route: tuple[str, str]) -> bool:
+        """Whether a request from this VM is a call, by its route.
+
+        Args:
+          route: its service and the path prefix of its route.
+        """
+        if not self._entry_routes.is_entry_route(*route):
             return True
         return route in self._remote_routes and route not in self._local_routes
 
@@ -169,10 +178,24 @@
             self._record_failure(prefix, head, result, cause)
         return result
 
+    def record_request(
+        self, request: inherited_priority.RunningRequest
+    ) -> None:
+        """Counts a request that is sent to the target."""
+        self._frequencies.record_request(request)
+
+    def expected_calls(
+        self, request: inherited_priority.RunningRequest
+    ) -> collections.abc.Mapping[str, float]:
+        """Returns how many calls a request is likely to make, by service."""
+        expected: collections.Counter[str] = collections.Counter()
+        for route, count in self._frequencies.expected_calls(request).items():
+            if self._may_be_call((route.service, route.prefix)):
+                expected[route.service] += count  # type: ignore[assignment]
+        return expected
+
     def sample_running_requests(self) -> None:
         """Records which requests run; called several times a second."""
-        if not self._inherits_priority:
-            return
         now = self._clock.monotonic()
         elapsed = min(now - self._last_sample, _MAX_SAMPLE_TIME)
         self._last_sample = now
@@ -187,17 +210,15 @@
         route = inherited_priority.CallRoute(head.service, prefix)
         running = self._target.running_requests()
         call = exchange.TargetCall(
-            retry_probability=self._frequencies.duplicate_probability(
-                route, running
-            )
+            retry_probability=self._unreserved_probability(route, running)
         )
+        self._frequencies.record_call(route, running)
         if not self._inherits_priority:
             return dataclasses.replace(head, call=call)
         inheritance = self._frequencies.inherit(route, running)
         if inheritance is None:
             # The request was abandoned, but the target still works on it.
             return dataclasses.replace(head, call=call)
-        self._frequencies.record_call(route, running)
         self._metrics.record_inherited_call(
             head.service, inheritance.basis.value
         )
@@ -209,6 +230,25 @@
             call=call,
         )
 
+    def _unreserved_probability(
+        self,
+        route: inherited_priority.CallRoute,
+        running: collections.abc.Sequence[inherited_priority.RunningRequest],
+    ) -> float:
+        """Returns the probability that a call lacks a reserved retry.
+
+        Spends what the retried requests have reserved for it.
+        """
+        unreserved = 0.0
+        probabilities = self._frequencies.probabilities(route, running)
+        for request, probability in zip(running, probabilities, strict=True):
+            if not request.may_be_duplicate:
+                continue
+            unreserved += probability
+            if request.reserved is not None:
+                unreserved -= request.reserved.spend(route.service, probability)
+        return unreserved
+
     def _record_failure(
         self,
         prefix: str,
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -124,8 +124,8 @@
 
 # Share of the retries allowed to the whole fleet that the nodes' retry budgets
 # allow. The rest is for retries that restarted nodes have forgotten (see
-# `retry_budget.RESTART_SHARE`), for calls of retried requests, which can't be
-# refused, and for the time between the sending of a retry and its arrival.
+# `retry_budget.RESTART_SHARE`), and for calls of retried requests that their home
+# did not expect.
 NODE_RETRY_SHARE = 0.75
 
 
--- a/endivewind/decisions/inherited_priority.py
+++ b/endivewind/decisions/inherited_priority.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 import enum
+from typing import Protocol
 
 # Calls of a route from which its frequencies count as known. Ten calls tell
 # rates that differ by a factor of three apart nine times in ten.
@@ -17,6 +18,9 @@
 # at the mean rate of all classes, so that a class that has just appeared isn't
 # taken for one that makes no calls.
 PRIOR_TIME = datetime.timedelta(seconds=5)
+# As PRIOR_TIME, for the calls per request: a class with fewer requests than this
+# is mostly taken to make as many calls as the mean of all classes.
+PRIOR_REQUESTS = 2.0
 # A call gets the highest priority among the requests that are at least half as
 # likely as the most likely one. Rates learned from a hundred calls differ by a
 # fifth at random. A call whose priority is too low is refused under overload,
@@ -33,6 +37,13 @@
 MAX_CLASSES = 32
 
 
+class ReservedRetries(Protocol):
+    """Retries that a request has reserved for its calls."""
+
+    def spend(self, service: str, amount: float) -> float:
+        """Spends a part of a retry; returns how much of it was reserved."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunningRequest:
     """A request that the target is running.
@@ -42,12 +53,14 @@
       latency_objective: the time within which its caller wants a response.
       workspace: the workspace whose fair share it counts towards.
       may_be_duplicate: whether a target may have received it before.
+      reserved: the retries that it has reserved for its calls; None without.
     """
 
     queue_priority: int
     latency_objective: datetime.timedelta
     workspace: str
     may_be_duplicate: bool = False
+    reserved: ReservedRetries | None = None
 
     @property
     def request_class(self) -> "RequestClass":
@@ -119,8 +132,15 @@
         """Starts without any frequencies."""
         self._calls: dict[CallRoute, dict[RequestClass, float]] = {}
         self._running_seconds: dict[RequestClass, float] = {}
+        self._requests: dict[RequestClass, float] = {}
         self._since_decay = datetime.timedelta()
 
+    def record_request(self, request: RunningRequest) -> None:
+        """Counts a request that is sent to the target."""
+        key = request.request_class
+        self._requests[key] = self._requests.get(key, 0.0) + 1
+        self._running_seconds.setdefault(key, 0.0)
+
     def record_running(
         self,
         running: collections.abc.Sequence[RunningRequest],
@@ -179,15 +199,42 @@
           route: the route of the call.
           running: the requests that run now.
         """
+        return sum(
+            probability
+            for request, probability in zip(
+                running, self.probabilities(route, running), strict=True
+            )
+            if request.may_be_duplicate
+        )
+
+    def probabilities(
+        self,
+        route: CallRoute,
+        running: collections.abc.Sequence[RunningRequest],
+    ) -> list[float]:
+        """Returns the probability of each request that it makes a call.
+
+        Args:
+          route: the route of a call that arrives now.
+          running: the requests that run now.
+        """
         rates = self._rates(route, running)
         if not any(rates):
             rates = [1.0] * len(running)
-        duplicates = sum(
-            rate
-            for request, rate in zip(running, rates, strict=True)
-            if request.may_be_duplicate
-        )
-        return duplicates / sum(rates) if running else 0.0
+        total = sum(rates)
+        return [rate / total for rate in rates]
+
+    def expected_calls(self, request: RunningRequest) -> dict[CallRoute, float]:
+        """Returns how many calls of each route a request makes on average."""
+        key = request.request_class
+        all_requests = sum(self._requests.values())
+        expected = {}
+        for route, calls in self._calls.items():
+            mean = sum(calls.values()) / max(all_requests, PRIOR_REQUESTS)
+            expected[route] = (calls.get(key, 0.0) + mean * PRIOR_REQUESTS) / (
+                self._requests.get(key, 0.0) + PRIOR_REQUESTS
+            )
+        return expected
 
     def inherit(
         self,
@@ -241,13 +288,18 @@
                 self._running_seconds, key=self._running_seconds.__getitem__
             )
             del self._running_seconds[least]
+            self._requests.pop(least, None)
             for calls in self._calls.values():
                 calls.pop(least, None)
 
     def _decay(self) -> None:
         factor = 0.5 ** (self._since_decay / HALF_LIFE)
         self._since_decay = datetime.timedelta()
-        for counts in (self._running_seconds, *self._calls.values()):
+        for counts in (
+            self._running_seconds,
+            self._requests,
+            *self._calls.values(),
+        ):
             for key in counts:
                 counts[key] *= factor
 
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -86,8 +86,10 @@
     until: datetime.timedelta
 
 
-class TakenRetry:
-    """A retry that was taken from a budget, until it is sent or cancelled.
+class TakenRetries:
+    """Retries that were taken from a budget, until they are sent or cancelled.
+
+    Usually one; a part of one or more for the calls that a request may make.
 
     Scenario: retries wait for a slot, here or at the homes of their targets,
     or homes are slow. Risk: they arrive seconds after they were counted,
@@ -103,11 +105,11 @@
         borrowed: float,
         lent_until: datetime.timedelta,
     ) -> None:
-        """Initializes a retry that is not sent yet.
+        """Initializes retries that are not sent yet.
 
         Args:
-          budget: the budget that it was taken from.
-          own: the part of it that belongs to the budget's node.
+          budget: the budget that they were taken from.
+          own: the part of them that belongs to the budget's node.
           borrowed: the part that other nodes have lent.
           lent_until: until when the borrowed part may be sent. Its lenders
             count it for a window from then on.
@@ -124,21 +126,38 @@
         return self._own
 
     def record_sent(self, at: datetime.timedelta) -> None:
-        """Counts the retry for a window.
+        """Counts what is left for a window.
 
         Args:
           at: the latest time at which it may have arrived at a target.
         """
+        if self in self._budget._outstanding:
+            self.spend(self._own + self._borrowed, at)
+            self.cancel()
+
+    def spend(self, amount: float, at: datetime.timedelta) -> float:
+        """Counts a part for a window.
+
+        Args:
+          amount: how many retries, or parts of one.
+          at: the latest time at which they may have arrived at a target.
+
+        Returns:
+          How many of them were left.
+        """
         if self not in self._budget._outstanding:
-            return
-        if at > self._lent_until:
-            # The lenders have it back before it has left the window.
-            self._own += self._borrowed
-        self.cancel()
-        self._budget._count(self._own, at)
+            return 0.0
+        own = min(amount, self._own)
+        borrowed = min(amount - own, self._borrowed)
+        self._own -= own
+        self._borrowed -= borrowed
+        # Otherwise the lenders count the borrowed part for the whole window.
+        is_late = at > self._lent_until
+        self._budget._count(own + (borrowed if is_late else 0.0), at)
+        return own + borrowed
 
     def cancel(self) -> None:
-        """Gives back the retry unless it was sent."""
+        """Gives back what was not sent."""
         self._budget._outstanding.pop(self, None)
 
     def take_over_loans(
@@ -195,12 +214,13 @@
     decisions on hedged requests and on the choice of targets.
 
     A target that runs a retried request may call other services. These calls
-    count as retries in the budgets of the called services
-    (`callers/gateway.py` charges each call with the probability that it is made
-    for a retried request). They can't be refused for that, so they are charged
-    even if the budget is spent (`charge`), and later retries have to wait. What
-    exceeds the limit (`overdraft`) is handed over to nodes that lend retries for
-    it, so that the fleet's bound holds while one nearby has some left.
+    count as retries in the budgets of the called services. Its home reserves
+    them before it sends the request (`reserve`, `callers/call_reservations.py`).
+    Calls that were not expected can't be refused, so they are charged even if
+    the budget is spent (`charge`), with the probability that they are made for
+    a retried request, and later retries have to wait. What exceeds the limit
+    (`overdraft`) is handed over to nodes that lend retries for it, so that the
+    fleet's bound holds while one nearby has some left.
     """
 
     def __init__(self, limits: RetryLimits) -> None:
@@ -211,7 +231,7 @@
         self._requests = 0
         self._retries = 0.0
         # Retries that are taken and may still arrive at a target.
-        self._outstanding: dict[TakenRetry, None] = {}
+        self._outstanding: dict[TakenRetries, None] = {}
         self._lent: collections.deque[_Loan] = collections.deque()
         self._borrowed: collections.deque[_Loan] = collections.deque()
         # Counts of other nodes by name and incarnation.
@@ -280,7 +300,7 @@
 
     def take_for_later(
         self, now: datetime.timedelta, *, may_use_loans: bool = True
-    ) -> TakenRetry | None:
+    ) -> TakenRetries | None:
         """Takes a retry that is sent once there is a target for it.
 
         Args:
@@ -290,17 +310,37 @@
         Returns:
           The retry, which has to be sent or cancelled; None if none is left.
         """
+        return self._take(1.0, now, may_use_loans=may_use_loans)
+
+    def reserve(
+        self, amount: float, now: datetime.timedelta
+    ) -> TakenRetries | None:
+        """Takes retries for calls that a request may make.
+
+        Args:
+          amount: how many, or parts of one.
+          now: the current monotonic time.
+
+        Returns:
+          The retries, which have to be spent or cancelled; None if there are
+          too few.
+        """
+        return self._take(amount, now, may_use_loans=True)
+
+    def _take(
+        self, amount: float, now: datetime.timedelta, *, may_use_loans: bool
+    ) -> TakenRetries | None:
         self._advance(now)
         own = max(0.0, self._own_left())
         borrowed = self._borrowed_amount() if may_use_loans else 0.0
-        if own + borrowed < 1 - _ROUNDING:
+        if own + borrowed < amount - _ROUNDING:
             return None
         # Loans first, since they expire sooner.
-        from_loans = min(1.0, borrowed)
+        from_loans = min(amount, borrowed)
         lent_until = self._spend_loans(from_loans, now)
-        return TakenRetry(self, 1.0 - from_loans, from_loans, lent_until)
+        return TakenRetries(self, amount - from_loans, from_loans, lent_until)
 
-    def missing(self, count: int, now: datetime.timedelta) -> float:
+    def missing(self, count: float, now: datetime.timedelta) -> float:
         """Returns how many retries to borrow so that `count` can be made."""
         self._advance(now)
         left = max(0.0, self._own_left()) + self._borrowed_amount()
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -55,6 +55,7 @@
     RATE_LIMITED = "rate-limited"
     UNAUTHENTICATED = "unauthenticated"
     POISON = "poison"
+    CALL_BUDGET = "call-budget"
     CUT_SHORT = "cut-short"
     INTERNAL = "internal"
 
@@ -101,7 +102,7 @@
         counts towards; empty if it has none.
       lacked_retry: whether the call failed because no retry was left.
       retry_probability: the probability that the call is made for a retried
-        request.
+        request that has reserved no retry for it.
     """
 
     inherits: bool = False
--- a/endivewind/metrics.py
+++ b/endivewind/metrics.py
@@ -182,6 +182,16 @@
         yield api.Observation(totals.overdrawn_calls, {"service": service})
 
 
+def _reserved_calls(sources: Sources) -> Observations:
+    for service, totals in sources.retry_totals.items():
+        yield api.Observation(totals.reserved_calls, {"service": service})
+
+
+def _refused_reservations(sources: Sources) -> Observations:
+    for service, totals in sources.retry_totals.items():
+        yield api.Observation(totals.refused_reservations, {"service": service})
+
+
 def _counted_requests(sources: Sources) -> Observations:
     for service, totals in sources.retry_totals.items():
         yield api.Observation(totals.requests, {"service": service})
@@ -404,6 +414,22 @@
         "Calls charged as retries beyond this node's limit, by called service.",
         _overdrawn_calls,
     ),
+    Instrument(
+        "endivewind.retries.reserved_calls",
+        InstrumentKind.COUNTER,
+        "{call}",
+        "Calls for which retried requests have reserved retries, by called "
+        "service.",
+        _reserved_calls,
+    ),
+    Instrument(
+        "endivewind.retries.refused_reservations",
+        InstrumentKind.COUNTER,
+        "{attempt}",
+        "Retried requests that were not sent to the target on this VM, as "
+        "there were no retries left for their calls, by called service.",
+        _refused_reservations,
+    ),
     Instrument(
         "endivewind.retries.counted_requests",
         InstrumentKind.COUNTER,
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -28,6 +28,7 @@
 from endivewind.callers import admission_control
 from endivewind.callers import authorization
 from endivewind.callers import budgets
+from endivewind.callers import call_reservations
 from endivewind.callers import caller_requests
 from endivewind.callers import entry_routes
 from endivewind.callers import gateway
@@ -321,6 +322,12 @@
             aborts,
         )
         self._target_calls = self._make_target_calls()
+        if self._target_calls is not None:
+            self._dispatcher.reserve_calls(
+                call_reservations.CallReserver(
+                    self._target_calls, self._gateway.budgets, self._clock
+                )
+            )
         self._listener = listener.Listener(
             self._gateway,
             self._ticket_handler,
--- a/endivewind/nodes/codec.py
+++ b/endivewind/nodes/codec.py
@@ -20,6 +20,10 @@
 
 _LENGTH = struct.Struct("!I")
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+# Reasons that earlier releases do not know, and what they take them for.
+_NEAREST_KNOWN_REASONS = {
+    exchange.Reason.CALL_BUDGET: exchange.Reason.TARGET_FULL
+}
 
 messages: Any = thriftpy2.load(
     str(pathlib.Path(__file__).with_name("messages.thrift")),
@@ -69,6 +73,35 @@
     return decode_frame(await reader.readexactly(length))
 
 
+def encode_refusal(exchange_id: int, refusal: exchange.Refusal) -> Any:
+    """Converts a refusal to a thrift struct."""
+    wait = refusal.retry_after
+    known = _NEAREST_KNOWN_REASONS.get(refusal.reason)
+    return messages.Refusal(
+        exchange=exchange_id,
+        outcome=refusal.outcome.value,
+        reason=(known or refusal.reason).value,
+        detail=refusal.detail,
+        retry_after_ms=-1 if wait is None else wait // _MILLISECOND,
+        moved_to=refusal.moved_to or None,
+        glance=encode_target_report(refusal.target_report),
+        exact_reason=refusal.reason.value if known else None,
+    )
+
+
+def decode_refusal(refusal: Any) -> exchange.Refusal:
+    """Converts a thrift struct to a refusal."""
+    wait = refusal.retry_after_ms
+    return exchange.Refusal(
+        exchange.ExecutionOutcome(refusal.outcome),
+        exchange.Reason(refusal.exact_reason or refusal.reason),
+        refusal.detail,
+        None if wait < 0 else datetime.timedelta(milliseconds=wait),
+        refusal.moved_to or "",
+        decode_target_report(refusal.glance),
+    )
+
+
 def encode_target_report(report: exchange.TargetReport | None) -> Any:
     """Converts a target report to a thrift struct."""
     if report is None:
--- a/endivewind/nodes/link_server.py
+++ b/endivewind/nodes/link_server.py
@@ -345,16 +345,7 @@
     writer: asyncio.StreamWriter, exchange_id: int, refusal: exchange.Refusal
 ) -> int:
     """Sends a refusal; returns its size in bytes."""
-    wait = refusal.retry_after
-    message = codec.messages.Refusal(
-        exchange=exchange_id,
-        outcome=refusal.outcome.value,
-        reason=refusal.reason.value,
-        detail=refusal.detail,
-        retry_after_ms=-1 if wait is None else int(wait.total_seconds() * 1000),
-        moved_to=refusal.moved_to or None,
-        glance=codec.encode_target_report(refusal.target_report),
-    )
+    message = codec.encode_refusal(exchange_id, refusal)
     data = codec.encode_frame(codec.messages.Frame(refusal=message))
     writer.write(data)
     return len(data)
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -295,7 +295,7 @@
         frame = await _read_frame(link)
         if frame.refusal and frame.refusal.exchange == exchange_id:
             self._release(address, link)
-            return expression.Error(_decode_refusal(frame.refusal))
+            return expression.Error(codec.decode_refusal(frame.refusal))
         response = frame.answer
         if response is None or response.exchange != exchange_id:
             raise codec.FrameError("response to another exchange")
@@ -477,15 +477,3 @@
     if frame.fleet_state or frame.pull:
         return traffic.Kind.STATE
     return traffic.Kind.CONFIGURATION
-
-
-def _decode_refusal(refusal: Any) -> exchange.Refusal:
-    wait = refusal.retry_after_ms
-    return exchange.Refusal(
-        exchange.ExecutionOutcome(refusal.outcome),
-        exchange.Reason(refusal.reason),
-        refusal.detail,
-        None if wait < 0 else datetime.timedelta(milliseconds=wait),
-        refusal.moved_to or "",
-        codec.decode_target_report(refusal.glance),
-    )
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -75,6 +75,8 @@
 }
 
 // An error that a node returns in place of a response.
+// exact_reason: the reason if earlier releases do not know it; reason is then
+// the nearest one that they know.
 struct Refusal {
   1: i64 exchange
   2: string outcome
@@ -83,6 +85,7 @@
   5: i32 retry_after_ms
   6: optional string moved_to
   7: optional TargetReport glance
+  8: optional string exact_reason
 }
 
 // The state of a node as known to another one. The highest (incarnation,
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -11,6 +11,7 @@
 import datetime
 import functools
 import logging
+from typing import Protocol
 
 import aiohttp
 import expression
@@ -50,6 +51,24 @@
 ]
 
 
+class CallReserver(Protocol):
+    """Reserves retries for the calls that requests make as they run."""
+
+    def record_request(
+        self, request: inherited_priority.RunningRequest
+    ) -> None:
+        """Counts a request that is sent to a target."""
+
+    async def reserve(
+        self, request: inherited_priority.RunningRequest
+    ) -> expression.Result[target_request.CallReservation, str]:
+        """Reserves retries for the calls of a request that is to be sent.
+
+        Returns:
+          The reservation; the name of a service that has no retries left.
+        """
+
+
 class NullObserver:
     """Ignores all samples."""
 
@@ -107,6 +126,7 @@
             collections.Counter()
         )
         self._request_bytes: request_bytes.RequestBytesLimit | None = None
+        self._call_reserver: CallReserver | None = None
 
     @classmethod
     def from_registry(
@@ -163,6 +183,10 @@
         """Sets the limit for the request bodies that a target holds."""
         self._request_bytes = limit
 
+    def reserve_calls(self, reserver: CallReserver) -> None:
+        """Sets what reserves retries for the calls of retried requests."""
+        self._call_reserver = reserver
+
     def running_requests(self) -> list[inherited_priority.RunningRequest]:
         """Returns the requests that targets are running, oldest first."""
         return [
@@ -263,7 +287,6 @@
         body: exchange.RequestBody,
     ) -> ResponseResult:
         arrived_at = self._clock.monotonic()
-        deadline = arrived_at + head.remaining_time
         item = self._targets.get(target)
         if item is None:
             return expression.Error(self._unknown_target(target))
@@ -272,6 +295,46 @@
             refusal = self._rate_limit_refusal(item)
         if refusal is not None:
             return refusal
+        if self._call_reserver is None or not head.may_be_duplicate:
+            return await self._wait_and_dispatch(item, head, body, arrived_at)
+        try:
+            reserved = await self._call_reserver.reserve(
+                target_request.as_running(head)
+            )
+        except asyncio.CancelledError:
+            head.record_unsent()
+            raise
+        if reserved.is_error():
+            return _refuse(
+                exchange.Reason.CALL_BUDGET,
+                f"no retry of {reserved.error} is left for its calls",
+                target_report=self._report(item),
+            )
+        try:
+            return await self._wait_and_dispatch(
+                item, head, body, arrived_at, reserved.ok
+            )
+        finally:
+            reserved.ok.release()
+
+    async def _wait_and_dispatch(
+        self,
+        item: registry.HomeTarget,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+        arrived_at: datetime.timedelta,
+        reservation: target_request.CallReservation | None = None,
+    ) -> ResponseResult:
+        """Waits for a slot of a target and sends it a request.
+
+        Args:
+          item: The target.
+          head: The request's head.
+          body: Its body.
+          arrived_at: When it came to this node.
+          reservation: What it has reserved for its calls.
+        """
+        deadline = arrived_at + head.remaining_time
         waiter = slots.make_waiter(
             head.queue_priority, deadline, goes_ahead=head.goes_ahead
         )
@@ -280,7 +343,7 @@
                 return _stopping_refusal()
             return _refuse(
                 exchange.Reason.BUSY,
-                f"{target} has no free slot",
+                f"{item.record.id} has no free slot",
                 BUSY_RETRY_AFTER,
                 self._report(item),
             )
@@ -297,15 +360,15 @@
             item.slots.release(item.record.slots)
             return refusal
         if head.may_be_duplicate:
-            self._log_retry(target, head, arrived_at)
+            self._log_retry(item, head, arrived_at)
         remaining = max(deadline - self._clock.monotonic(), _MIN_TIMEOUT)
         return await self._dispatch_in_slot(
-            item, head.for_attempt(head.attempt, remaining), body
+            item, head.for_attempt(head.attempt, remaining), body, reservation
         )
 
     def _log_retry(
         self,
-        target: str,
+        item: registry.HomeTarget,
         head: exchange.RequestHead,
         arrived_at: datetime.timedelta,
     ) -> None:
@@ -314,7 +377,7 @@
         fields = logs.fields(
             request_id=head.request_id,
             service=head.service,
-            target=target,
+            target=item.record.id,
             waited_ms=waited // datetime.timedelta(milliseconds=1),
         )
         log.info("retry sent to target", extra=fields)
@@ -423,11 +486,19 @@
         item: registry.HomeTarget,
         head: exchange.RequestHead,
         body: exchange.RequestBody,
+        reservation: target_request.CallReservation | None,
     ) -> ResponseResult:
         """Sends a request to a target of which it holds a slot."""
         request = target_request.TargetRequest(
-            item, head, self._clock, self._observer, self._silent_connections
+            item,
+            head,
+            self._clock,
+            self._observer,
+            self._silent_connections,
+            reservation,
         )
+        if self._call_reserver is not None:
+            self._call_reserver.record_request(request.as_running())
         if self._request_bytes is not None:
             request.body_bytes = self._request_bytes.size(head, body)
             body = self._request_bytes.bounded(head, body)
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -7,6 +7,7 @@
 import datetime
 import logging
 import math
+from typing import Protocol
 
 from endivewind import clock as clocks
 from endivewind import exchange
@@ -45,6 +46,29 @@
 _WITHOUT_RESPONSE = (evidence.ResultKind.TIMEOUT, evidence.ResultKind.CANCELLED)
 
 
+class CallReservation(inherited_priority.ReservedRetries, Protocol):
+    """Retries of other services that a request has reserved for its calls."""
+
+    def release(self) -> None:
+        """Gives back what is left; the request makes no further calls."""
+
+    def abandon(self) -> None:
+        """Counts what is left, as the target may go on with the request."""
+
+
+def as_running(
+    head: exchange.RequestHead, reservation: CallReservation | None = None
+) -> inherited_priority.RunningRequest:
+    """Returns what a call of the target inherits from a request."""
+    return inherited_priority.RunningRequest(
+        head.queue_priority,
+        head.latency_objective,
+        head.queue_workspace,
+        head.may_be_duplicate,
+        reservation,
+    )
+
+
 class TargetRequest:
     """One request at one target; holds a slot of the target until its end."""
 
@@ -55,12 +79,14 @@
         clock: clocks.Clock,
         observer: evidence.Observer,
         connection_detector: silent_connections.SilentConnectionDetector,
+        reservation: CallReservation | None = None,
     ) -> None:
         self.home_target = item
         self.progress = connections.SendState()
         self.result_kind = evidence.ResultKind.LOST
         self.body_bytes = 0
         self._head = head
+        self._reservation = reservation
         self._clock = clock
         self._observer = observer
         self._silent_connections = connection_detector
@@ -81,12 +107,7 @@
 
     def as_running(self) -> inherited_priority.RunningRequest:
         """Returns what a call of the target inherits from the request."""
-        return inherited_priority.RunningRequest(
-            self._head.queue_priority,
-            self._head.latency_objective,
-            self._head.queue_workspace,
-            self.may_be_duplicate,
-        )
+        return as_running(self._head, self._reservation)
 
     @property
     def may_have_been_sent(self) -> bool:
@@ -251,6 +272,8 @@
         self.home_target.pending_requests.pop(self, None)
         if self._latency is None and self.may_have_been_sent:
             self._record_abandonment()
+            if self._reservation is not None:
+                self._reservation.abandon()
         self.home_target.slots.release(self.home_target.record.slots)
         if self.home_target.work_time is not None:
             self._record_work(self.home_target.work_time, kind)
--- a/endivewind/tests/loads/calling_fleet.py
+++ b/endivewind/tests/loads/calling_fleet.py
@@ -13,6 +13,7 @@
 
 from endivewind import exchange
 from endivewind import headers as http_headers
+from endivewind.callers import call_reservations
 from endivewind.callers import entry_routes
 from endivewind.callers import gateway
 from endivewind.callers import request_metrics
@@ -213,6 +214,9 @@
             self.clock,
             inherits_priority=self._inherits,
         )
+        dispatcher.reserve_calls(
+            call_reservations.CallReserver(calls, entry.budgets, self.clock)
+        )
         return CallingNode(entry, calls, entry.metrics)
 
     def _all_entries(self):
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -420,6 +420,27 @@
         "        if False:\n",
         "decisions.retry_budget_tests",
     ),
+    Mutant(
+        "a retried request is sent without retries for its calls",
+        "callers/call_reservations.py",
+        "                if taken is None:\n",
+        "                if False:\n",
+        "callers.call_reservations_tests",
+    ),
+    Mutant(
+        "a call does not spend what its request has reserved",
+        "callers/target_calls.py",
+        "            if request.reserved is not None:\n",
+        "            if False:\n",
+        "callers.call_reservations_tests",
+    ),
+    Mutant(
+        "calls of an abandoned request count for nobody",
+        "targets/target_request.py",
+        "                self._reservation.abandon()\n",
+        "                pass\n",
+        "callers.call_reservations_tests",
+    ),
     Mutant(
         "a restarted node has its whole budget at once",
         "decisions/retry_budget.py",
