--- a/endivewind/tests/loads/retry_sharing_tests.py
+++ b/endivewind/tests/loads/retry_sharing_tests.py
@@ -22,6 +22,8 @@
 FAILURE_SHARE = 0.9
 FAULT_COUNT = 4
 SEEDS = range(1, 7)
+# About one lookup in a hundred is lost, so that six seeds differ by chance.
+SHARING_SEEDS = range(1, 13)
 
 
 def _warmed_up_fleet(seed):
@@ -40,7 +42,7 @@
 def _lost_share():
     """Returns the share of lookups that failed or were refused."""
     total = collections.Counter()
-    for seed in SEEDS:
+    for seed in SHARING_SEEDS:
         simulated = _warmed_up_fleet(seed)
         for _ in range(FAULT_COUNT):
             unhealthy = simulated.rng.sample(
@@ -62,8 +64,8 @@
     def test_zone_uses_unspent_retries_of_the_other_zone(self):
         """A lookup that failed is lost if its zone's retries are used up.
 
-        Over six seeds 1.2% of the lookups were lost when retries are shared
-        within zones only, and 0.8% when the two zones of a region share them.
+        Over twelve seeds 1.0% of the lookups were lost when retries are shared
+        within zones only, and 0.5% when the two zones of a region share them.
         """
         with mock.patch.object(
             peer_updates, "shares_retries_in_region", lambda others: False
