Count the crashes of a request for all entry nodes

Cause: each entry node counted the crashes that it had seen itself, and told nobody.

Three nodes, chosen by rendezvous hashing of the request, count its crashes. An entry node reports to them before it retries a lost request, and does not retry it from the third crash on. A crash counts only if its attempt began after the last one that counts was reported, so that a popular request that runs at many targets which crash at once is still retried; a response clears the counts. No first attempt is refused by it.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -106,6 +106,7 @@
         *,
         retry_budgets: budgets.RetryBudgets | None = None,
         aborts: abort_controller.AbortController | None = None,
+        crash_reporter: poison_guard.CrashReporter | None = None,
     ) -> None:
         self._entry_routes = known_entry_routes or entry_routes.EntryRoutes(
             clock
@@ -125,7 +126,7 @@
         )
         self._quota_client = quota_client
         self._admission_control = admission_control
-        self._poison_guard = poison_guard.PoisonGuard(clock)
+        self._poison_guard = poison_guard.PoisonGuard(clock, crash_reporter)
         self._workspaces = workspaces.Workspaces(configuration)
         self._request_queues = request_queues.RequestQueues(
             placement, self._queue_limit, clock
@@ -318,6 +319,8 @@
         ):
             if self._poison_guard.check(request.head, request.body) is not None:
                 break
+            if not await self._may_retry_after(request, last):
+                break
             record = self._relocated_target(request, last)
             if record is None and routed_request.was_undelivered(last):
                 last = await self._place_again(request, last)
@@ -338,6 +341,21 @@
             last = await self._attempt(request, record, request.retry)
         return request.final_result(last)
 
+    async def _may_retry_after(
+        self, request: routed_request.RoutedRequest, last: ResponseResult
+    ) -> bool:
+        """Returns whether a result allows a retry, as far as crashes go."""
+        if request.last_target is None or not request.attempts:
+            return True
+        started = request.started + request.attempts[-1].start_offset
+        return await self._poison_guard.allows_retry(
+            request.head,
+            request.body,
+            request.last_target,
+            last,
+            self._clock.monotonic() - started,
+        )
+
     def _count_request(self, request: routed_request.RoutedRequest) -> None:
         """Adds a request to its service's retry budget, or charges a retry.
 
--- a/endivewind/callers/poison_guard.py
+++ b/endivewind/callers/poison_guard.py
@@ -1,25 +1,56 @@
 """Refuses poison requests: requests that crash the targets they run on.
 
-The gateway calls it before it places a request and after each attempt.
+The gateway calls it before it places a request, after each attempt and before
+each retry.
 """
 
+import asyncio
+import datetime
+import logging
+from typing import Protocol
+
 import expression
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind import logs
 from endivewind.callers import tickets
 from endivewind.decisions import poison_requests
 from endivewind.targets import records
 
+log = logging.getLogger(__name__)
+
 ResponseResult = expression.Result[exchange.Response, exchange.Refusal]
 
 
+class CrashReporter(Protocol):
+    """Reports crashes to the nodes that count them for the whole fleet."""
+
+    async def report_crash(
+        self, fingerprint: bytes, target: str, age: datetime.timedelta
+    ) -> int:
+        """Reports a crash; returns how many of the request are known."""
+
+    async def report_response(self, fingerprint: bytes) -> None:
+        """Reports that a target has responded to the request."""
+
+
 class PoisonGuard:
     """Passes the requests of this entry node to the poison request detector."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self, clock: clocks.Clock, reporter: CrashReporter | None = None
+    ) -> None:
+        """Starts without any suspects.
+
+        Args:
+          clock: the clock; its monotonic time is used.
+          reporter: reports crashes; None if this node decides alone.
+        """
         self._clock = clock
+        self._reporter = reporter
         self._detector = poison_requests.PoisonRequestDetector()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def check(
         self, head: exchange.RequestHead, body: exchange.RequestBody
@@ -64,13 +95,61 @@
         )
         if was_lost:
             fingerprint = tickets.fingerprint(head, body.buffered)
-            # Each incarnation of a target is counted once: crashes of two
-            # incarnations count as two, repeated failures of one as one.
-            target = f"{record.id}@{record.target_incarnation}"
             self._detector.record_crash(
-                fingerprint, target, self._clock.monotonic()
+                fingerprint, _incarnation(record), self._clock.monotonic()
             )
         elif result.is_ok() and self._detector:
-            self._detector.record_response(
-                tickets.fingerprint(head, body.buffered)
+            self._record_response(tickets.fingerprint(head, body.buffered))
+
+    def _record_response(self, fingerprint: bytes) -> None:
+        """Clears a request here, and where its crashes are counted."""
+        was_suspect = self._detector.record_response(fingerprint)
+        if was_suspect and self._reporter is not None:
+            task = asyncio.create_task(
+                self._reporter.report_response(fingerprint)
             )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def allows_retry(
+        self,
+        head: exchange.RequestHead,
+        body: exchange.RequestBody,
+        record: records.TargetRecord,
+        last: ResponseResult,
+        age: datetime.timedelta,
+    ) -> bool:
+        """Returns whether a request may be retried, as far as crashes go.
+
+        If its target was lost, the crash is reported, and the request is not
+        retried if it has crashed others before, wherever it came in.
+
+        Args:
+          head: the request's head.
+          body: the request's body, which can be sent again.
+          record: the target of the last attempt.
+          last: the result of that attempt.
+          age: how long ago that attempt began.
+        """
+        if self._reporter is None or last.is_ok():
+            return True
+        if last.error.reason is not exchange.Reason.TARGET_LOST:
+            return True
+        count = await self._reporter.report_crash(
+            tickets.fingerprint(head, body.buffered), _incarnation(record), age
+        )
+        if count < poison_requests.MIN_FLEET_CRASHES:
+            return True
+        fields = logs.fields(
+            request_id=head.request_id, service=head.service, crashes=count
+        )
+        log.warning("poison request not retried", extra=fields)
+        return False
+
+
+def _incarnation(record: records.TargetRecord) -> str:
+    """Returns the name of a target's incarnation.
+
+    Crashes of two incarnations count as two, repeated failures of one as one.
+    """
+    return f"{record.id}@{record.target_incarnation}"
--- a/endivewind/decisions/poison_requests.py
+++ b/endivewind/decisions/poison_requests.py
@@ -1,6 +1,7 @@
 """Detection of poison requests: requests that crash the targets they run on.
 
-Used by entry nodes to refuse such requests instead of retrying them.
+Used by entry nodes to refuse such requests instead of retrying them, and by the
+nodes that count the crashes which all entry nodes have seen.
 """
 
 import collections
@@ -12,6 +13,10 @@
 # request in between, is unlikely to be chance; waiting for a third would cost
 # a third target.
 MIN_CRASHED_TARGETS = 2
+# Crashes over the whole fleet, one after the other, from which a request that was
+# lost is not retried. With fewer, a single entry node decides by those that it
+# has seen itself.
+MIN_FLEET_CRASHES = 3
 # Callers that resend such a request do so within minutes. A longer time would
 # block the request after the target's fault was fixed.
 BLOCK_DURATION = datetime.timedelta(minutes=10)
@@ -63,9 +68,13 @@
         if len(self._suspects) > MAX_SUSPECT_REQUESTS:
             self._suspects.popitem(last=False)
 
-    def record_response(self, fingerprint: bytes) -> None:
-        """Clears a request to which a target has responded."""
-        self._suspects.pop(fingerprint, None)
+    def record_response(self, fingerprint: bytes) -> bool:
+        """Clears a request to which a target has responded.
+
+        Returns:
+          Whether it was suspect.
+        """
+        return self._suspects.pop(fingerprint, None) is not None
 
     def remaining_block(
         self, fingerprint: bytes, now: datetime.timedelta
@@ -81,3 +90,61 @@
         return (
             remaining if len(suspect.targets) >= MIN_CRASHED_TARGETS else None
         )
+
+
+@dataclasses.dataclass(slots=True)
+class _CrashCount:
+    last_crash: datetime.timedelta
+    count: int = 1
+    targets: set[str] = dataclasses.field(default_factory=set)
+
+
+class CrashCounts:
+    """Counts the crashes during a request that entry nodes report.
+
+    Scenario: a request that crashes its targets comes at one entry node after
+    the other. Risk: each learns it by itself, and retries the request once.
+
+    A harmless request that is sent often is running at many targets when
+    several crash at once. So a crash counts only if its attempt began after the
+    last one that counts was reported.
+    """
+
+    def __init__(self) -> None:
+        self._counts: collections.OrderedDict[bytes, _CrashCount] = (
+            collections.OrderedDict()
+        )
+
+    def record_crash(
+        self,
+        fingerprint: bytes,
+        target: str,
+        age: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> int:
+        """Records that a target crashed while it ran a request.
+
+        Args:
+          fingerprint: of the request.
+          target: the incarnation of the target; each counts once.
+          age: how long ago the attempt began.
+          now: the current monotonic time.
+
+        Returns:
+          How many crashes count.
+        """
+        known = self._counts.get(fingerprint)
+        if known is None or now - known.last_crash >= BLOCK_DURATION:
+            known = self._counts[fingerprint] = _CrashCount(now)
+        elif target not in known.targets and now - age >= known.last_crash:
+            known.count += 1
+            known.last_crash = now
+        known.targets.add(target)
+        self._counts.move_to_end(fingerprint)
+        if len(self._counts) > MAX_SUSPECT_REQUESTS:
+            self._counts.popitem(last=False)
+        return known.count
+
+    def record_response(self, fingerprint: bytes) -> None:
+        """Clears a request to which a target has responded."""
+        self._counts.pop(fingerprint, None)
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -53,6 +53,7 @@
 from endivewind.nodes import admission
 from endivewind.nodes import codec
 from endivewind.nodes import configuration
+from endivewind.nodes import crash_reports
 from endivewind.nodes import gossip_service
 from endivewind.nodes import graceful_shutdown
 from endivewind.nodes import link_server
@@ -160,6 +161,7 @@
         self._proof_service: proofs.ProofService
         self._quota_service: quotas.QuotaService
         self._retry_loans: retry_loans.RetryLoanService
+        self._crash_reports: crash_reports.CrashReportService
         self._link_shares: link_shares.LinkShareService | None = None
         self._link_traffic: link_traffic.LinkTraffic | None
         self._admission_control: admission_control.AdmissionControl | None
@@ -283,6 +285,9 @@
             else None
         )
         aborts = abort_controller.AbortController()
+        self._crash_reports = crash_reports.CrashReportService(
+            node_settings.name, self._fleet, self._pool, self._clock
+        )
         self._gateway = gateway.Gateway(
             node_settings.name,
             self._placement,
@@ -307,6 +312,7 @@
             self._admission_control,
             retry_budgets=self._make_retry_budgets(locality),
             aborts=aborts,
+            crash_reporter=self._crash_reports,
         )
         max_kept_bytes = node_settings.limits.kept_answer_bytes
         self._ticket_handler = ticketing.TicketHandler(
@@ -543,13 +549,15 @@
     async def handle_query(self, query: Any) -> Any:
         """Handles another node's query; query and response are frames.
 
-        A query that is not for quota, for retries or for a share of a link is a
-        query for a proof of freshness.
+        A query that is not for quota, for retries, about a crash or for a share
+        of a link is a query for a proof of freshness.
         """
         if query.quota_ask is not None:
             return await self._quota_service.handle_query(query.quota_ask)
         if query.retry_loan_ask is not None:
             return self._retry_loans.handle_query(query.retry_loan_ask)
+        if query.crash_report is not None:
+            return self._crash_reports.handle_query(query.crash_report)
         if query.link_share_ask is not None:
             return await self._handle_link_share_ask(query.link_share_ask)
         return self._proof_service.response_frame()
--- a/endivewind/nodes/link_server.py
+++ b/endivewind/nodes/link_server.py
@@ -202,6 +202,7 @@
                     or frame.quota_ask
                     or frame.link_share_ask
                     or frame.retry_loan_ask
+                    or frame.crash_report
                 ):
                     await self._handle_query(frame, writer)
                 elif frame.heartbeat:
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -377,6 +377,21 @@
   1: i32 thousandths
 }
 
+// Reports to a node that counts the crashes of a request that a target crashed
+// while it ran the request, or without a target that one has responded.
+// fingerprint: a hash of the request. target: the name and the incarnation.
+// age_ms: time since the attempt began.
+struct CrashReport {
+  1: binary fingerprint
+  2: string target
+  3: i32 age_ms
+}
+
+// The number of crashes that the sender has counted for the request.
+struct CrashCount {
+  1: i32 count
+}
+
 // A message on a TCP link. Exactly one field is set.
 struct Frame {
   1: optional ForwardedRequest forward
@@ -399,4 +414,6 @@
   45: optional LinkShareGrant link_share_grant
   46: optional RetryLoanAsk retry_loan_ask
   47: optional RetryLoanGrant retry_loan_grant
+  48: optional CrashReport crash_report
+  49: optional CrashCount crash_count
 }
--- /dev/null
+++ b/endivewind/tests/callers/poison_guard_tests.py
@@ -0,0 +1,201 @@
+"""Tests of requests that crash their targets and come at many entry nodes."""
+
+import asyncio
+import datetime
+import itertools
+import random
+import unittest
+
+import expression
+
+from endivewind import exchange
+from endivewind.callers import poison_guard
+from endivewind.nodes import codec
+from endivewind.nodes import crash_reports
+from endivewind.nodes import view
+from endivewind.standins import virtual_loop
+from endivewind.tests import samples
+
+LOST = expression.Error(
+    exchange.unknown_outcome_refusal(exchange.Reason.TARGET_LOST)
+)
+OK = expression.Ok(exchange.Response(200, ()))
+# Retries of a request that are allowed once it has crashed three targets.
+MAX_RETRIES = 3
+CRASHES_BEFORE = 3
+# Time between two arrivals of the request, in which its targets are back.
+PAUSE_SECONDS = 7
+WORK_SECONDS = 0.1
+TIMEOUT_SECONDS = 0.25
+MESSAGE_LOSS = 1 / 3
+
+
+class _Node:
+    """An entry node with its guard."""
+
+    def __init__(self, name, fleet):
+        self.name = name
+        self._fleet = fleet
+        self.restart()
+
+    def restart(self):
+        """Starts the node without what it knew."""
+        self.reports = crash_reports.CrashReportService(
+            self.name, self._fleet.view, self._fleet, self._fleet.clock
+        )
+        self.guard = poison_guard.PoisonGuard(self._fleet.clock, self.reports)
+
+
+class _Fleet:
+    """Entry nodes whose messages to each other may be lost."""
+
+    def __init__(self, node_count, seed=1, loss=0.0):
+        self.loop = virtual_loop.VirtualLoop()
+        self.clock = virtual_loop.LoopClock(self.loop)
+        self.view = view.FleetView()
+        self._rng = random.Random(seed)
+        self._loss = loss
+        self._targets = itertools.count()
+        self.nodes = {}
+        for number in range(node_count):
+            name = f"n{number}"
+            self.view.put_node(view.NodeRecord(name, 1, name, "r", "z"))
+            self.nodes[name] = _Node(name, self)
+
+    async def query(self, address, frame, timeout):
+        """Delivers a query, as the pool of links does; None if it is lost."""
+        del timeout
+        received = codec.decode_frame(codec.encode_frame(frame)[4:])
+        if self._rng.random() < self._loss:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            return None
+        await asyncio.sleep(0.001)
+        response = self.nodes[address].reports.handle_query(
+            received.crash_report
+        )
+        if self._rng.random() < self._loss:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            return None
+        return codec.decode_frame(codec.encode_frame(response)[4:])
+
+    async def send(self, node, results, path="/bad"):
+        """Sends a request that may be sent to two targets.
+
+        Args:
+          node: the entry node.
+          results: the results of the attempts.
+          path: of the request.
+
+        Returns:
+          The number of attempts; None if it was refused as poison.
+        """
+        head = exchange.RequestHead(
+            "r", "GET", path, (), "riders", "", datetime.timedelta(seconds=9)
+        )
+        body = exchange.RequestBody()
+        if node.guard.check(head, body) is not None:
+            return None
+        for number, result in enumerate(results, 1):
+            started = self.clock.monotonic()
+            await asyncio.sleep(WORK_SECONDS)
+            record = samples.make_target_record(f"t{next(self._targets)}")
+            node.guard.record_result(head, body, record, result)
+            if number == len(results) or not await node.guard.allows_retry(
+                head, body, record, result, self.clock.monotonic() - started
+            ):
+                return number
+        return 0
+
+    async def crash_in_turn(self, rounds=1, before_arrival=lambda: None):
+        """Sends a request that crashes its targets at one node after the other.
+
+        Returns:
+          Its retries after it has crashed CRASHES_BEFORE targets.
+        """
+        crashes = retries = 0
+        for node in list(self.nodes.values()) * rounds:
+            was_known = crashes >= CRASHES_BEFORE
+            before_arrival()
+            attempts = await self.send(node, [LOST, LOST]) or 0
+            crashes += attempts
+            retries += was_known and attempts > 1
+            await asyncio.sleep(PAUSE_SECONDS)
+        return retries
+
+
+class PoisonAtManyNodesTest(unittest.TestCase):
+    def run_in(self, fleet, coroutine):
+        self.addCleanup(fleet.loop.close)
+
+        async def run():
+            result = await coroutine
+            # Reports that nobody waits for.
+            await asyncio.sleep(PAUSE_SECONDS)
+            return result
+
+        return fleet.loop.run_until_complete(run())
+
+    def test_it_is_not_retried_at_each_node(self):
+        """Guards against a retry at every node that has not seen a crash."""
+        for node_count in (3, 24, 100):
+            for loss in (0.0, MESSAGE_LOSS):
+                for seed in (1, 7):
+                    with self.subTest(nodes=node_count, loss=loss, seed=seed):
+                        fleet = _Fleet(node_count, seed, loss)
+
+                        retries = self.run_in(
+                            fleet, fleet.crash_in_turn(rounds=2)
+                        )
+
+                        self.assertLessEqual(retries, MAX_RETRIES)
+
+    def test_it_is_not_retried_after_restarts_of_nodes_that_knew(self):
+        """Guards against what is forgotten with one node."""
+        fleet = _Fleet(24)
+        names = itertools.cycle(fleet.nodes)
+
+        retries = self.run_in(
+            fleet,
+            fleet.crash_in_turn(2, lambda: fleet.nodes[next(names)].restart()),
+        )
+
+        self.assertLessEqual(retries, MAX_RETRIES)
+
+    def test_popular_request_on_targets_that_crash_at_once_is_retried(self):
+        """Guards against a look-up that is refused for the fault of targets."""
+        fleet = _Fleet(24)
+
+        async def run():
+            for _ in range(5):
+                attempts = await asyncio.gather(
+                    *(
+                        fleet.send(node, [LOST, OK], "/popular")
+                        for node in fleet.nodes.values()
+                    )
+                )
+                self.assertEqual({2}, set(attempts))
+                await asyncio.sleep(PAUSE_SECONDS)
+
+        self.run_in(fleet, run())
+
+    def test_popular_request_on_one_crashed_target_after_the_other(self):
+        """Guards against a look-up that is refused while targets are replaced."""
+        fleet = _Fleet(24)
+
+        async def run():
+            for node in fleet.nodes.values():
+                attempts = await fleet.send(node, [LOST, OK], "/popular")
+                self.assertEqual(2, attempts)
+                await asyncio.sleep(1)
+
+        self.run_in(fleet, run())
+
+    def test_retry_is_allowed_if_no_node_responds(self):
+        fleet = _Fleet(6, loss=1.0)
+        (first, *_) = fleet.nodes.values()
+
+        self.assertEqual(2, self.run_in(fleet, fleet.send(first, [LOST, OK])))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/endivewind/tests/decisions/poison_requests_tests.py
+++ b/endivewind/tests/decisions/poison_requests_tests.py
@@ -66,3 +66,55 @@
         self.assertEqual(
             poison_requests.MAX_SUSPECT_REQUESTS, len(self.detector)
         )
+
+
+class CrashCountsTest(unittest.TestCase):
+    """Crashes that entry nodes report, each a second apart."""
+
+    def setUp(self):
+        self.counts = poison_requests.CrashCounts()
+        self.now = _MINUTE
+
+    def crash(self, target, age_seconds=0.5):
+        self.now += datetime.timedelta(seconds=1)
+        return self.counts.record_crash(
+            b"bad", target, datetime.timedelta(seconds=age_seconds), self.now
+        )
+
+    def test_crashes_one_after_the_other_count(self):
+        self.assertEqual([1, 2, 3], [self.crash(name) for name in "abc"])
+
+    def test_targets_that_crash_at_once_count_once(self):
+        """Guards against a popular request that is taken for their cause.
+
+        All attempts had begun before the first crash was known.
+        """
+        counts = [self.crash(name, age_seconds=9) for name in "abc"]
+
+        self.assertEqual([1, 1, 1], counts)
+
+    def test_crash_that_is_reported_twice_counts_once(self):
+        self.assertEqual([1, 2, 2], [self.crash(name) for name in "abb"])
+
+    def test_response_clears_a_request(self):
+        for name in "abc":
+            self.crash(name)
+        self.counts.record_response(b"bad")
+
+        self.assertEqual(1, self.crash("d"))
+
+    def test_crashes_expire(self):
+        for name in "abc":
+            self.crash(name)
+        self.now += poison_requests.BLOCK_DURATION
+
+        self.assertEqual(1, self.crash("d"))
+
+    def test_oldest_requests_are_forgotten(self):
+        self.crash("a")
+        for number in range(poison_requests.MAX_SUSPECT_REQUESTS):
+            self.counts.record_crash(
+                str(number).encode(), "a", datetime.timedelta(), self.now
+            )
+
+        self.assertEqual(1, self.crash("b"))
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -441,6 +441,21 @@
         "                pass\n",
         "callers.call_reservations_tests",
     ),
+    Mutant(
+        "each entry node learns by itself that a request crashes targets",
+        "callers/poison_guard.py",
+        "        if count < poison_requests.MIN_FLEET_CRASHES:\n",
+        "        if True:\n",
+        "callers.poison_guard_tests",
+    ),
+    Mutant(
+        "targets that crash at once block a popular request",
+        "decisions/poison_requests.py",
+        "        elif target not in known.targets "
+        "and now - age >= known.last_crash:\n",
+        "        elif target not in known.targets:\n",
+        "callers.poison_guard_tests",
+    ),
     Mutant(
         "a restarted node has its whole budget at once",
         "decisions/retry_budget.py",
