Compare fingerprints of crash reports as bytes

thriftpy2 decodes binary fields that are valid UTF-8 to str, so that a fingerprint that is would be counted apart for the counting node's own reports.

--- a/endivewind/nodes/codec.py
+++ b/endivewind/nodes/codec.py
@@ -73,6 +73,11 @@
     return decode_frame(await reader.readexactly(length))
 
 
+def to_bytes(value: bytes | str) -> bytes:
+    """Returns a binary field, which thriftpy2 decodes to str if it is UTF-8."""
+    return value.encode() if isinstance(value, str) else bytes(value)
+
+
 def encode_refusal(exchange_id: int, refusal: exchange.Refusal) -> Any:
     """Converts a refusal to a thrift struct."""
     wait = refusal.retry_after
--- a/endivewind/nodes/crash_reports.py
+++ b/endivewind/nodes/crash_reports.py
@@ -119,7 +119,7 @@
         return codec.messages.Frame(crash_count=count)
 
     def _record(self, report: Any) -> int:
-        fingerprint = report.fingerprint or b""
+        fingerprint = codec.to_bytes(report.fingerprint or b"")
         if not report.target:
             self._counts.record_response(fingerprint)
             return 0
--- a/endivewind/nodes/datagrams.py
+++ b/endivewind/nodes/datagrams.py
@@ -111,7 +111,9 @@
             ping_number=struct.ping or 0,
             ack_number=struct.ack or 0,
             node_to_ping=struct.relay or "",
-            changes=tuple(_to_bytes(item) for item in struct.changes or ()),
+            changes=tuple(
+                codec.to_bytes(item) for item in struct.changes or ()
+            ),
             buckets=tuple(struct.buckets or ()),
             compared_buckets=tuple(struct.compared or ()),
             versions=tuple(
@@ -168,11 +170,6 @@
     return hmac.digest(key, payload, "sha256")[:_SIGNATURE_BYTES]
 
 
-def _to_bytes(item: Any) -> bytes:
-    # thriftpy2 decodes binary fields that are valid UTF-8 to str.
-    return item.encode() if isinstance(item, str) else bytes(item)
-
-
 def _encode_version(version: digests.Version) -> Any:
     incarnation, refutation, state = version.precedence
     return codec.messages.Version(
