Skip entries of other writers among the registered nodes, restart failed tasks

Cause: an entry with a number as its address was taken for a node's. Gossip contacted the address, its task ended with the error, and nobody heard of it.

Entries are validated by a model; what is no node's is skipped, logged once for each version with its kind, name and field, and counted. Background tasks of a node that end with an error are logged, counted and started again after a second, so that no other data can end one for good.

Not measured: restarts beside 1,000 such entries, and what a calm node costs more.

--- a/endivewind/durable/node_directory.py
+++ b/endivewind/durable/node_directory.py
@@ -8,10 +8,14 @@
 import collections.abc
 import dataclasses
 import datetime
+import ipaddress
 import logging
 
 import expression
+import pydantic
 
+from endivewind import http_servers
+from endivewind import logs
 from endivewind.nodes import view
 from endivewind.platform import client
 from endivewind.platform import messages
@@ -23,6 +27,9 @@
 # holds its own earlier incarnations and the zone's other nodes. A response
 # from the farthest region takes 60 ms.
 START_TIMEOUT = datetime.timedelta(milliseconds=500)
+_MAX_PORT = 65_535
+# Invalid entries that are remembered, so that each is logged once.
+_MAX_KNOWN_INVALID = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +89,14 @@
         """
         self._platform = platform
         self._zones = tuple(zones)
+        # Kinds, names and versions of the entries that are no nodes'.
+        self._known_invalid: set[tuple[str, str, int]] = set()
+        self._invalid_count = 0
+
+    @property
+    def invalid_count(self) -> int:
+        """How many entries were skipped, those of later versions again."""
+        return self._invalid_count
 
     def other_zones(self, zone: str) -> tuple[str, ...]:
         """Returns the zones whose nodes are not in the given zone's list.
@@ -115,11 +130,48 @@
             return expression.Error(result.error)
         registrations = {}
         for item in result.ok.objects:
-            node = _decode_node(item)
+            node = self._decode(item)
             if node is not None:
                 registrations[node.name] = NodeRegistration(node, item.version)
         return expression.Ok(ZoneListing(result.ok.revision, registrations))
 
+    def _decode(self, stored: messages.StoredObject) -> view.NodeRecord | None:
+        """Decodes a node's entry; returns None if it is not one.
+
+        Other writers may store anything under these kinds.
+        """
+        try:
+            entry = _Entry.model_validate(stored.value)
+        except pydantic.ValidationError as error:
+            self._record_invalid(stored, error)
+            return None
+        return view.NodeRecord(
+            stored.name,
+            entry.incarnation,
+            entry.address,
+            entry.region,
+            entry.zone,
+        )
+
+    def _record_invalid(
+        self, stored: messages.StoredObject, error: pydantic.ValidationError
+    ) -> None:
+        key = (stored.kind, stored.name, stored.version)
+        if key in self._known_invalid:
+            return
+        if len(self._known_invalid) >= _MAX_KNOWN_INVALID:
+            self._known_invalid.clear()
+        self._known_invalid.add(key)
+        self._invalid_count += 1
+        first = error.errors(include_url=False, include_input=False)[0]
+        fields = logs.fields(
+            kind=stored.kind,
+            name=stored.name,
+            field=".".join(map(str, first["loc"])),
+            problem=first["msg"],
+        )
+        log.warning("entry is no node's", extra=fields)
+
     async def list_zone_at_start(self, zone: str) -> ZoneListing | None:
         """Lists a starting node's zone; returns None without a response."""
         try:
@@ -218,17 +270,21 @@
     return datetime.timedelta(microseconds=incarnation - registered)
 
 
-def _decode_node(stored: messages.StoredObject) -> view.NodeRecord | None:
-    """Decodes a node's object; returns None if it is invalid."""
-    value = stored.value
-    try:
-        return view.NodeRecord(
-            stored.name,
-            int(value["incarnation"]),
-            str(value["address"]),
-            str(value["region"]),
-            str(value["zone"]),
-        )
-    except (KeyError, TypeError, ValueError):
-        log.warning("invalid node object %s", stored.name)
-        return None
+class _Entry(pydantic.BaseModel):
+    """A node's entry, as it is stored."""
+
+    incarnation: pydantic.StrictInt = pydantic.Field(
+        ge=0, le=view.MAX_INCARNATION
+    )
+    address: pydantic.StrictStr
+    region: pydantic.StrictStr
+    zone: pydantic.StrictStr
+
+    @pydantic.field_validator("address")
+    @classmethod
+    def _check_address(cls, address: str) -> str:
+        host, port = http_servers.split_host_port(address)
+        ipaddress.ip_address(host)
+        if not 0 < port <= _MAX_PORT:
+            raise ValueError("no such port")
+        return address
--- a/endivewind/metrics.py
+++ b/endivewind/metrics.py
@@ -61,6 +61,8 @@
       admission_refusals: numbers of requests below an admission level, by
         service.
       admission_levels: returns the admission levels in force.
+      task_failures: returns how often each background task has failed, by name.
+      invalid_entries: returns how many entries of the store were skipped.
     """
 
     requests: request_metrics.RequestMetrics
@@ -104,6 +106,10 @@
     admission_levels: collections.abc.Callable[
         [], collections.abc.Iterable[admission_level.AdmissionLevel]
     ] = tuple
+    task_failures: collections.abc.Callable[
+        [], collections.abc.Mapping[str, int]
+    ] = dict
+    invalid_entries: collections.abc.Callable[[], int] = int
 
 
 class InstrumentKind(enum.Enum):
@@ -350,7 +356,30 @@
         yield api.Observation(item.share, {"service": item.service})
 
 
+def _task_failures(sources: Sources) -> Observations:
+    for task, count in sources.task_failures().items():
+        yield api.Observation(count, {"task": task})
+
+
+def _invalid_entries(sources: Sources) -> Observations:
+    yield api.Observation(sources.invalid_entries())
+
+
 INSTRUMENTS = (
+    Instrument(
+        "endivewind.tasks.failed",
+        InstrumentKind.COUNTER,
+        "{failure}",
+        "Failures of background tasks, which start again after a second.",
+        _task_failures,
+    ),
+    Instrument(
+        "endivewind.store.invalid_entries",
+        InstrumentKind.COUNTER,
+        "{entry}",
+        "Entries among the registered nodes that are no nodes'.",
+        _invalid_entries,
+    ),
     Instrument(
         "endivewind.requests",
         InstrumentKind.COUNTER,
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import datetime
 import functools
@@ -23,6 +24,7 @@
 from endivewind import logs
 from endivewind import periodic
 from endivewind import reports
+from endivewind import supervision
 from endivewind import tls
 from endivewind.callers import abort_controller
 from endivewind.callers import admission_control
@@ -127,7 +129,7 @@
             is_memory_bounded=node_settings.overload.memory_bytes > 0,
         )
         self._update_publisher = peer_updates.TargetUpdatePublisher()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.TaskSupervisor()
         self._http = http_servers.HttpServers()
         self._services = services.ServiceSettings(self._configuration)
         self._freshness_tracker = freshness.FreshnessTracker(
@@ -202,21 +204,35 @@
         bound = await self._bind(node_address)
         await self._link_server.serve()
         await self._gossip.start(node_address)
-        for work in (
-            *(item.run() for item in self._reader.make_watchers()),
-            self._audit_recorder.run(),
-            self._configuration_service.run(),
-            self._proof_service.run_platform_reads(),
-            self._proof_service.run_peer_queries(),
-            self._run_lease_checks(),
-            self._run_target_checks(),
-            self._reports.log_totals(),
+        self._start_tasks()
+        return bound
+
+    def _start_tasks(self) -> None:
+        """Starts the background tasks, but for those of gossip."""
+        for watcher in self._reader.make_watchers():
+            self._supervisor.start("watcher", watcher.run)
+        for name, work in (
+            ("audit records", self._audit_recorder.run),
+            ("configuration", self._configuration_service.run),
+            ("platform proofs", self._proof_service.run_platform_reads),
+            ("peer proofs", self._proof_service.run_peer_queries),
+            ("lease checks", self._run_lease_checks),
+            ("target checks", self._run_target_checks),
+            ("log of totals", self._reports.log_totals),
         ):
-            self._tasks.append(asyncio.create_task(work))
+            self._supervisor.start(name, work)
         if self._admission_service is not None:
-            work = self._run_admission(self._admission_service)
-            self._tasks.append(asyncio.create_task(work))
-        return bound
+            self._supervisor.start(
+                "admission",
+                functools.partial(self._run_admission, self._admission_service),
+            )
+
+    @property
+    def _task_failures(self) -> collections.Counter[str]:
+        """How often each background task has failed, by name."""
+        return collections.Counter(
+            self._supervisor.failure_counts
+        ) + collections.Counter(self._gossip.failure_counts)
 
     async def _build_identity(self) -> None:
         """Determines the incarnation and builds the target registry."""
@@ -619,9 +635,7 @@
         await self._depart_from_fleet()
         if self._link_traffic is not None:
             await self._link_traffic.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.stop()
         await self._http.stop()
         await self._link_server.stop()
         self._pool.close()
@@ -754,6 +768,8 @@
                 self._link_traffic,
                 self._link_shares,
                 self._admission_control,
+                lambda: self._task_failures,
+                lambda: self._directory.invalid_count,
             )
         )
 
--- a/endivewind/nodes/gossip_service.py
+++ b/endivewind/nodes/gossip_service.py
@@ -15,6 +15,7 @@
 from endivewind import clock as clocks
 from endivewind import logs
 from endivewind import periodic
+from endivewind import supervision
 from endivewind.config import settings
 from endivewind.decisions import peer_updates
 from endivewind.durable import node_directory as directories
@@ -109,7 +110,7 @@
         self._socket = datagrams.DatagramSocket(
             self._handle_datagram, config.gossip_key.encode(), meter
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.TaskSupervisor()
         self._send_tasks: set[asyncio.Task[None]] = set()
         self._running_pull_responses = 0
         self._refuses_announcements = False
@@ -119,8 +120,13 @@
         host, _, port = address.rpartition(":")
         await self._socket.start(host.strip("[]"), int(port))
         self._core.join()
-        for work in (self._run(), self._discovery.run()):
-            self._tasks.append(asyncio.create_task(work))
+        self._supervisor.start("gossip", self._run)
+        self._supervisor.start("discovery", self._discovery.run)
+
+    @property
+    def failure_counts(self) -> collections.abc.Mapping[str, int]:
+        """How often each task has failed, by name."""
+        return self._supervisor.failure_counts
 
     def announce_leave(self) -> None:
         """Announces that this node shuts down; gossip continues."""
@@ -135,11 +141,10 @@
 
     async def stop(self) -> None:
         """Stops gossip and announces that this node has shut down."""
-        for task in (*self._tasks, *self._send_tasks):
+        await self._supervisor.stop()
+        for task in self._send_tasks:
             task.cancel()
-        await asyncio.gather(
-            *self._tasks, *self._send_tasks, return_exceptions=True
-        )
+        await asyncio.gather(*self._send_tasks, return_exceptions=True)
         self._dispatch(self._core.leave())
         self._socket.stop()
 
--- a/endivewind/nodes/view.py
+++ b/endivewind/nodes/view.py
@@ -20,6 +20,9 @@
 # until the home has restarted. A restart takes seconds and a home has few
 # targets, so a few entries suffice.
 MAX_DEPARTED_TARGETS = 8
+# Incarnations are microseconds since 1970, or one more than the last one; they
+# are 64-bit integers on the wire.
+MAX_INCARNATION = 2**62
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/endivewind/reports.py
+++ b/endivewind/reports.py
@@ -59,6 +59,8 @@
         shared.
       admission: the admission control of this entry node; None if
         admission is not shared.
+      task_failures: returns how often each background task has failed, by name.
+      invalid_entries: returns how many entries of the store were skipped.
     """
 
     name: str
@@ -79,6 +81,10 @@
     shared_links: link_traffic.LinkTraffic | None = None
     share_owner: link_shares.LinkShareService | None = None
     admission: admission_control.AdmissionControl | None = None
+    task_failures: collections.abc.Callable[
+        [], collections.abc.Mapping[str, int]
+    ] = dict
+    invalid_entries: collections.abc.Callable[[], int] = int
 
 
 class Reports:
@@ -173,6 +179,8 @@
             platform_calls=report_sources.platform.call_counts,
             memory=report_sources.memory,
             retry_totals=report_sources.retry_totals,
+            task_failures=report_sources.task_failures,
+            invalid_entries=report_sources.invalid_entries,
             links=report_sources.shared_links.usages
             if report_sources.shared_links
             else list,
--- a/endivewind/tests/durable/node_directory_tests.py
+++ b/endivewind/tests/durable/node_directory_tests.py
@@ -1,10 +1,17 @@
 """Tests of the directory of nodes and of registered incarnations."""
 
 import datetime
+import ipaddress
+import json
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
+from endivewind import http_servers
 from endivewind.durable import node_directory
 from endivewind.nodes import view
+from endivewind.platform import wire
 from endivewind.standins import faults
 from endivewind.tests.platform import platforms
 
@@ -28,6 +35,95 @@
         return node_directory.registered_incarnation(listing, "node-a")
 
 
+_VALID = {
+    "incarnation": 700,
+    "address": "10.0.0.1:1",
+    "region": "r",
+    "zone": "z",
+}
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=20),
+    lambda values: (
+        strategies.lists(values, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=5), values, max_size=3
+        )
+    ),
+    max_leaves=5,
+)
+
+
+class ForeignEntriesTest(_DirectoryCase):
+    """Other writers store entries in the kinds where nodes register."""
+
+    async def test_only_entries_of_nodes_are_listed(self):
+        """Guards against a node that contacts an address that is none.
+
+        Its gossip would end with an error, here at each node that starts.
+        """
+        await self.directory.register(_record(700))
+        changes = (
+            {"address": 8080},
+            {"address": "node-b"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:65536"},
+            {"address": "nowhere:80"},
+            {"incarnation": float("inf")},
+            {"incarnation": "700"},
+            {"incarnation": -1},
+            {"incarnation": 2**63},
+            {"zone": None},
+        )
+        for number, change in enumerate(changes):
+            self.platform.store.put(
+                self.directory.kinds[0], f"other-{number}", _VALID | change, 0
+            )
+
+        with self.assertLogs(node_directory.log) as logged:
+            listings = [
+                (await self.directory.list_zone("z")).ok for _ in range(2)
+            ]
+
+        for listing in listings:
+            self.assertEqual(["node-a"], list(listing.registrations))
+        self.assertEqual(len(changes), len(logged.records))
+        self.assertEqual(len(changes), self.directory.invalid_count)
+        fields = logged.records[0].fields
+        self.assertEqual(
+            ("other-0", "address"), (fields["name"], fields["field"])
+        )
+
+
+class AnyEntryTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        _JSON
+        | strategies.fixed_dictionaries(
+            {},
+            optional={
+                key: _JSON | strategies.just(_VALID[key]) for key in _VALID
+            },
+        )
+    )
+    def test_no_entry_ends_a_listing(self, value):
+        """Guards against an entry that no node can read past."""
+        directory = node_directory.Directory(None)
+        item = {"metadata": {"name": "other", "revision": 1}, "spec": value}
+        body = json.dumps({"items": [item], "at_rev": 1}).encode()
+        (stored,) = wire.decode_page("node", body).objects
+
+        node = directory._decode(stored)
+
+        if node is not None:
+            host, port = http_servers.split_host_port(node.address)
+            ipaddress.ip_address(host)
+            self.assertLess(0, port)
+
+
 class EarlierIncarnationTest(_DirectoryCase):
     """A VM's clock goes back, and its node is restarted.
 
--- a/endivewind/tests/metrics_tests.py
+++ b/endivewind/tests/metrics_tests.py
@@ -87,6 +87,8 @@
             link_traffic.LinkUsage("andina", "costa", 70, -8, 3, 5, True)
         ],
         granted_bytes=lambda: {link_shares.Pair("andina", "costa"): 60},
+        task_failures=lambda: {"gossip": 2},
+        invalid_entries=lambda: 7,
         admission_refusals={"riders": 8},
         admission_levels=lambda: [
             admission_level.AdmissionLevel(
@@ -110,6 +112,8 @@
             'endivewind_request_latency_bucket_total{le="+Inf",service="riders"} 1.0',
             'endivewind_request_latency_sum_seconds_total{service="riders"} 0.003',
             "endivewind_requests_in_flight 0.0",
+            'endivewind_tasks_failed_total{task="gossip"} 2.0',
+            "endivewind_store_invalid_entries_total 7.0",
             'endivewind_placings_total{service="riders"} 2.0',
             'endivewind_retries_total{service="riders"} 1.0',
             'endivewind_retries_withheld_total{service="riders"} 1.0',
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -456,6 +456,20 @@
         "        elif target not in known.targets:\n",
         "callers.poison_guard_tests",
     ),
+    Mutant(
+        "a background task that fails is not started again",
+        "supervision.py",
+        "            await asyncio.sleep(RESTART_DELAY.total_seconds())\n",
+        "            return\n",
+        "supervision_tests",
+    ),
+    Mutant(
+        "any address of a registered node is contacted",
+        "durable/node_directory.py",
+        "        ipaddress.ip_address(host)\n",
+        "",
+        "durable.node_directory_tests",
+    ),
     Mutant(
         "a restarted node has its whole budget at once",
         "decisions/retry_budget.py",
