--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -188,10 +188,12 @@
         self, request: inherited_priority.RunningRequest
     ) -> collections.abc.Mapping[str, float]:
         """Returns how many calls a request is likely to make, by service."""
-        expected: collections.Counter[str] = collections.Counter()
+        expected: collections.defaultdict[str, float] = collections.defaultdict(
+            float
+        )
         for route, count in self._frequencies.expected_calls(request).items():
             if self._may_be_call((route.service, route.prefix)):
-                expected[route.service] += count  # type: ignore[assignment]
+                expected[route.service] += count
         return expected
 
     def sample_running_requests(self) -> None:
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -59,7 +59,12 @@
 def as_running(
     head: exchange.RequestHead, reservation: CallReservation | None = None
 ) -> inherited_priority.RunningRequest:
-    """Returns what a call of the target inherits from a request."""
+    """Returns a request as its target runs it, for the calls that it makes.
+
+    Args:
+      head: the request's head.
+      reservation: what it has reserved for its calls; None for nothing.
+    """
     return inherited_priority.RunningRequest(
         head.queue_priority,
         head.latency_objective,
