Rank counting nodes as owners of quotas are ranked; drop what is written twice

No behaviour changes but which three nodes count the crashes of a request: they are ranked by the directory of quota owners in place of a hash of their own.

- CallFrequencies.duplicate_probability was called by tests alone since calls spend reservations; its test keeps its assertions on probabilities().
- The metrics of retry budgets are read by one function in place of five.
- The heads of two kinds of tests of the dispatcher are built in one place.

--- a/endivewind/decisions/inherited_priority.py
+++ b/endivewind/decisions/inherited_priority.py
@@ -183,37 +183,18 @@
             least = min(self._calls, key=lambda key: self._call_count(key))
             del self._calls[least]
 
-    def duplicate_probability(
+    def probabilities(
         self,
         route: CallRoute,
         running: collections.abc.Sequence[RunningRequest],
-    ) -> float:
-        """Returns the probability that a call is made for a retried request.
+    ) -> list[float]:
+        """Returns the probability of each request that it makes a call.
 
         Scenario: a target runs some requests that make calls and many that make
         none, and only the former are retried. Risk: if each call were taken to
         belong to any of them, most calls of retried requests would not be
         charged to the retry budget of the called service.
 
-        Args:
-          route: the route of the call.
-          running: the requests that run now.
-        """
-        return sum(
-            probability
-            for request, probability in zip(
-                running, self.probabilities(route, running), strict=True
-            )
-            if request.may_be_duplicate
-        )
-
-    def probabilities(
-        self,
-        route: CallRoute,
-        running: collections.abc.Sequence[RunningRequest],
-    ) -> list[float]:
-        """Returns the probability of each request that it makes a call.
-
         Args:
           route: the route of a call that arrives now.
           running: the requests that run now.
--- a/endivewind/metrics.py
+++ b/endivewind/metrics.py
@@ -178,29 +178,16 @@
         yield api.Observation(count, {"service": service})
 
 
-def _charged_calls(sources: Sources) -> Observations:
-    for service, totals in sources.retry_totals.items():
-        yield api.Observation(totals.charged_calls, {"service": service})
+def _retry_total(
+    value: collections.abc.Callable[[budgets.RetryTotals], float],
+) -> collections.abc.Callable[[Sources], Observations]:
+    """Returns what reads one of the totals of all retry budgets."""
 
+    def observe(sources: Sources) -> Observations:
+        for service, totals in sources.retry_totals.items():
+            yield api.Observation(value(totals), {"service": service})
 
-def _overdrawn_calls(sources: Sources) -> Observations:
-    for service, totals in sources.retry_totals.items():
-        yield api.Observation(totals.overdrawn_calls, {"service": service})
-
-
-def _reserved_calls(sources: Sources) -> Observations:
-    for service, totals in sources.retry_totals.items():
-        yield api.Observation(totals.reserved_calls, {"service": service})
-
-
-def _refused_reservations(sources: Sources) -> Observations:
-    for service, totals in sources.retry_totals.items():
-        yield api.Observation(totals.refused_reservations, {"service": service})
-
-
-def _counted_requests(sources: Sources) -> Observations:
-    for service, totals in sources.retry_totals.items():
-        yield api.Observation(totals.requests, {"service": service})
+    return observe
 
 
 def _withheld_retries(sources: Sources) -> Observations:
@@ -434,14 +421,14 @@
         InstrumentKind.COUNTER,
         "{call}",
         "Calls of the target on this VM charged as retries, by called service.",
-        _charged_calls,
+        _retry_total(lambda totals: totals.charged_calls),
     ),
     Instrument(
         "endivewind.retries.overdrawn_calls",
         InstrumentKind.COUNTER,
         "{call}",
         "Calls charged as retries beyond this node's limit, by called service.",
-        _overdrawn_calls,
+        _retry_total(lambda totals: totals.overdrawn_calls),
     ),
     Instrument(
         "endivewind.retries.reserved_calls",
@@ -449,7 +436,7 @@
         "{call}",
         "Calls for which retried requests have reserved retries, by called "
         "service.",
-        _reserved_calls,
+        _retry_total(lambda totals: totals.reserved_calls),
     ),
     Instrument(
         "endivewind.retries.refused_reservations",
@@ -457,14 +444,14 @@
         "{attempt}",
         "Retried requests that were not sent to the target on this VM, as "
         "there were no retries left for their calls, by called service.",
-        _refused_reservations,
+        _retry_total(lambda totals: totals.refused_reservations),
     ),
     Instrument(
         "endivewind.retries.counted_requests",
         InstrumentKind.COUNTER,
         "{request}",
         "Callers' requests that add to the retry budget, by service.",
-        _counted_requests,
+        _retry_total(lambda totals: totals.requests),
     ),
     Instrument(
         "endivewind.calls.failed",
--- a/endivewind/nodes/codec.py
+++ b/endivewind/nodes/codec.py
@@ -19,6 +19,8 @@
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 
 _LENGTH = struct.Struct("!I")
+# The highest value of an i32 field.
+MAX_INT32 = 2**31 - 1
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # Reasons that earlier releases do not know, and what they take them for.
 _NEAREST_KNOWN_REASONS = {
@@ -118,13 +120,13 @@
         math.ceil(report.rate_limit_wait / _MILLISECOND) or None,
         report.leaving_incarnation or None,
         _work_ms(report.work_seconds) if report.work_seconds else None,
-        min(report.request_age // _MILLISECOND, 2**31 - 1) or None,
+        min(report.request_age // _MILLISECOND, MAX_INT32) or None,
     )
 
 
 def _work_ms(seconds: float) -> int:
     """Returns a work time in ms; never 0, which would mean unknown."""
-    return min(max(1, round(1000 * seconds)), 2**31 - 1)
+    return min(max(1, round(1000 * seconds)), MAX_INT32)
 
 
 def decode_target_report(report: Any) -> exchange.TargetReport | None:
--- a/endivewind/nodes/crash_reports.py
+++ b/endivewind/nodes/crash_reports.py
@@ -6,13 +6,13 @@
 
 import asyncio
 import datetime
-import hashlib
 from typing import Any
 
 from endivewind import clock as clocks
 from endivewind.decisions import poison_requests
 from endivewind.nodes import codec
 from endivewind.nodes import links
+from endivewind.nodes import quotas
 from endivewind.nodes import view
 
 # Nodes that count the crashes of one request. One may have restarted and one
@@ -23,7 +23,8 @@
 # Times that a counting node is asked until it responds.
 MAX_TRIES = 4
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-_MAX_AGE_MS = 2**31 - 1
+# The one group of nodes; those of any zone may count.
+_FLEET = ""
 
 
 class CrashReportService:
@@ -45,7 +46,7 @@
           clock: the clock; its monotonic time is used.
         """
         self._node = node
-        self._fleet = fleet
+        self._owners = quotas.OwnerDirectory(fleet, clock, lambda _: _FLEET)
         self._pool = pool
         self._clock = clock
         self._counts = poison_requests.CrashCounts()
@@ -68,7 +69,7 @@
         report = codec.messages.CrashReport(
             fingerprint=fingerprint,
             target=target,
-            age_ms=min(age // _MILLISECOND, _MAX_AGE_MS),
+            age_ms=min(age // _MILLISECOND, codec.MAX_INT32),
         )
         return await self._send(report)
 
@@ -105,13 +106,8 @@
         return 0
 
     def _counting_nodes(self, fingerprint: bytes) -> list[view.NodeRecord]:
-        """Chooses nodes by rendezvous hashing; others change few choices."""
-        return sorted(
-            self._fleet.nodes.values(),
-            key=lambda node: hashlib.blake2b(
-                fingerprint + node.name.encode(), digest_size=8
-            ).digest(),
-        )[:COUNTING_NODES]
+        ranked = self._owners.nodes_by_rank(fingerprint.hex(), _FLEET)
+        return ranked[:COUNTING_NODES]
 
     def handle_query(self, report: Any) -> Any:
         """Returns the response frame to another node's report."""
--- a/endivewind/tests/decisions/inherited_priority_tests.py
+++ b/endivewind/tests/decisions/inherited_priority_tests.py
@@ -49,7 +49,7 @@
         """
         retried = dataclasses.replace(PATIENT, may_be_duplicate=True)
         retried_urgent = dataclasses.replace(URGENT, may_be_duplicate=True)
-        probability = self.frequencies.duplicate_probability
+        probability = self._duplicate_probability
         self.assertAlmostEqual(
             1 / 3, probability(ROUTE, [URGENT, retried, URGENT])
         )
@@ -60,6 +60,15 @@
         self.assertLess(probability(ROUTE, [retried_urgent, PATIENT]), 0.3)
         self.assertEqual(0.0, probability(ROUTE, []))
 
+    def _duplicate_probability(self, route, running):
+        """Returns the probability that a retried request makes a call."""
+        probabilities = self.frequencies.probabilities(route, running)
+        return sum(
+            probability
+            for request, probability in zip(running, probabilities, strict=True)
+            if request.may_be_duplicate
+        )
+
     def test_classes_take_bounded_memory(self):
         """Guards against growth with many new classes between two samples."""
         running = [_running(priority) for priority in range(100)]
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -152,11 +152,8 @@
             self.dispatcher.run_forwarded("t", incarnation, head, body, limit)
         )
 
-
-class RequestAgeTest(_Case):
-    """Homes tell how long ago they sent a request that may be a duplicate."""
-
-    def age(self, **options):
+    def look_up(self, **options):
+        """Runs an idempotent request; options are attributes of its head."""
         head = exchange.RequestHead(
             "r",
             "GET",
@@ -167,9 +164,16 @@
             datetime.timedelta(seconds=9),
             **options,
         )
-        result = self.loop.run_until_complete(
+        return self.loop.run_until_complete(
             self.dispatcher.run("t", head, exchange.RequestBody())
         )
+
+
+class RequestAgeTest(_Case):
+    """Homes tell how long ago they sent a request that may be a duplicate."""
+
+    def age(self, **options):
+        result = self.look_up(**options)
         return exchange.target_report(result).request_age.total_seconds()
 
     def test_time_before_the_request_is_sent_does_not_count(self):
@@ -692,18 +696,8 @@
         self.assertTrue(refusal.was_not_run)
 
     def _look_up(self, objective_seconds):
-        head = exchange.RequestHead(
-            "r",
-            "GET",
-            "/",
-            (),
-            "riders",
-            "",
-            datetime.timedelta(seconds=9),
-            latency_objective=datetime.timedelta(seconds=objective_seconds),
-        )
-        return self.loop.run_until_complete(
-            self.dispatcher.run("t", head, exchange.RequestBody())
+        return self.look_up(
+            latency_objective=datetime.timedelta(seconds=objective_seconds)
         )
 
 
