Log each call that may belong to a retried request

The totals of the retry budgets come every ten seconds and are lost with a node that is killed. The line names the call, the probability that it belongs to a retried request and what was reserved, so that calls that nobody counts can be found among those that arrive.

--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -212,7 +212,7 @@
         route = inherited_priority.CallRoute(head.service, prefix)
         running = self._target.running_requests()
         call = exchange.TargetCall(
-            retry_probability=self._unreserved_probability(route, running)
+            retry_probability=self._unreserved_probability(head, route, running)
         )
         self._frequencies.record_call(route, running)
         if not self._inherits_priority:
@@ -234,22 +234,33 @@
 
     def _unreserved_probability(
         self,
+        head: exchange.RequestHead,
         route: inherited_priority.CallRoute,
         running: collections.abc.Sequence[inherited_priority.RunningRequest],
     ) -> float:
         """Returns the probability that a call lacks a reserved retry.
 
-        Spends what the retried requests have reserved for it.
+        Spends what the retried requests have reserved for it, and logs the call
+        if it may belong to one of them.
         """
-        unreserved = 0.0
+        probability_of_any = reserved = 0.0
         probabilities = self._frequencies.probabilities(route, running)
         for request, probability in zip(running, probabilities, strict=True):
             if not request.may_be_duplicate:
                 continue
-            unreserved += probability
+            probability_of_any += probability
             if request.reserved is not None:
-                unreserved -= request.reserved.spend(route.service, probability)
-        return unreserved
+                reserved += request.reserved.spend(route.service, probability)
+        if probability_of_any:
+            fields = logs.fields(
+                request_id=head.request_id,
+                service=route.service,
+                prefix=route.prefix,
+                probability=round(probability_of_any, 3),
+                reserved=round(reserved, 3),
+            )
+            log.info("call of retried request", extra=fields)
+        return probability_of_any - reserved
 
     def _record_failure(
         self,
--- a/endivewind/tests/callers/target_calls_tests.py
+++ b/endivewind/tests/callers/target_calls_tests.py
@@ -54,6 +54,12 @@
     )
 
 
+def _accounting(record):
+    """Returns the call in a log record, and what was counted for it."""
+    values = record.fields
+    return values["request_id"], values["probability"], values["reserved"]
+
+
 class _TargetCallsTest(unittest.TestCase):
     def setUp(self):
         self.clock = clocks.ManualClock()
@@ -103,6 +109,17 @@
 
                 self.assertEqual(0.5, self.serve().call.retry_probability)
 
+    def test_call_that_may_belong_to_a_retried_request_is_logged(self):
+        """Guards against calls of retried requests that nobody can count."""
+        retried = dataclasses.replace(_running(), may_be_duplicate=True)
+        self.target.running = [_running(), retried]
+        with self.assertLogs(target_calls.log, "INFO") as captured:
+            self.serve()
+
+        record = captured.records[0]
+        self.assertEqual("call of retried request", record.getMessage())
+        self.assertEqual(("r", 0.5, 0.0), _accounting(record))
+
 
 class RecognitionTest(_TargetCallsTest):
     def test_request_from_this_vm_is_a_call(self):
