--- a/endivewind/tests/loads/calling_fleet.py
+++ b/endivewind/tests/loads/calling_fleet.py
@@ -162,6 +162,34 @@
         stats.failed += not is_success
         return is_success
 
+    def schedule_departures(self, seconds, absence_seconds):
+        """Lets all calling targets deregister while they work on requests.
+
+        Each registers again as a later start, and the homes remain.
+
+        Args:
+          seconds: when, in seconds from now.
+          absence_seconds: how long they are not registered.
+        """
+        for name in self.nodes:
+            targets = self._registries[name]
+            announcement = self._announcement_of(name)
+            returned = announcement.model_copy(
+                update={"incarnation": announcement.incarnation + 1}
+            )
+            self.loop.call_later(
+                seconds, targets.depart, name, announcement.incarnation
+            )
+            # A home refuses the first announcement after a pause of its checks.
+            for delay in (absence_seconds, absence_seconds + 0.75):
+                self.loop.call_later(
+                    seconds + delay,
+                    targets.announce,
+                    name,
+                    returned,
+                    returned.slots,
+                )
+
     async def forward(self, zone, home, target, head, body):
         """Delivers a request to a home node and returns its result."""
         result = await super().forward(zone, home, target, head, body)
@@ -229,8 +257,11 @@
         ]
 
     def _run_more_checks(self):
-        for node in self.nodes.values():
+        for name, node in self.nodes.items():
             node.calls.sample_running_requests()
+            for route in node.gateway.entry_routes.take_due_updates():
+                other = self.rng.choice(list(self.nodes.values()))
+                other.gateway.entry_routes.add_route(route, name)
 
 
 @dataclasses.dataclass
--- a/endivewind/tests/loads/repeat_counts_tests.py
+++ b/endivewind/tests/loads/repeat_counts_tests.py
@@ -109,6 +109,26 @@
                     {calling_fleet.CALLED_SERVICE: 0.5, fleet.SERVICE: 0.1},
                 )
 
+    def test_calls_of_targets_that_have_deregistered(self):
+        """Guards against calls that count as requests of callers.
+
+        A target that has deregistered works on, and makes calls.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulated = repeat_counts.CallingRepeatFleet(
+                    seed, CALLS, retries=repeat_counts.NODE_LIMITS
+                )
+                simulated.schedule_departures(6, absence_seconds=2)
+                simulated.run(WARM_UP_SECONDS, KINDS)
+                _fail(simulated, 0.7, 0.3)
+                simulated.run(OUTAGE_SECONDS, KINDS)
+
+                self._check(
+                    simulated,
+                    {calling_fleet.CALLED_SERVICE: 0.5, fleet.SERVICE: 0.1},
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/endivewind/tests/loads/retry_bound.py
+++ b/endivewind/tests/loads/retry_bound.py
@@ -52,6 +52,7 @@
         self.previous_uptime = None
         self.view = view.FleetView()
         self._fleet = fleet
+        self._is_replaced = False
         self.start()
 
     @property
@@ -60,18 +61,26 @@
         return not self.steps_down
 
     def start(self):
-        """Starts or restarts the node without its counts."""
+        """Starts the node, or another one in its place, without any counts."""
         now = self._fleet.clock.monotonic()
-        if self.incarnation:
+        if self._is_replaced:
+            self.name += "-new"
+            self.previous_uptime = None
+        elif self.incarnation:
             self.previous_uptime = now - self._started
         self._started = now
         self.incarnation += 1
         self.view = view.FleetView()
         self.budgets = self._fleet.make_budgets(self)
 
-    def stop(self):
-        """Stops the node, which starts again a second later."""
+    def stop(self, *, is_replaced):
+        """Stops the node, which starts again a second later.
+
+        Args:
+          is_replaced: whether a node with another name starts instead.
+        """
         self.steps_down = DOWN_STEPS
+        self._is_replaced = is_replaced
 
     async def obtain(self):
         """Takes or borrows a retry; returns whether there was one."""
@@ -122,6 +131,7 @@
         )
         self._messages = []
         self._step = 0
+        self._replaces_nodes = False
         self.nodes = [Node(f"n{number}", self) for number in range(nodes)]
         self._update_views()
         self.request_times = []
@@ -157,7 +167,7 @@
     def _is_lost(self):
         return self._rng.random() < self._message_loss
 
-    def run(self, duration, *, is_outage=False, stops=()):
+    def run(self, duration, *, is_outage=False, stops=(), replaces_nodes=False):
         """Runs the nodes.
 
         Args:
@@ -166,7 +176,9 @@
             often as it may.
           stops: pairs of the time from now at which a node is stopped, and its
             number.
+          replaces_nodes: whether others start in place of those that stop.
         """
+        self._replaces_nodes = replaces_nodes
         self._loop.run_until_complete(self._run(duration, is_outage, stops))
 
     async def _run(self, duration, is_outage, stops):
@@ -176,7 +188,7 @@
             stopped.setdefault(first + at // STEP, []).append(number)
         while self._step < first + duration // STEP:
             for number in stopped.get(self._step, ()):
-                self.nodes[number].stop()
+                self.nodes[number].stop(is_replaced=self._replaces_nodes)
                 self._update_views()
             await self._run_step(is_outage)
         # Rounds of requests for loans that nobody waits for any more.
--- a/endivewind/tests/loads/retry_bound_tests.py
+++ b/endivewind/tests/loads/retry_bound_tests.py
@@ -61,6 +61,30 @@
 
                     self._check(fleet)
 
+    def test_nodes_are_replaced_by_others_during_an_outage(self):
+        """Guards against retries of nodes that others have replaced.
+
+        A node with a new name has restarted nothing, but the retries of the one
+        in whose place it starts still count.
+        """
+        for seed in SEEDS:
+            for rounds in (1, 3):
+                stops = [
+                    ((3.3 * turn + 0.3) * SECOND, number)
+                    for turn in range(rounds)
+                    for number in range(turn % 2, 8, 2)
+                ]
+                with self.subTest(seed=seed, rounds=rounds):
+                    fleet = retry_bound.Fleet(seed)
+                    fleet.run(
+                        OUTAGE,
+                        is_outage=True,
+                        stops=stops,
+                        replaces_nodes=True,
+                    )
+
+                    self._check(fleet)
+
     def _check(self, fleet):
         self.assertLessEqual(fleet.max_excess(), 0)
         # A budget that allows no retries at all would pass the check above.
