Count a target that has left as working until its last request ends

Cause: a home knew what its target worked on by its registered targets. One that had deregistered, or whose lease had ended, was not among them, so that its node took it for idle, and the next call that it made for a request of a caller. That made the route of the calls an entry route, the neighbours learned it within a second, and nobody forgets one. From then on calls added to the budget of the called service, and those of retried requests were neither reserved nor charged.

The registry remembers targets that were removed while they worked until their last request has ended, or its deadline has passed if it was abandoned. Activity and running requests are read from these, too.

Evidence: both unit tests failed before.

--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -160,19 +160,14 @@
     @property
     def has_active_work(self) -> bool:
         """Whether a target is executing a request, or may still be doing so."""
-        now = self._clock.monotonic()
-        return any(
-            item.pending_requests
-            or (item.may_work_until is not None and now < item.may_work_until)
-            for item in self._targets.home_targets()
-        )
+        return bool(self._targets.working_targets())
 
     @property
     def possible_duplicate_share(self) -> float:
         """Share of the active requests that are possible duplicates."""
         duplicates = [
             request.may_be_duplicate
-            for item in self._targets.home_targets()
+            for item in self._targets.working_targets()
             for request in item.pending_requests
         ]
         return sum(duplicates) / len(duplicates) if duplicates else 0.0
@@ -191,7 +186,7 @@
         """Returns the requests that targets are running, oldest first."""
         return [
             request.as_running()
-            for item in self._targets.home_targets()
+            for item in self._targets.working_targets()
             for request in item.pending_requests
         ]
 
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -124,6 +124,12 @@
         """Number of slots in use."""
         return self.slots.in_use
 
+    def may_be_working(self, now: datetime.timedelta) -> bool:
+        """Whether it is executing a request, or may still be doing so."""
+        return bool(self.pending_requests) or (
+            self.may_work_until is not None and now < self.may_work_until
+        )
+
     def report(self, now: datetime.timedelta) -> exchange.TargetReport:
         """Returns the report that is sent to entry nodes."""
         likelihood_ratio = self._pending_likelihood_ratio(now)
@@ -248,6 +254,8 @@
         self._clock = clock
         self._find_published_record = find_published_record
         self._targets: dict[str, HomeTarget] = {}
+        # Targets that were removed while they were working.
+        self._removed: list[HomeTarget] = []
         self._sequence = 0
         self._changes: list[records.TargetChange] = []
         self._last_check_at = clock.monotonic()
@@ -295,6 +303,23 @@
         """Returns all targets of this home node."""
         return self._targets.values()
 
+    def working_targets(self) -> list[HomeTarget]:
+        """Returns the targets that may be executing requests of this home.
+
+        Scenario: a target deregisters, or its lease ends, and it completes the
+        requests that it has. Risk: it counts as idle, and the calls that it
+        makes for them are taken for requests of callers.
+        """
+        now = self._clock.monotonic()
+        self._removed = [
+            item for item in self._removed if item.may_be_working(now)
+        ]
+        registered = self._targets.values()
+        return [
+            *self._removed,
+            *(item for item in registered if item.may_be_working(now)),
+        ]
+
     def target_records(self) -> list[records.TargetRecord]:
         """Returns the published records of all targets."""
         return [item.record for item in self._targets.values()]
@@ -466,6 +491,8 @@
         item = self._targets.pop(target, None)
         if item is None:
             return False
+        if item.may_be_working(self._clock.monotonic()):
+            self._removed.append(item)
         self._sequence += 1
         record = dataclasses.replace(item.record, sequence=self._sequence)
         self._changes.append(records.TargetChange(record, is_removal=True))
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -485,6 +485,13 @@
         "",
         "durable.node_directory_tests",
     ),
+    Mutant(
+        "a target that has left counts as idle",
+        "targets/registry.py",
+        "            self._removed.append(item)\n",
+        "            pass\n",
+        _DISPATCH,
+    ),
     Mutant(
         "a restarted node has its whole budget at once",
         "decisions/retry_budget.py",
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -362,6 +362,34 @@
         self.loop.advance(datetime.timedelta(seconds=0.2))
         self.assertFalse(self.dispatcher.has_active_work)
 
+    def test_deregistered_target_works_on_its_requests(self):
+        """Guards against calls of a departed target that count as callers'."""
+        self._check_works_on(lambda: self.targets.depart("t"))
+
+    def test_target_whose_lease_has_ended_works_on_its_requests(self):
+        """Guards against calls of a lost target that count as callers'."""
+        self.targets.announce(
+            "t", ANNOUNCEMENT.model_copy(update={"lease_ms": 500}), 2
+        )
+        self._check_works_on(self.targets.remove_expired)
+
+    def _check_works_on(self, leave):
+        """Checks that a target is active until its request ends."""
+        self.pooled.work_seconds = 2.0
+
+        async def run():
+            request = asyncio.create_task(self.send())
+            await asyncio.sleep(1)
+            leave()
+            self.assertEqual([], self.targets.target_records())
+            self.assertTrue(self.dispatcher.has_active_work)
+            self.assertEqual(1, len(self.dispatcher.running_requests()))
+            await request
+
+        self.loop.run_until_complete(run())
+
+        self.assertFalse(self.dispatcher.has_active_work)
+
     def test_target_that_got_nothing_is_idle(self):
         self.pooled.refuses_connections = True
         self.loop.run_until_complete(self.send())
