Limit the retries of every node in its first window

Cause: a node that restarts had a third of its limit for a window, since what it spent before is forgotten. It knew so by its registered earlier start. A node with another name that starts in the place of a lost one has none, and had its whole limit at once, while the retries of the lost one still counted.

Every node now has a third of its limit for a window after its start, and the part of the reserve in it grows with its uptime. Nodes that follow each other in one place within a window, restarted or replaced, so have a third of one limit together, whatever their number, and with the three quarters that the limits add up to the fleet stays within its bound. The earlier rule for a second restart within a window is a case of it, and the time of the previous start is no longer needed; the directory only tells whether there may have been one.

test_parts_of_the_fleet_do_not_use_its_whole_reserve_each asked for the whole part of a node at its start; it asks for a quarter of it now, which is what the bound leaves for nodes that have just started.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -129,7 +129,7 @@
         rng: random.Random,
         request_loan: retry_loans.LoanRequester = retry_loans.request_nothing,
         *,
-        previous_uptime: datetime.timedelta | None = None,
+        started: datetime.timedelta | None = None,
         unreachable_count: collections.abc.Callable[[], int] = lambda: 0,
         zone_count: int = 0,
         prioritizes: bool = False,
@@ -143,8 +143,8 @@
           clock: the clock; its monotonic time is used.
           rng: chooses the nodes from which retries are borrowed.
           request_loan: asks another node for retries.
-          previous_uptime: the time between this node's previous start and this
-            one; None if this is the first, zero if that is not known.
+          started: the monotonic time of this node's start; None if it has been
+            running for long.
           unreachable_count: returns the number of nodes that are not in `fleet`
             and may still serve callers, as on the other side of a partition.
           zone_count: the number of zones of the fleet; 0 if it is not known.
@@ -153,8 +153,7 @@
         """
         self._prioritizes = prioritizes
         self._priorities: dict[str, retry_priorities.RetryPriorities] = {}
-        self._started = clock.monotonic()
-        self._previous_uptime = previous_uptime
+        self._started = started
         self._unreachable_count = unreachable_count
         self._zone_count = zone_count
         self._size = PeakFleetSize()
@@ -423,11 +422,15 @@
             reserve,
             window,
             self._neighbour_count,
-            retry_budget.share_after_start(
-                now - self._started, self._previous_uptime, window
-            ),
+            self._uptime(now),
         )
 
+    def _uptime(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns the time since this node's start."""
+        if self._started is None:
+            return datetime.timedelta.max
+        return now - self._started
+
     def _node_count(
         self, now: datetime.timedelta, window: datetime.timedelta
     ) -> int:
@@ -439,7 +442,7 @@
         """
         nodes = self._fleet.nodes
         count = len(nodes) + self._unreachable_count()
-        if now - self._started >= window:
+        if self._uptime(now) >= window:
             return count
         zone = self._locality.zone
         zone_size = sum(node.zone == zone for node in nodes.values())
--- a/endivewind/config/settings.py
+++ b/endivewind/config/settings.py
@@ -123,8 +123,8 @@
 
 
 # Share of the retries allowed to the whole fleet that the nodes' retry budgets
-# allow. The rest is for retries that restarted nodes have forgotten (see
-# `retry_budget.RESTART_SHARE`), and for calls of retried requests that their home
+# allow. The rest is for retries of nodes that have restarted or been replaced (see
+# `retry_budget.START_SHARE`), and for calls of retried requests that their home
 # did not expect.
 NODE_RETRY_SHARE = 0.75
 
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -34,10 +34,11 @@
 # has less for this time and a window, so that a retry of the borrower and one
 # of the lender never count for the same part of their limits.
 LOAN_LIFETIME = datetime.timedelta(milliseconds=500)
-# Share of its limit that a node has for a window after it has restarted. What it
-# spent before is unknown, and may be all of it: three quarters of what the fleet
-# is allowed, of which this leaves the last one (see `settings.NODE_RETRY_SHARE`).
-RESTART_SHARE = 1 / 3
+# Share of its limit that a node has for a window after its start. What was spent
+# in its place before is unknown, and may be all of it: three quarters of what the
+# fleet is allowed, of which this leaves the last one (see
+# `settings.NODE_RETRY_SHARE`).
+START_SHARE = 1 / 3
 # Loans are parts of retries, in thousandths on the wire. What is missing to a
 # whole retry by rounding does not count.
 _ROUNDING = 1e-6
@@ -50,17 +51,17 @@
     Attributes:
       share: retries allowed per request in the window.
       reserve: additional retries allowed in each window at this node.
-      own_share: share of both that this node may use itself or lend.
       window: the length of the window in which both are counted.
       neighbour_count: number of other nodes that send their counts to this
         one.
+      uptime: the time since this node's start, if it started a short time ago.
     """
 
     share: float
     reserve: float = DEFAULT_RESERVE
     window: datetime.timedelta = DEFAULT_WINDOW
     neighbour_count: int = 0
-    own_share: float = 1.0
+    uptime: datetime.timedelta = datetime.timedelta.max
 
 
 @dataclasses.dataclass(slots=True)
@@ -169,29 +170,6 @@
             self._borrowed = 0.0
 
 
-def share_after_start(
-    uptime: datetime.timedelta,
-    previous_uptime: datetime.timedelta | None,
-    window: datetime.timedelta,
-) -> float:
-    """Returns the share of its limit that a node may use after its start.
-
-    Scenario: nodes are stopped or killed one after the other while a service
-    fails. Risk: each has forgotten the retries that it made, and makes them once
-    more within the window.
-
-    Args:
-      uptime: the time since its start.
-      previous_uptime: the time between its previous start and this one; None if
-        this is the first, zero if that is not known.
-      window: the window of the budget.
-    """
-    if previous_uptime is None or uptime >= window:
-        return 1.0
-    # A node that restarts again has used its share after the first restart.
-    return RESTART_SHARE if previous_uptime >= window else 0.0
-
-
 class RetryBudget:
     """Bounds the retries in every window to a share of the requests.
 
@@ -515,13 +493,26 @@
         return self._own_limit() + peers
 
     def _own_limit(self) -> float:
-        return self._limits.own_share * self._limit_for(self._requests)
+        """Returns how many retries this node may make or lend.
+
+        Scenario: nodes are killed while a service fails, and start again or are
+        replaced by others, some of them several times. Risk: each has its whole
+        limit at once, while what was spent in its place still counts. So in its
+        first window a node has a part of its limit, and its reserve grows with
+        its uptime: nodes that follow each other within a window have no more
+        than one of them alone.
+        """
+        if self._limits.uptime >= self._limits.window:
+            return self._limit_for(self._requests)
+        age = self._limits.uptime / self._limits.window
+        return START_SHARE * self._limit_for(self._requests, age)
 
-    def _limit_for(self, requests: int) -> float:
+    def _limit_for(self, requests: int, reserve_share: float = 1.0) -> float:
         """Returns how many retries a node with this many requests may make."""
         if not self._limits.share:
             return 0.0
-        return self._limits.share * requests + self._limits.reserve
+        reserve = reserve_share * self._limits.reserve
+        return self._limits.share * requests + reserve
 
     def _advance(self, now: datetime.timedelta) -> None:
         """Drops what has expired."""
--- a/endivewind/durable/node_directory.py
+++ b/endivewind/durable/node_directory.py
@@ -284,28 +284,14 @@
     return registration.node.incarnation if registration else 0
 
 
-def previous_uptime(
-    listing: ZoneListing | None, name: str, incarnation: int
-) -> datetime.timedelta | None:
-    """Returns the time between a node's previous start and this one.
-
-    Incarnations are the microseconds of the starts by the clock of the VM, or
-    a little more if it went back.
+def may_have_run_before(listing: ZoneListing | None, name: str) -> bool:
+    """Returns whether a node that starts may be one that has restarted.
 
     Args:
       listing: the node's zone at its start; None if there was no response.
       name: the node's name.
-      incarnation: the incarnation that starts now.
-
-    Returns:
-      None if this is the first start; zero if that is not known.
     """
-    if listing is None:
-        return datetime.timedelta()
-    registered = registered_incarnation(listing, name)
-    if not registered:
-        return None
-    return datetime.timedelta(microseconds=incarnation - registered)
+    return listing is None or registered_incarnation(listing, name) > 0
 
 
 _Fingerprint = Annotated[
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -147,7 +147,7 @@
         self._directory: node_directory.Directory
         self._initial_listing: node_directory.ZoneListing | None
         self._incarnation: int
-        self._previous_uptime: datetime.timedelta | None
+        self._may_have_run_before: bool
         self._targets: registry.TargetRegistry
         self._outlier_monitor: outlier_monitor.OutlierMonitor
         self._dispatcher: dispatch.Dispatcher
@@ -262,8 +262,8 @@
         )
         now_us = int(self._clock.now().timestamp() * 1_000_000)
         self._incarnation = max(now_us, registered + 1, self._min_incarnation)
-        self._previous_uptime = node_directory.previous_uptime(
-            self._initial_listing, node_settings.name, self._incarnation
+        self._may_have_run_before = node_directory.may_have_run_before(
+            self._initial_listing, node_settings.name
         )
         identity = registry.HomeIdentity(
             node_settings.name,
@@ -336,7 +336,7 @@
             entry_routes.EntryRoutes(
                 self._clock,
                 self._dispatcher if node_settings.beside else None,
-                is_restart=self._previous_uptime is not None,
+                is_restart=self._may_have_run_before,
             ),
             quota_client.QuotaClient(
                 lambda workspace, count: self._quota_service.request_tokens(
@@ -398,7 +398,7 @@
             self._clock,
             self._rng,
             self._retry_loans.request,
-            previous_uptime=self._previous_uptime,
+            started=self._created_at,
             unreachable_count=lambda: self._gossip.unreachable_count,
             zone_count=len(self._settings.zones),
             prioritizes=self._settings.overload.prioritized_retries,
--- a/endivewind/tests/callers/budgets_tests.py
+++ b/endivewind/tests/callers/budgets_tests.py
@@ -37,17 +37,11 @@
         self.incarnation = 0
         self.ticks_down = 0
         self._fleet = fleet
-        self._started_at = None
         self.start()
 
     def start(self):
         """Starts or restarts the node, without any counts."""
         self.incarnation += 1
-        now = self._fleet.clock.monotonic()
-        previous_uptime = (
-            None if self._started_at is None else now - self._started_at
-        )
-        self._started_at = now
         self.view = view.FleetView()
         self.budgets = budgets.RetryBudgets(
             self._fleet.configuration,
@@ -55,7 +49,7 @@
             load_balancing.Locality(f"n{self.number}", "r", "z"),
             self._fleet.clock,
             self._fleet.rng,
-            previous_uptime=previous_uptime,
+            started=self._fleet.clock.monotonic(),
             prioritizes=self._fleet.prioritizes,
         )
 
@@ -341,16 +335,21 @@
         """Guards against a reserve that a partition or a start multiplies.
 
         A node knows its zone only: it has just started, or the nodes of the
-        other three zones are beyond its reach for longer than a window.
+        other three zones are beyond its reach for longer than a window. Nodes
+        that have just started may have a quarter of the reserve.
         """
         fleet = _Fleet(20, random.Random(1))
-        for unreachable, zone_count, age in ((0, 4, 0), (15, 0, 2)):
+        for unreachable, zone_count, age, share in (
+            (0, 4, 0.99, 0.25),
+            (15, 0, 2, 1),
+        ):
             node = budgets.RetryBudgets(
                 fleet.configuration,
                 view.FleetView(),
                 load_balancing.Locality("n0", "r", "z"),
                 fleet.clock,
                 fleet.rng,
+                started=fleet.clock.monotonic(),
                 unreachable_count=lambda count=unreachable: count,
                 zone_count=zone_count,
             )
@@ -363,7 +362,7 @@
                 taken = sum(
                     budget.take(fleet.clock.monotonic()) for _ in range(100)
                 )
-                self.assertLessEqual(taken, RESERVE_PER_NODE)
+                self.assertLessEqual(taken, share * RESERVE_PER_NODE)
 
     def test_usage_of_restarted_neighbour_still_counts(self):
         fleet = _Fleet(2, random.Random(1))
--- a/endivewind/tests/durable/node_directory_tests.py
+++ b/endivewind/tests/durable/node_directory_tests.py
@@ -1,6 +1,5 @@
 """Tests of the directory of nodes and of registered incarnations."""
 
-import datetime
 import ipaddress
 import json
 import random
@@ -183,23 +182,20 @@
             self.platform.standin.set_faults(faults.Fault(mode=mode))
             self.assertEqual(0, await self.registered_incarnation())
 
-    async def test_time_since_the_previous_start_is_known(self):
-        """Guards against a restarted node that repeats what it has forgotten.
+    async def test_a_restarted_node_knows_that_it_has_restarted(self):
+        """Guards against calls of earlier work that count as callers' requests.
 
-        Without a response it has to assume that it has just been running.
+        Without a response a node has to assume that it has been running.
         """
         listing = await self.directory.list_zone_at_start("z")
-        self.assertIsNone(
-            node_directory.previous_uptime(listing, "node-a", 900)
-        )
+        self.assertFalse(node_directory.may_have_run_before(listing, "node-a"))
         await self.register(_record(700))
         listing = await self.directory.list_zone_at_start("z")
 
-        for known, expected in ((listing, 200), (None, 0)):
-            with self.subTest(expected):
-                self.assertEqual(
-                    datetime.timedelta(microseconds=expected),
-                    node_directory.previous_uptime(known, "node-a", 900),
+        for known in (listing, None):
+            with self.subTest(is_known=known is not None):
+                self.assertTrue(
+                    node_directory.may_have_run_before(known, "node-a")
                 )
 
     async def test_a_registration_replaces_an_earlier_one(self):
--- a/endivewind/tests/loads/retry_bound.py
+++ b/endivewind/tests/loads/retry_bound.py
@@ -49,7 +49,6 @@
         self.name = name
         self.incarnation = 0
         self.steps_down = 0
-        self.previous_uptime = None
         self.view = view.FleetView()
         self._fleet = fleet
         self._is_replaced = False
@@ -62,13 +61,9 @@
 
     def start(self):
         """Starts the node, or another one in its place, without any counts."""
-        now = self._fleet.clock.monotonic()
         if self._is_replaced:
             self.name += "-new"
-            self.previous_uptime = None
-        elif self.incarnation:
-            self.previous_uptime = now - self._started
-        self._started = now
+        self.started = self._fleet.clock.monotonic()
         self.incarnation += 1
         self.view = view.FleetView()
         self.budgets = self._fleet.make_budgets(self)
@@ -147,7 +142,7 @@
             self.clock,
             self._rng,
             self._request_loan,
-            previous_uptime=node.previous_uptime,
+            started=node.started,
         )
 
     async def _request_loan(self, lender, service, amount):
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -493,10 +493,17 @@
         _DISPATCH,
     ),
     Mutant(
-        "a restarted node has its whole budget at once",
+        "a node that has just started has its whole budget at once",
         "decisions/retry_budget.py",
-        "    return RESTART_SHARE if previous_uptime >= window else 0.0\n",
-        "    return 1.0\n",
+        "        if self._limits.uptime >= self._limits.window:\n",
+        "        if True:\n",
+        "loads.retry_bound_tests",
+    ),
+    Mutant(
+        "nodes that follow each other within a window have a reserve each",
+        "decisions/retry_budget.py",
+        "        return START_SHARE * self._limit_for(self._requests, age)\n",
+        "        return START_SHARE * self._limit_for(self._requests)\n",
         "loads.retry_bound_tests",
     ),
     Mutant(
