Keep routes to a node that it learns soon after its restart

Work that its earlier process sent may take longer, and a call for it would make its route an entry route of the whole region for as long as its nodes run.

What a node learns in the first ten seconds after its restart is now neither sent to neighbours nor kept. Callers' requests count as before.

test_route_learned_soon_after_a_restart_is_learned_again fails with the mutant that restores the old behaviour.

--- a/endivewind/callers/entry_routes.py
+++ b/endivewind/callers/entry_routes.py
@@ -23,6 +23,9 @@
 # sent before. Usual requests end sooner; a longer time would delay that callers'
 # routes are learned when all nodes have restarted.
 UNKNOWN_WORK_TIME = datetime.timedelta(seconds=2)
+# Time after a restart in which the target may still work on a request that was
+# sent before and took unusually long.
+LONGEST_UNKNOWN_WORK_TIME = datetime.timedelta(seconds=10)
 # Number of routes that fit into one datagram. If there are more, successive
 # updates send them in turn.
 MAX_ROUTES_PER_UPDATE = 16
@@ -83,8 +86,12 @@
         self._last_update = clock.monotonic()
         # Until then nothing is known of the target's earlier requests.
         self._unknown_until = clock.monotonic()
+        # Routes that are learned until then may be those of calls.
+        self._provisional_until = clock.monotonic()
+        self._provisional_routes: set[peer_updates.EntryRoute] = set()
         if is_restart:
             self._unknown_until += UNKNOWN_WORK_TIME
+            self._provisional_until += LONGEST_UNKNOWN_WORK_TIME
 
     def is_from_caller(self, service: str, prefix: str) -> bool:
         """Whether a request that arrives now is known to be a caller's.
@@ -95,10 +102,9 @@
         """
         if self._local_target is None:
             return True
-        route = peer_updates.EntryRoute(service, prefix)
         if not self.is_target_active:
-            self._learn(route, "idle target")
-        return route in self._caller_routes
+            self._learn_while_idle(peer_updates.EntryRoute(service, prefix))
+        return self.is_entry_route(service, prefix)
 
     @property
     def is_target_active(self) -> bool:
@@ -119,7 +125,10 @@
 
     def is_entry_route(self, service: str, prefix: str) -> bool:
         """Whether callers are known to use a route; learns nothing."""
-        return peer_updates.EntryRoute(service, prefix) in self._caller_routes
+        route = peer_updates.EntryRoute(service, prefix)
+        return route in self._caller_routes or (
+            self._is_provisional and route in self._provisional_routes
+        )
 
     def retry_probability(self, service: str, prefix: str) -> float:
         """Returns the probability that a request is a retried request's call.
@@ -130,10 +139,28 @@
         """
         if self._local_target is None:
             return 0.0
-        if peer_updates.EntryRoute(service, prefix) in self._caller_routes:
+        if self.is_entry_route(service, prefix):
             return 0.0
         return self._local_target.possible_duplicate_share
 
+    @property
+    def _is_provisional(self) -> bool:
+        return self._clock.monotonic() < self._provisional_until
+
+    def _learn_while_idle(self, route: peer_updates.EntryRoute) -> None:
+        """Adds a route by which a request has come while the target is idle.
+
+        Scenario: a node restarts while its target works on a request for longer
+        than usual. Risk: a call for it makes its route an entry route of the
+        whole region, as neighbours learn it, for as long as they run. So what
+        is learned soon after a restart is not sent to neighbours, and has to be
+        learned again later.
+        """
+        if self._is_provisional:
+            self._provisional_routes.add(route)
+        else:
+            self._learn(route, "idle target")
+
     def add_route(self, route: peer_updates.EntryRoute, sender: str) -> None:
         """Adds an entry route that a neighbour has sent."""
         self._learn(route, sender)
--- a/endivewind/tests/callers/entry_routes_tests.py
+++ b/endivewind/tests/callers/entry_routes_tests.py
@@ -51,6 +51,30 @@
         self.assertTrue(routes.is_from_caller("riders", "/orders/"))
         self.assertFalse(routes.is_entry_route("venues", "/status/"))
 
+    def test_route_learned_soon_after_a_restart_is_learned_again(self):
+        """Guards against calls of long work that all nodes take for callers'.
+
+        The target works on a request for longer than usual, which the node sent
+        before its restart.
+        """
+        routes = entry_routes.EntryRoutes(
+            self.clock, self.local_target, is_restart=True
+        )
+        self.clock.advance(entry_routes.UNKNOWN_WORK_TIME)
+        self.assertTrue(routes.is_from_caller("venues", "/status/"))
+        self.assertEqual((), routes.take_due_updates())
+        self.clock.advance(entry_routes.LONGEST_UNKNOWN_WORK_TIME)
+
+        self.local_target.has_active_work = True
+        self.assertFalse(routes.is_from_caller("venues", "/status/"))
+        self.assertEqual((), routes.take_due_updates())
+        self.local_target.has_active_work = False
+        self.assertTrue(routes.is_from_caller("riders", "/orders/"))
+        self.clock.advance(entry_routes.UPDATE_INTERVAL)
+        self.assertEqual(
+            ["/orders/"], [item.prefix for item in routes.take_due_updates()]
+        )
+
     def test_retry_probability_is_share_of_retried_requests(self):
         """The probability is zero for known routes of callers."""
         self.routes.is_from_caller("riders", "/orders/")
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -485,6 +485,13 @@
         "",
         "durable.node_directory_tests",
     ),
+    Mutant(
+        "a restarted node tells its neighbours of routes of unfinished work",
+        "callers/entry_routes.py",
+        "        if self._is_provisional:\n",
+        "        if False:\n",
+        "callers.entry_routes_tests",
+    ),
     Mutant(
         "a target that has left counts as idle",
         "targets/registry.py",
