--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -54,7 +54,8 @@
       window: the length of the window in which both are counted.
       neighbour_count: number of other nodes that send their counts to this
         one.
-      uptime: the time since this node's start, if it started a short time ago.
+      uptime: the time since this node's start; the maximum if it has been
+        running for long.
     """
 
     share: float
