Drop removed targets whose work has ended whenever one is removed

Seen in reading the change: they were dropped only when a node asked what its target works on, which nodes without a target on their VM never do, so that one entry stayed for each target that was removed while it worked. No other change of behaviour; the mutant that loses removed targets is caught.

--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -311,13 +311,10 @@
         makes for them are taken for requests of callers.
         """
         now = self._clock.monotonic()
-        self._removed = [
-            item for item in self._removed if item.may_be_working(now)
-        ]
-        registered = self._targets.values()
         return [
-            *self._removed,
-            *(item for item in registered if item.may_be_working(now)),
+            item
+            for item in (*self._removed, *self._targets.values())
+            if item.may_be_working(now)
         ]
 
     def target_records(self) -> list[records.TargetRecord]:
@@ -491,8 +488,12 @@
         item = self._targets.pop(target, None)
         if item is None:
             return False
-        if item.may_be_working(self._clock.monotonic()):
-            self._removed.append(item)
+        now = self._clock.monotonic()
+        self._removed = [
+            other
+            for other in (*self._removed, item)
+            if other.may_be_working(now)
+        ]
         self._sequence += 1
         record = dataclasses.replace(item.record, sequence=self._sequence)
         self._changes.append(records.TargetChange(record, is_removal=True))
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -495,8 +495,8 @@
     Mutant(
         "a target that has left counts as idle",
         "targets/registry.py",
-        "            self._removed.append(item)\n",
-        "            pass\n",
+        "            for other in (*self._removed, item)\n",
+        "            for other in self._removed\n",
         _DISPATCH,
     ),
     Mutant(
