--- a/endivewind/tests/callers/target_calls_tests.py
+++ b/endivewind/tests/callers/target_calls_tests.py
@@ -54,7 +54,7 @@
     )
 
 
-def _accounting(record):
+def _logged_call(record):
     """Returns the call in a log record, and what was counted for it."""
     values = record.fields
     return values["request_id"], values["probability"], values["reserved"]
@@ -118,7 +118,7 @@
 
         record = captured.records[0]
         self.assertEqual("call of retried request", record.getMessage())
-        self.assertEqual(("r", 0.5, 0.0), _accounting(record))
+        self.assertEqual(("r", 0.5, 0.0), _logged_call(record))
 
 
 class RecognitionTest(_TargetCallsTest):
