Let a node that has just started retry a single failed request

Of a quiet service without a reserve of the whole fleet, callers got 502 for a look-up that could have been repeated, if its node had started within the last ten seconds. The first window of a node held back the default reserve of three retries as well, which each node has for itself.

Only a part of a reserve that the fleet shares grows with the uptime now; of the default one a node has a third, one retry, from its start, as a restarted node had before.

--- a/endivewind/callers/budgets.py
+++ b/endivewind/callers/budgets.py
@@ -423,6 +423,7 @@
             window,
             self._neighbour_count,
             self._uptime(now),
+            is_reserve_shared=service.retry_reserve > 0,
         )
 
     def _uptime(self, now: datetime.timedelta) -> datetime.timedelta:
--- a/endivewind/decisions/retry_budget.py
+++ b/endivewind/decisions/retry_budget.py
@@ -56,6 +56,8 @@
         one.
       uptime: the time since this node's start; the maximum if it has been
         running for long.
+      is_reserve_shared: whether the reserve is a part of one that the whole
+        fleet shares.
     """
 
     share: float
@@ -63,6 +65,7 @@
     window: datetime.timedelta = DEFAULT_WINDOW
     neighbour_count: int = 0
     uptime: datetime.timedelta = datetime.timedelta.max
+    is_reserve_shared: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -499,13 +502,15 @@
         Scenario: nodes are killed while a service fails, and start again or are
         replaced by others, some of them several times. Risk: each has its whole
         limit at once, while what was spent in its place still counts. So in its
-        first window a node has a part of its limit, and its reserve grows with
-        its uptime: nodes that follow each other within a window have no more
-        than one of them alone.
+        first window a node has a part of its limit, and its part of a shared
+        reserve grows with its uptime: nodes that follow each other within a
+        window have no more than one of them alone.
         """
         if self._limits.uptime >= self._limits.window:
             return self._limit_for(self._requests)
-        age = self._limits.uptime / self._limits.window
+        age = 1.0
+        if self._limits.is_reserve_shared:
+            age = self._limits.uptime / self._limits.window
         return START_SHARE * self._limit_for(self._requests, age)
 
     def _limit_for(self, requests: int, reserve_share: float = 1.0) -> float:
--- a/endivewind/tests/decisions/retry_budget_tests.py
+++ b/endivewind/tests/decisions/retry_budget_tests.py
@@ -380,3 +380,25 @@
             with self.subTest(name):
                 self.assertTrue(budget.allows_retries(end - _SECOND))
                 self.assertFalse(budget.allows_retries(end))
+
+
+class FirstWindowTest(unittest.TestCase):
+    """A node that has just started."""
+
+    def test_single_failed_request_is_retried(self):
+        """Guards against quiet services without any retries after a start.
+
+        A part of a fleet's reserve has to wait: what was spent before counts.
+        """
+        for is_shared in (False, True):
+            with self.subTest(is_reserve_shared=is_shared):
+                limits = retry_budget.RetryLimits(
+                    0.2,
+                    uptime=datetime.timedelta(),
+                    is_reserve_shared=is_shared,
+                )
+                budget = retry_budget.RetryBudget(limits)
+
+                taken = budget.take(datetime.timedelta(seconds=1))
+
+                self.assertEqual(not is_shared, taken)
