Reuse the longest time that a target may go on with lost work

What a restarted node learns is provisional for as long as a target may go on with a request that its node no longer knows of, which is MAX_ABANDONED_WORK already; the second constant of ten seconds goes. Whether the node may have run before is asked where it is used, and the simulated fleet of the retry bound passes on how its nodes stop. No change of behaviour.

--- a/endivewind/callers/entry_routes.py
+++ b/endivewind/callers/entry_routes.py
@@ -13,6 +13,7 @@
 from endivewind import clock as clocks
 from endivewind import logs
 from endivewind.decisions import peer_updates
+from endivewind.targets import target_request
 
 log = logging.getLogger(__name__)
 
@@ -23,9 +24,6 @@
 # sent before. Usual requests end sooner; a longer time would delay that callers'
 # routes are learned when all nodes have restarted.
 UNKNOWN_WORK_TIME = datetime.timedelta(seconds=2)
-# Time after a restart in which the target may still work on a request that was
-# sent before and took unusually long.
-LONGEST_UNKNOWN_WORK_TIME = datetime.timedelta(seconds=10)
 # Number of routes that fit into one datagram. If there are more, successive
 # updates send them in turn.
 MAX_ROUTES_PER_UPDATE = 16
@@ -86,12 +84,13 @@
         self._last_update = clock.monotonic()
         # Until then nothing is known of the target's earlier requests.
         self._unknown_until = clock.monotonic()
-        # Routes that are learned until then may be those of calls.
+        # Routes that are learned until then may be those of calls, for requests
+        # that the target had before the restart and that took unusually long.
         self._provisional_until = clock.monotonic()
         self._provisional_routes: set[peer_updates.EntryRoute] = set()
         if is_restart:
             self._unknown_until += UNKNOWN_WORK_TIME
-            self._provisional_until += LONGEST_UNKNOWN_WORK_TIME
+            self._provisional_until += target_request.MAX_ABANDONED_WORK
 
     def is_from_caller(self, service: str, prefix: str) -> bool:
         """Whether a request that arrives now is known to be a caller's.
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -147,7 +147,6 @@
         self._directory: node_directory.Directory
         self._initial_listing: node_directory.ZoneListing | None
         self._incarnation: int
-        self._may_have_run_before: bool
         self._targets: registry.TargetRegistry
         self._outlier_monitor: outlier_monitor.OutlierMonitor
         self._dispatcher: dispatch.Dispatcher
@@ -262,9 +261,6 @@
         )
         now_us = int(self._clock.now().timestamp() * 1_000_000)
         self._incarnation = max(now_us, registered + 1, self._min_incarnation)
-        self._may_have_run_before = node_directory.may_have_run_before(
-            self._initial_listing, node_settings.name
-        )
         identity = registry.HomeIdentity(
             node_settings.name,
             self._incarnation,
@@ -336,7 +332,9 @@
             entry_routes.EntryRoutes(
                 self._clock,
                 self._dispatcher if node_settings.beside else None,
-                is_restart=self._may_have_run_before,
+                is_restart=node_directory.may_have_run_before(
+                    self._initial_listing, node_settings.name
+                ),
             ),
             quota_client.QuotaClient(
                 lambda workspace, count: self._quota_service.request_tokens(
--- a/endivewind/tests/callers/entry_routes_tests.py
+++ b/endivewind/tests/callers/entry_routes_tests.py
@@ -4,6 +4,7 @@
 
 from endivewind import clock as clocks
 from endivewind.callers import entry_routes
+from endivewind.targets import target_request
 
 
 class _LocalTarget:
@@ -63,7 +64,7 @@
         self.clock.advance(entry_routes.UNKNOWN_WORK_TIME)
         self.assertTrue(routes.is_from_caller("venues", "/status/"))
         self.assertEqual((), routes.take_due_updates())
-        self.clock.advance(entry_routes.LONGEST_UNKNOWN_WORK_TIME)
+        self.clock.advance(target_request.MAX_ABANDONED_WORK)
 
         self.local_target.has_active_work = True
         self.assertFalse(routes.is_from_caller("venues", "/status/"))
--- a/endivewind/tests/loads/retry_bound.py
+++ b/endivewind/tests/loads/retry_bound.py
@@ -126,7 +126,6 @@
         )
         self._messages = []
         self._step = 0
-        self._replaces_nodes = False
         self.nodes = [Node(f"n{number}", self) for number in range(nodes)]
         self._update_views()
         self.request_times = []
@@ -173,17 +172,18 @@
             number.
           replaces_nodes: whether others start in place of those that stop.
         """
-        self._replaces_nodes = replaces_nodes
-        self._loop.run_until_complete(self._run(duration, is_outage, stops))
+        self._loop.run_until_complete(
+            self._run(duration, is_outage, stops, replaces_nodes)
+        )
 
-    async def _run(self, duration, is_outage, stops):
+    async def _run(self, duration, is_outage, stops, replaces_nodes):
         first = self._step
         stopped = {}
         for at, number in stops:
             stopped.setdefault(first + at // STEP, []).append(number)
         while self._step < first + duration // STEP:
             for number in stopped.get(self._step, ()):
-                self.nodes[number].stop(is_replaced=self._replaces_nodes)
+                self.nodes[number].stop(is_replaced=replaces_nodes)
                 self._update_views()
             await self._run_step(is_outage)
         # Rounds of requests for loans that nobody waits for any more.
