Log each crash that is counted, and when a count is cleared

The record of the incident shows a count only where a retry was refused. With these lines, at the nodes that count, the count of one request can be followed over all its arrivals: whether it falls after an answer, and which crashes were never counted.

--- a/endivewind/nodes/crash_reports.py
+++ b/endivewind/nodes/crash_reports.py
@@ -7,15 +7,19 @@
 import asyncio
 import collections.abc
 import datetime
+import logging
 from typing import Any
 
 from endivewind import clock as clocks
+from endivewind import logs
 from endivewind.decisions import poison_requests
 from endivewind.nodes import codec
 from endivewind.nodes import links
 from endivewind.nodes import quotas
 from endivewind.nodes import view
 
+log = logging.getLogger(__name__)
+
 # Nodes that count the crashes of one request. One may have restarted and one
 # may not respond.
 COUNTING_NODES = 3
@@ -23,6 +27,8 @@
 ENOUGH_RESPONSES = 2
 # Times that a counting node is asked until it responds.
 MAX_TRIES = 4
+# Digits of a fingerprint in log lines; enough to tell requests apart.
+LOGGED_DIGITS = 16
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # The one group of nodes; those of any zone may count.
 _FLEET = ""
@@ -137,6 +143,7 @@
         if not report.target:
             if self._counts.record_response(fingerprint):
                 self._on_change()
+            _log("crash count cleared", fingerprint)
             return 0
         count = self._counts.record_crash(
             fingerprint,
@@ -146,4 +153,11 @@
         )
         if count >= poison_requests.MIN_SAVED_CRASHES:
             self._on_change()
+        _log("crash counted", fingerprint, target=report.target, crashes=count)
         return count
+
+
+def _log(message: str, fingerprint: bytes, **fields: object) -> None:
+    """Logs a message about a request, named by part of its fingerprint."""
+    name = fingerprint.hex()[:LOGGED_DIGITS]
+    log.info(message, extra=logs.fields(fingerprint=name, **fields))
