Refuse a request that crashes its targets at every node

What callers saw: the caller of a request that crashes each target that runs it got 502 again and again, and so did those of the orders that ran there; 12 targets of a service ended one after the other.

Cause: three nodes count the crashes of a request for the whole fleet, but each entry node asks them only after it has lost an attempt itself, and refuses by two crashes that it has seen itself. So the crashes grow with the number of entry nodes. What the fleet knew was never used for the first attempt, as it could not be: answers at nodes that had seen no crash cleared nothing, so that a harmless look-up on three targets that die would have been refused for all callers, and nothing could clear it.

Fix: from the second crash on all nodes are told by gossip, with a digest in datagrams for those that start or have missed it. From then on the request is sent to a target as a trial only, one at a time in the fleet, granted by most of its counting nodes. A response at any node clears it for all; trials without one are followed by pauses. Crashes under requests that may not repeat are reported as well: they were counted at their entry alone, by the rule that this replaces.

--- a/endivewind/callers/gateway.py
+++ b/endivewind/callers/gateway.py
@@ -126,7 +126,9 @@
         )
         self._quota_client = quota_client
         self._admission_control = admission_control
-        self._poison_guard = poison_guard.PoisonGuard(clock, crash_reporter)
+        self._poison_guard = poison_guard.PoisonGuard(
+            clock, crash_reporter, self._rng
+        )
         self._workspaces = workspaces.Workspaces(configuration)
         self._request_queues = request_queues.RequestQueues(
             placement, self._queue_limit, clock
@@ -229,15 +231,26 @@
             route, head, body, started + head.remaining_time, started
         )
         return await self._aborts.run(
-            lambda: self._admit_and_send(request), request.abort_result
+            lambda: self._send_if_allowed(request), request.abort_result
         )
 
+    async def _send_if_allowed(
+        self, request: routed_request.RoutedRequest
+    ) -> ResponseResult:
+        """Sends a request, as a trial if it is suspect of crashing targets."""
+        refused = await self._obtain_trial(request)
+        if refused is not None:
+            return expression.Error(refused)
+        try:
+            return await self._admit_and_send(request)
+        finally:
+            self._poison_guard.release_trial(request.trial)
+
     async def _admit_and_send(
         self, request: routed_request.RoutedRequest
     ) -> ResponseResult:
         route, head, body = request.route, request.head, request.body
-        refused = self._poison_guard.check(head, body)
-        refused = refused or await self._quota_refusal(head.workspace)
+        refused = await self._quota_refusal(head.workspace)
         if refused is not None:
             return expression.Error(refused)
         refused = self._admission_refusal(route, head)
@@ -317,12 +330,12 @@
         while request.has_attempts_left(MAX_ATTEMPTS) and request.can_retry(
             last
         ):
-            if self._poison_guard.check(request.head, request.body) is not None:
-                break
             if not await self._poison_guard.allows_retry(
-                request.head, request.crash_reports
+                request.head, request.body, request.crash_reports
             ):
                 break
+            if await self._obtain_trial(request) is not None:
+                break
             record = self._relocated_target(request, last)
             if record is None and routed_request.was_undelivered(last):
                 last = await self._place_again(request, last)
@@ -343,6 +356,24 @@
             last = await self._attempt(request, record, request.retry)
         return request.final_result(last)
 
+    async def _obtain_trial(
+        self, request: routed_request.RoutedRequest
+    ) -> exchange.Refusal | None:
+        """Obtains a trial for the next attempt of a request if it needs one.
+
+        Returns:
+          A refusal if it may not be sent.
+        """
+        if request.trial is not None:
+            return None
+        obtained = await self._poison_guard.obtain_trial(
+            request.head, request.body, request.deadline
+        )
+        if obtained.is_error():
+            return obtained.error
+        request.trial = obtained.ok
+        return None
+
     def _count_request(self, request: routed_request.RoutedRequest) -> None:
         """Adds a request to its service's retry budget, or charges a retry.
 
@@ -599,6 +630,8 @@
         """
         if self._spent_share(request) > max_spent_share:
             return None
+        if self._poison_guard.is_suspect(request.head, request.body):
+            return None
         constraints = load_balancing.RequestConstraints(
             True,
             request.tried_targets,
@@ -676,6 +709,10 @@
           record: The target.
           retry: The retry that the attempt uses; None for the first attempt.
         """
+        refused = await self._obtain_trial_of_placed(request, record)
+        if refused is not None:
+            return expression.Error(refused)
+        trial, request.trial = request.trial, None
         request.attempt_count += 1
         request.tried_targets.add(record.id)
         request.last_target = record
@@ -713,6 +750,14 @@
             request.has_cancelled_attempt = request.has_cancelled_attempt or (
                 result is None and not progress.ended_unsent
             )
+            if _reached_no_target(result, progress):
+                request.trial = trial
+            else:
+                report = self._poison_guard.record_result(
+                    head, request.body, record, result, latency, trial
+                )
+                if report is not None:
+                    request.crash_reports.append(report)
             request.active_attempts -= 1
             self._placement.record_end(record, result, latency, request.traffic)
             if self._admission_control is not None:
@@ -722,20 +767,37 @@
             request.delivered_count += 1
         if result.is_ok() or not result.error.was_not_run:
             request.possibly_executed_result = result
-            report = self._poison_guard.record_result(
-                head,
-                request.body,
-                record,
-                result,
-                latency,
-                is_idempotent=request.is_idempotent,
-            )
-            if report is not None:
-                request.crash_reports.append(report)
         if self._observer is not None and record.home != self._node:
             self._observer(record, request.head.workspace, result, latency)
         return result
 
+    async def _obtain_trial_of_placed(
+        self,
+        request: routed_request.RoutedRequest,
+        record: records.TargetRecord,
+    ) -> exchange.Refusal | None:
+        """Obtains a trial if a request became suspect while it was placed.
+
+        Returns:
+          A refusal if it may not be sent; it no longer counts at its target.
+        """
+        refused = None
+        is_allowed = False
+        try:
+            refused = await self._obtain_trial(request)
+            is_allowed = refused is None
+        finally:
+            if not is_allowed:
+                self._placement.record_end(
+                    record,
+                    None,
+                    datetime.timedelta(),
+                    request.traffic,
+                    was_sent=False,
+                )
+                self._request_queues.record_end(request.head.service)
+        return refused
+
     def _record_attempt(
         self,
         request: routed_request.RoutedRequest,
--- a/endivewind/callers/routed_request.py
+++ b/endivewind/callers/routed_request.py
@@ -14,6 +14,7 @@
 from endivewind.config import objects
 from endivewind.decisions import link_shares
 from endivewind.decisions import load_balancing
+from endivewind.decisions import poison_requests
 from endivewind.decisions import retry_budget
 from endivewind.targets import records
 
@@ -32,11 +33,16 @@
         exchange.Reason.UNREACHABLE,
         exchange.Reason.HOME_UNREACHABLE,
         exchange.Reason.CALL_BUDGET,
+        exchange.Reason.POISON,
     }
 )
 # Reasons that hold for a further attempt as well.
 _FINAL_REASONS = frozenset(
-    {exchange.Reason.DEADLINE, exchange.Reason.CALL_BUDGET}
+    {
+        exchange.Reason.DEADLINE,
+        exchange.Reason.CALL_BUDGET,
+        exchange.Reason.POISON,
+    }
 )
 # Share of its latency objective that a request may wait for a near target
 # before it goes to a more distant one. A usual request runs for a quarter of
@@ -105,7 +111,9 @@
         been sent, so that its outcome is unknown.
       traffic: What it sends over links; None if links are not shared.
       retry: The retry of its current attempt; None for the first one.
-      crash_reports: The reports of the targets that crashed while running it.
+      crash_reports: The reports of the targets that crashed while running it,
+        and of the ends of its trials.
+      trial: The trial that its next attempt is; None if it needs none.
     """
 
     route: objects.Route
@@ -124,9 +132,10 @@
     has_cancelled_attempt: bool = False
     traffic: link_shares.Traffic | None = None
     retry: retry_budget.TakenRetries | None = None
-    crash_reports: list[asyncio.Task[int]] = dataclasses.field(
+    crash_reports: list[asyncio.Task[None]] = dataclasses.field(
         default_factory=list
     )
+    trial: poison_requests.Trial | None = None
 
     @property
     def is_idempotent(self) -> bool:
--- a/endivewind/node.py
+++ b/endivewind/node.py
@@ -49,6 +49,7 @@
 from endivewind.config import settings
 from endivewind.config import store
 from endivewind.decisions import peer_updates
+from endivewind.decisions import poison_requests
 from endivewind.durable import audit
 from endivewind.durable import audit_recorder
 from endivewind.durable import node_directory
@@ -317,7 +318,10 @@
             self._fleet,
             self._pool,
             self._clock,
+            poison_requests.SuspectRequests(),
+            lambda record: self._gossip.publish_suspect(record),
             lambda: self._entry.request_write(),
+            self._rng,
         )
         self._gateway = gateway.Gateway(
             node_settings.name,
@@ -544,11 +548,15 @@
             self._restore_saved_state,
             self._rng,
         )
+        self._restore_crash_counts_of_zone()
         self._gossip = gossip_service.GossipService(
             node_settings,
             self._self_record,
             gossip_service.ReplicatedState(
-                self._fleet, self._targets, self._handle_peer_update
+                self._fleet,
+                self._targets,
+                self._crash_reports.suspects,
+                self._handle_peer_update,
             ),
             self._pool,
             gossip_service.Bootstrap(
@@ -600,18 +608,28 @@
             self._targets.restore_departure(target, incarnation)
         self._crash_reports.restore(saved.crash_counts)
 
+    def _restore_crash_counts_of_zone(self) -> None:
+        """Takes over what the other nodes of the zone have saved."""
+        if self._initial_listing is None:
+            return
+        for name, item in self._initial_listing.registrations.items():
+            if name != self._settings.name:
+                self._crash_reports.restore(
+                    item.saved.crash_counts, is_own=False
+                )
+
     async def handle_query(self, query: Any) -> Any:
         """Handles another node's query; query and response are frames.
 
-        A query that is not for quota, for retries, about a crash or for a share
-        of a link is a query for a proof of freshness.
+        A query that is not for quota, for retries, about a crash, for a trial or
+        for a share of a link is a query for a proof of freshness.
         """
         if query.quota_ask is not None:
             return await self._quota_service.handle_query(query.quota_ask)
         if query.retry_loan_ask is not None:
             return self._retry_loans.handle_query(query.retry_loan_ask)
-        if query.crash_report is not None:
-            return self._crash_reports.handle_query(query.crash_report)
+        if query.crash_report is not None or query.trial_ask is not None:
+            return self._crash_reports.handle_query(query)
         if query.link_share_ask is not None:
             return await self._handle_link_share_ask(query.link_share_ask)
         return self._proof_service.response_frame()
--- a/endivewind/nodes/change_queue.py
+++ b/endivewind/nodes/change_queue.py
@@ -17,7 +17,8 @@
 
 # Identifies a queued change. For a target change: home, home incarnation,
 # sequence number, 1. For a member record: node, incarnation, refutation number,
-# state times -1. As a state is never negative, the two kinds can't collide.
+# state times -1. For a suspect request: fingerprint, generation, failed trials,
+# 2, or 3 if it is cleared. As a state is never negative, no two kinds collide.
 ChangeKey = tuple[str, int, int, int]
 
 
--- a/endivewind/nodes/changes.py
+++ b/endivewind/nodes/changes.py
@@ -1,4 +1,6 @@
-"""Encodes the changes that gossip carries: member records, target changes.
+"""Encodes the changes that gossip carries.
+
+These are member records, changes of targets, and suspect requests.
 
 A change is encoded once, by the node that makes it, and forwarded unchanged.
 """
@@ -9,12 +11,17 @@
 from thriftpy2 import protocol
 from thriftpy2 import transport
 
+from endivewind.decisions import poison_requests
 from endivewind.nodes import codec
 from endivewind.nodes import membership
 from endivewind.nodes import view
 from endivewind.targets import records
 
-Change = membership.MemberRecord | records.TargetChange
+Change = (
+    membership.MemberRecord
+    | records.TargetChange
+    | poison_requests.SuspectRequest
+)
 
 
 @functools.singledispatch
@@ -38,6 +45,11 @@
     return write_struct(codec.messages.Change(target=target))
 
 
+@encode.register
+def _(change: poison_requests.SuspectRequest) -> bytes:
+    return write_struct(codec.messages.Change(suspect=encode_suspect(change)))
+
+
 # A node receives each change about a dozen times; the cache avoids decoding it
 # again.
 @functools.lru_cache(maxsize=2048)
@@ -60,6 +72,8 @@
                 raise ValueError("target without slots")
             record = decode_target(target, target.home, target.home_incarnation)
             return records.TargetChange(record, bool(target.gone))
+        if change.suspect:
+            return decode_suspect(change.suspect)
     except (TypeError, ValueError) as error:
         raise codec.FrameError(str(error)) from error
     return None
@@ -94,6 +108,28 @@
     return membership.MemberRecord(node, member.refutation or 0, state)
 
 
+def encode_suspect(record: poison_requests.SuspectRequest) -> Any:
+    """Converts the record of a suspect request to a thrift struct."""
+    return codec.messages.SuspectRequest(
+        fingerprint=record.fingerprint,
+        generation=record.generation,
+        cleared=record.is_cleared or None,
+        failed_trials=record.failed_trials or None,
+    )
+
+
+def decode_suspect(suspect: Any) -> poison_requests.SuspectRequest:
+    """Converts a thrift struct to the record of a suspect request."""
+    if not suspect.fingerprint:
+        raise ValueError("suspect request without a fingerprint")
+    return poison_requests.SuspectRequest(
+        codec.to_bytes(suspect.fingerprint),
+        max(0, suspect.generation or 0),
+        bool(suspect.cleared),
+        max(0, suspect.failed_trials or 0),
+    )
+
+
 def encode_target(record: records.TargetRecord) -> Any:
     """Converts a target record to a thrift struct without its home."""
     return codec.messages.TargetChange(
--- a/endivewind/nodes/datagrams.py
+++ b/endivewind/nodes/datagrams.py
@@ -79,6 +79,7 @@
             for item in datagram.peer_update.admission_levels
         ]
         or None,
+        suspects=datagram.suspects_digest or None,
     )
     payload = _compress(changes.write_struct(struct))
     return _sign(payload, key) + payload if key else payload
@@ -137,6 +138,7 @@
                     for item in struct.admission_levels or ()
                 ),
             ),
+            suspects_digest=struct.suspects or 0,
         )
     except (TypeError, ValueError) as error:
         raise codec.FrameError(str(error)) from error
--- a/endivewind/nodes/gossip.py
+++ b/endivewind/nodes/gossip.py
@@ -12,6 +12,7 @@
 
 from endivewind import clock as clocks
 from endivewind.decisions import peer_updates
+from endivewind.decisions import poison_requests
 from endivewind.nodes import change_queue
 from endivewind.nodes import changes
 from endivewind.nodes import codec
@@ -37,6 +38,8 @@
 # the nodes would send pulls to each other forever, and callers would wait for
 # a fleet in which each node waits for the others.
 JOIN_TIMEOUT = datetime.timedelta(seconds=1)
+# Minimum time between two times that a node sends all its suspect requests.
+SUSPECTS_REPAIR_PERIOD = datetime.timedelta(milliseconds=300)
 
 
 class Gossip:
@@ -48,9 +51,14 @@
         fleet: view.FleetView,
         clock: clocks.Clock,
         rng: random.Random,
+        suspects: poison_requests.SuspectRequests | None = None,
     ) -> None:
         self._members = members
         self._view = fleet
+        self._suspects = (
+            poison_requests.SuspectRequests() if suspects is None else suspects
+        )
+        self._suspects_sent_at = clock.monotonic() - SUSPECTS_REPAIR_PERIOD
         self._clock = clock
         self._rng = rng
         self._queue = change_queue.ChangeQueue()
@@ -120,6 +128,10 @@
                 self._enqueue(change)
         self._repair.refresh(self._members.me.node.name)
 
+    def publish_suspect(self, record: poison_requests.SuspectRequest) -> None:
+        """Disseminates the later record of a suspect request."""
+        self._enqueue(record)
+
     def join(self) -> None:
         """Announces this incarnation; begins to pull a peer's full state."""
         self._join_started = self._clock.monotonic()
@@ -188,6 +200,7 @@
 
     def tick(self) -> list[messages.OutgoingMessage]:
         """Runs the protocol's timers; to be called about every 100 ms."""
+        self._suspects.expire(self._clock.monotonic())
         sends = self._handle_outputs(self._members.tick(), None)
         sends.extend(self.push())
         return sends
@@ -240,8 +253,38 @@
                 has_joined=self.has_joined,
             )
         )
+        sends.extend(self._repair_suspects(address, message))
         return sends
 
+    def _repair_suspects(
+        self, address: str, message: messages.Datagram
+    ) -> list[messages.OutgoingMessage]:
+        """Sends what this node knows if the sender of a datagram differs."""
+        now = self._clock.monotonic()
+        if (
+            message.suspects_digest == self._suspects.digest
+            or now - self._suspects_sent_at < SUSPECTS_REPAIR_PERIOD
+        ):
+            return []
+        self._suspects_sent_at = now
+        payloads: list[bytes] = []
+        remaining_bytes = repair.MAX_PAYLOAD_BYTES
+        for record in reversed(self._suspects.records()):
+            payload = changes.encode(record)
+            remaining_bytes -= len(payload) + 4
+            if remaining_bytes < 0:
+                break
+            payloads.append(payload)
+        if not payloads:
+            return []
+        datagram = messages.Datagram(
+            self._members.me.node.name,
+            self.summary,
+            changes=tuple(payloads),
+            suspects_digest=self._suspects.digest,
+        )
+        return [messages.OutgoingMessage(address, datagram)]
+
     def _carries_suspicion(self, payloads: tuple[bytes, ...]) -> bool:
         """Whether a datagram says that this node is suspect or dead.
 
@@ -294,6 +337,9 @@
                 self._merge_member(change, should_disseminate=True)
             case records.TargetChange():
                 self._handle_target_change(change, payload)
+            case poison_requests.SuspectRequest():
+                if self._suspects.put(change, self._clock.monotonic()):
+                    self._queue.put(_suspect_key(change), payload)
             case _:
                 return
 
@@ -352,6 +398,8 @@
         payload = changes.encode(change)
         if isinstance(change, records.TargetChange):
             self._queue.put(_change_key(change.record), payload)
+        elif isinstance(change, poison_requests.SuspectRequest):
+            self._queue.put(_suspect_key(change), payload)
         else:
             node = change.node
             negative_state = -int(change.state)
@@ -424,6 +472,7 @@
             node_to_ping=relay,
             changes=extra_changes
             + self._queue.take(max_bytes, len(self._view.nodes)),
+            suspects_digest=self._suspects.digest,
         )
 
     def push(self) -> list[messages.OutgoingMessage]:
@@ -491,3 +540,15 @@
 
 def _change_key(record: records.TargetRecord) -> change_queue.ChangeKey:
     return (record.home, record.home_incarnation, record.sequence, 1)
+
+
+def _suspect_key(
+    record: poison_requests.SuspectRequest,
+) -> change_queue.ChangeKey:
+    kind = 3 if record.is_cleared else 2
+    return (
+        record.fingerprint.hex(),
+        record.generation,
+        record.failed_trials,
+        kind,
+    )
--- a/endivewind/nodes/gossip_messages.py
+++ b/endivewind/nodes/gossip_messages.py
@@ -19,13 +19,15 @@
       ack_number: number of the ping that is acknowledged; 0 for none.
       node_to_ping: name of the node to ping on behalf of the sender; empty for
         none.
-      changes: encoded member records and target changes.
+      changes: encoded member records, target changes and suspect requests.
       buckets: digests of the sender's records by bucket.
       compared_buckets: indexes of the buckets whose versions are attached. An
         index of no bucket marks a part of a bucket.
       versions: the sender's versions of all nodes in these buckets, or of some
         nodes of a bucket that is too large for a datagram.
       peer_update: update for nodes of the sender's zone or region.
+      suspects_digest: digest of the suspect requests that the sender knows; 0
+        if it knows none.
     """
 
     sender: str
@@ -38,6 +40,7 @@
     compared_buckets: tuple[int, ...] = ()
     versions: tuple[digests.Version, ...] = ()
     peer_update: peer_updates.PeerUpdate = peer_updates.EMPTY_UPDATE
+    suspects_digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/endivewind/nodes/gossip_service.py
+++ b/endivewind/nodes/gossip_service.py
@@ -18,6 +18,7 @@
 from endivewind import supervision
 from endivewind.config import settings
 from endivewind.decisions import peer_updates
+from endivewind.decisions import poison_requests
 from endivewind.durable import node_directory as directories
 from endivewind.durable import node_entry
 from endivewind.nodes import codec
@@ -58,11 +59,13 @@
     Attributes:
       fleet: all nodes and targets.
       targets: this node's own targets.
+      suspects: requests that have crashed targets.
       on_peer_update: receives the updates of other nodes of the zone.
     """
 
     fleet: view.FleetView
     targets: registry.TargetRegistry
+    suspects: poison_requests.SuspectRequests
     on_peer_update: PeerUpdateHandler
 
 
@@ -110,7 +113,9 @@
             rng,
             bootstrap.on_registered,
         )
-        self._core = gossip.Gossip(self._members, state.fleet, clock, rng)
+        self._core = gossip.Gossip(
+            self._members, state.fleet, clock, rng, state.suspects
+        )
         self._socket = datagrams.DatagramSocket(
             self._handle_datagram, config.gossip_key.encode(), meter
         )
@@ -189,6 +194,11 @@
         if changes:
             self._dispatch(self._core.push())
 
+    def publish_suspect(self, record: poison_requests.SuspectRequest) -> None:
+        """Publishes the later record of a suspect request immediately."""
+        self._core.publish_suspect(record)
+        self._dispatch(self._core.push())
+
     def push_update(self, update: peer_updates.PeerUpdate) -> None:
         """Sends an update to the nodes of this zone."""
         if update:
--- a/endivewind/nodes/link_server.py
+++ b/endivewind/nodes/link_server.py
@@ -203,6 +203,7 @@
                     or frame.link_share_ask
                     or frame.retry_loan_ask
                     or frame.crash_report
+                    or frame.trial_ask
                 ):
                     await self._handle_query(frame, writer)
                 elif frame.heartbeat:
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -120,11 +120,21 @@
   13: i32 cold_ms
 }
 
+// What the fleet knows of a request that has crashed targets. The highest
+// (generation, cleared, failed_trials) wins; see decisions/poison_requests.py.
+struct SuspectRequest {
+  1: binary fingerprint
+  2: i32 generation
+  3: bool cleared
+  4: i32 failed_trials
+}
+
 // A change that gossip disseminates. Exactly one field is set; receivers ignore
 // fields that they do not know.
 struct Change {
   1: optional Member member
   2: optional TargetChange target
+  3: optional SuspectRequest suspect
 }
 
 // The version of a node's records that the sender has.
@@ -234,6 +244,8 @@
   12: list<EntryRoute> ways
   13: list<ServiceDemand> demands
   14: list<AdmissionLevel> admission_levels
+  // Digest of the suspect requests that the sender knows; absent if none.
+  15: i32 suspects
 }
 
 // The whole state of one home: targets that are not listed no longer exist.
@@ -382,16 +394,36 @@
 // Reports to a node that counts the crashes of a request that a target crashed
 // while it ran the request, or without a target that one has responded.
 // fingerprint: a hash of the request. target: the name and the incarnation.
-// age_ms: time since the attempt began.
+// age_ms: time since the attempt began. suspect: the later record of a suspect
+// request, after a trial or a response; the other fields are absent then.
 struct CrashReport {
   1: binary fingerprint
   2: string target
   3: i32 age_ms
+  4: optional SuspectRequest suspect
 }
 
-// The number of crashes that the sender has counted for the request.
+// The number of crashes that the sender has counted for the request, and its
+// record if it is or was suspect.
 struct CrashCount {
   1: i32 count
+  2: optional SuspectRequest suspect
+}
+
+// Asks a node that counts the crashes of a suspect request for a trial of it.
+// number: tells the trial from others. duration_ms: how long it takes at most.
+// released: set if the trial was granted and is not made.
+struct TrialAsk {
+  1: SuspectRequest suspect
+  2: i64 number
+  3: i32 duration_ms
+  4: bool released
+}
+
+// Whether the trial may be made, and the sender's record of the request.
+struct TrialGrant {
+  1: bool granted
+  2: optional SuspectRequest suspect
 }
 
 // A message on a TCP link. Exactly one field is set.
@@ -418,4 +450,6 @@
   47: optional RetryLoanGrant retry_loan_grant
   48: optional CrashReport crash_report
   49: optional CrashCount crash_count
+  50: optional TrialAsk trial_ask
+  51: optional TrialGrant trial_grant
 }
--- a/endivewind/tests/nodes/gossip_tests.py
+++ b/endivewind/tests/nodes/gossip_tests.py
@@ -5,6 +5,7 @@
 
 from endivewind import exchange
 from endivewind.decisions import peer_updates
+from endivewind.decisions import poison_requests
 from endivewind.decisions import retry_budget
 from endivewind.decisions import retry_priorities
 from endivewind.nodes import change_queue
@@ -20,6 +21,96 @@
 NAMES = [f"n{number}" for number in range(40)]
 EJECTED = records.EjectionStatus.EJECTED
 
+# Time in which all nodes have to know a request that crashes targets.
+STABLE_SECONDS = 4
+SUSPECT = poison_requests.SuspectRequest(b"bad", 1)
+
+
+def _spread_over_zones(name: str) -> tuple[str, str]:
+    number = int(name[1:])
+    return f"region-{number % 3}", f"zone-{number % 6}"
+
+
+class SuspectRequestsTest(unittest.TestCase):
+    """Which nodes know of a request that crashes its targets."""
+
+    def make_fleet(self, node_count=24, loss=0.0):
+        names = [f"n{number}" for number in range(node_count)]
+        net = network.Network(names, location_of=_spread_over_zones)
+        net.run(4)
+        net.loss = loss
+        return net
+
+    def known_versions(self, net):
+        latest = [
+            node.suspects.latest(SUSPECT.fingerprint)
+            for node in net.nodes.values()
+        ]
+        return {record.version if record else None for record in latest}
+
+    def test_all_nodes_know_it_in_time(self):
+        """Guards against first attempts at nodes that were not told."""
+        for node_count in (3, 24, 100):
+            with self.subTest(nodes=node_count):
+                net = self.make_fleet(node_count, loss=1 / 3)
+
+                net.nodes["n0"].publish_suspect(SUSPECT)
+                net.run(STABLE_SECONDS)
+
+                self.assertEqual({SUSPECT.version}, self.known_versions(net))
+
+    def test_later_record_replaces_an_earlier_one(self):
+        """Guards against a cleared request that stays suspect at some nodes."""
+        net = self.make_fleet(loss=1 / 3)
+        net.nodes["n0"].publish_suspect(SUSPECT)
+        net.nodes["n5"].publish_suspect(SUSPECT.after_failed_trial().cleared())
+        net.run(STABLE_SECONDS)
+
+        self.assertEqual(
+            {SUSPECT.after_failed_trial().cleared().version},
+            self.known_versions(net),
+        )
+        self.assertFalse(any(node.suspects for node in net.nodes.values()))
+
+    def test_node_that_starts_later_is_told(self):
+        """Guards against a first attempt at each node that has restarted."""
+        net = self.make_fleet()
+        net.nodes["n0"].publish_suspect(SUSPECT)
+        net.run(30)
+
+        restarted = net.start("n7")
+        net.run(1)
+
+        self.assertEqual(SUSPECT, restarted.suspects.find(b"bad"))
+
+    def test_node_that_has_missed_it_is_told(self):
+        net = self.make_fleet()
+        net.blocked_paths = {(name, "n7") for name in net.nodes}
+        net.nodes["n0"].publish_suspect(SUSPECT)
+        net.run(2)
+        self.assertIn(None, self.known_versions(net))
+
+        net.blocked_paths = set()
+        net.run(2)
+
+        self.assertEqual({SUSPECT.version}, self.known_versions(net))
+
+    def test_suspect_request_costs_no_traffic_once_known(self):
+        """Guards against repairs that never end."""
+        net = self.make_fleet()
+        net.run(10)
+        before = net.sent_bytes
+        net.run(20)
+        idle_bytes = net.sent_bytes - before
+        net.nodes["n0"].publish_suspect(SUSPECT)
+        net.run(10)
+
+        before = net.sent_bytes
+        net.run(20)
+
+        # Each datagram has seven more bytes, of the digest.
+        self.assertLess(net.sent_bytes - before, 1.2 * idle_bytes)
+
 
 class DisseminationTest(unittest.TestCase):
     """A change by one home in a fleet of forty nodes."""
