Clear a suspect request by responses below 500 only

What callers saw: a request that crashes its targets was tried again after each answer of a faulty target, as if it were harmless.

Cause: any response cleared the count of the whole fleet. A target that fails part of its requests answers 500 without running them, which says nothing of the request.

A trial that is answered so counts as failed, since it reached a target.

--- a/endivewind/callers/poison_guard.py
+++ b/endivewind/callers/poison_guard.py
@@ -31,6 +31,9 @@
 # A report that is being sent.
 Report = asyncio.Task[None]
 
+# Responses with this status or a higher one don't show that the target has run
+# the request to its end.
+_MIN_FAILURE_STATUS = 500
 # Share of its remaining time that a request waits for the end of another trial.
 MAX_WAIT_SHARE = 0.5
 # Mean time between two asks for a trial.
@@ -315,7 +318,11 @@
 
 def _is_response(result: ResponseResult | None) -> bool:
     """Returns whether a target has run a request to its end."""
-    return result is not None and result.is_ok()
+    return (
+        result is not None
+        and result.is_ok()
+        and result.ok.status < _MIN_FAILURE_STATUS
+    )
 
 
 def _was_target_lost(result: ResponseResult) -> bool:
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -477,6 +477,13 @@
         "            return True\n",
         "callers.poison_guard_tests",
     ),
+    Mutant(
+        "a failure of a target clears a suspect request",
+        "callers/poison_guard.py",
+        "        and result.ok.status < _MIN_FAILURE_STATUS\n",
+        "",
+        "callers.poison_guard_tests",
+    ),
     Mutant(
         "a response clears a suspect request at its entry node only",
         "nodes/crash_reports.py",
