Test what the gateway does with suspect requests

A pause, a trial with and without a response, a trial that is not made, and a request that becomes suspect while it waits for a slot: it is not sent, and its slot is free.

--- a/endivewind/tests/callers/gateway_tests.py
+++ b/endivewind/tests/callers/gateway_tests.py
@@ -14,9 +14,11 @@
 from endivewind.callers import gateway
 from endivewind.callers import placement
 from endivewind.callers import routed_request
+from endivewind.callers import tickets
 from endivewind.config import objects
 from endivewind.config import store
 from endivewind.decisions import load_balancing
+from endivewind.decisions import poison_requests
 from endivewind.nodes import view
 from endivewind.targets import records
 from endivewind.tests import samples
@@ -194,6 +196,141 @@
             await task
 
 
+class _Reporter:
+    """Fake reporter of crashes, which grants every trial."""
+
+    def __init__(self) -> None:
+        self.suspects = poison_requests.SuspectRequests()
+        self.changes = []
+        self.released = []
+
+    async def report_crash(self, fingerprint, target, age):
+        pass
+
+    async def report_change(self, record):
+        self.changes.append(record)
+        self.suspects.put(record, datetime.timedelta())
+
+    async def ask_trial(self, record, duration):
+        return poison_requests.Trial(record, 1)
+
+    def release_trial(self, trial):
+        self.released.append(trial)
+
+
+class SuspectRequestTest(unittest.IsolatedAsyncioTestCase):
+    """A request under which targets have crashed."""
+
+    def setUp(self):
+        self.reporter = _Reporter()
+        self.suspect = poison_requests.SuspectRequest(
+            tickets.fingerprint(_head(), b""), 1
+        )
+
+    def learn(self, record):
+        self.reporter.suspects.put(record, datetime.timedelta())
+
+    async def test_it_is_refused_in_a_pause(self):
+        """Guards against a first attempt though the fleet knows better."""
+        pool = _LinkPool({"old": _RESPONSE})
+        self.learn(self.suspect.after_failed_trial())
+
+        refusal = (
+            await _send_request(_gateway(pool, reporter=self.reporter))
+        ).error
+
+        self.assertEqual(exchange.Reason.POISON, refusal.reason)
+        self.assertTrue(refusal.was_not_run)
+        self.assertEqual(poison_requests.TRIAL_PAUSES[1], refusal.retry_after)
+        self.assertEqual([], pool.sent)
+
+    async def test_response_to_a_trial_clears_it(self):
+        self.learn(self.suspect)
+
+        result = await _send_request(
+            _gateway(_LinkPool({"old": _RESPONSE}), reporter=self.reporter)
+        )
+        await asyncio.sleep(0)
+
+        self.assertTrue(result.is_ok())
+        self.assertEqual([self.suspect.cleared()], self.reporter.changes)
+        self.assertEqual([], self.reporter.released)
+
+    async def test_trial_without_a_response_is_not_retried(self):
+        self.learn(self.suspect)
+        for result in (
+            expression.Ok(exchange.Response(500, ())),
+            expression.Error(
+                exchange.unknown_outcome_refusal(exchange.Reason.TARGET_LOST)
+            ),
+        ):
+            with self.subTest(result=result):
+                self.reporter.suspects = poison_requests.SuspectRequests()
+                self.reporter.changes.clear()
+                self.learn(self.suspect)
+                pool = _LinkPool({"old": result})
+
+                received = await _send_request(
+                    _gateway(pool, reporter=self.reporter)
+                )
+
+                self.assertEqual(result, received)
+                self.assertEqual(1, len(pool.sent))
+                self.assertEqual(
+                    [self.suspect.after_failed_trial()], self.reporter.changes
+                )
+
+    async def test_trial_that_is_not_made_is_given_back(self):
+        """Guards against a suspect request that waits for nothing."""
+        self.learn(self.suspect)
+        tokens = mock.Mock()
+        tokens.take = mock.AsyncMock(return_value=datetime.timedelta(seconds=1))
+        limited = _gateway(_LinkPool({}), tokens=tokens, reporter=self.reporter)
+        limited.workspaces.quota = mock.Mock()
+
+        refusal = (await _send_request(limited)).error
+
+        self.assertEqual(exchange.Reason.RATE_LIMITED, refusal.reason)
+        self.assertEqual(
+            [poison_requests.Trial(self.suspect, 1)], self.reporter.released
+        )
+
+    async def test_it_is_not_sent_if_it_becomes_suspect_in_the_queue(self):
+        """Guards against arrivals long after the third crash."""
+        pool = _HeldLinkPool()
+        waiting = _gateway(pool, reporter=self.reporter)
+        first = asyncio.create_task(_send_request(waiting, "/first"))
+        await pool.reached.wait()
+        queued = asyncio.create_task(_send_request(waiting))
+        await asyncio.sleep(0)
+
+        self.learn(self.suspect.after_failed_trial())
+        pool.release.set()
+
+        async with asyncio.timeout(WAIT_SECONDS):
+            self.assertTrue((await first).is_ok())
+            refusal = (await queued).error
+            self.assertEqual(exchange.Reason.POISON, refusal.reason)
+            # Its slot is free again.
+            self.assertTrue((await _send_request(waiting, "/next")).is_ok())
+        self.assertEqual(["/first", "/next"], pool.paths)
+
+
+class _HeldLinkPool:
+    """Fake link pool whose home responds once it is released."""
+
+    def __init__(self) -> None:
+        self.reached = asyncio.Event()
+        self.release = asyncio.Event()
+        self.paths = []
+
+    async def forward(self, home, target, head, body):
+        self.paths.append(head.path)
+        self.reached.set()
+        await self.release.wait()
+        return _RESPONSE
+
+
 class _UnresponsiveLinkPool:
     """Fake link pool whose home never responds."""
 
@@ -217,7 +354,7 @@
     return await _send_request(_gateway(pool))
 
 
-def _gateway(pool, aborts=None, tokens=None) -> gateway.Gateway:
+def _gateway(pool, aborts=None, tokens=None, reporter=None) -> gateway.Gateway:
     clock = clocks.ManualClock()
     fleet = view.FleetView()
     for name in ("old", "new"):
@@ -235,17 +372,21 @@
         mock.Mock(),
         quota_client=tokens,
         aborts=aborts,
+        crash_reporter=reporter,
+    )
+
+
+def _head(path: str = "/") -> exchange.RequestHead:
+    return exchange.RequestHead(
+        "r1", "GET", path, (), "riders", "", datetime.timedelta(seconds=5)
     )
 
 
 async def _send_request(
-    gateway_under_test: gateway.Gateway,
+    gateway_under_test: gateway.Gateway, path: str = "/"
 ) -> gateway.ResponseResult:
-    head = exchange.RequestHead(
-        "r1", "GET", "/", (), "riders", "", datetime.timedelta(seconds=5)
-    )
     return await gateway_under_test.serve(
-        objects.Route(service="riders"), head, exchange.RequestBody()
+        objects.Route(service="riders"), _head(path), exchange.RequestBody()
     )
 
 
