Test that nodes which replace others know of suspect requests

In virtual time a third of 24 nodes is replaced by new ones after every fourth arrival of a request that crashes its targets; a new node is told by its peers within two seconds.

--- a/endivewind/tests/callers/poison_guard_tests.py
+++ b/endivewind/tests/callers/poison_guard_tests.py
@@ -87,9 +87,20 @@
         self._calls = itertools.count()
         self.nodes = {}
         for number in range(node_count):
-            name = f"n{number}"
-            self.view.put_node(view.NodeRecord(name, 1, name, "r", "z"))
-            self.nodes[name] = _Node(name, self)
+            self._start(f"n{number}")
+
+    def _start(self, name):
+        self.view.put_node(view.NodeRecord(name, 1, name, "r", "z"))
+        self.nodes[name] = _Node(name, self)
+        self.loop.call_later(
+            self.rng.uniform(0, SPREAD_SECONDS), self._tell, self.nodes[name]
+        )
+
+    def _tell(self, node):
+        """Tells a node that has started what others know, as repairs do."""
+        for peer in self.nodes.values():
+            for record in peer.suspects.records():
+                self._put(node, record)
 
     def spread(self, sender, record):
         """Brings a record to the other nodes, as gossip does."""
@@ -110,6 +121,8 @@
             await asyncio.sleep(TIMEOUT_SECONDS)
             return None
         await asyncio.sleep(0.001)
+        if address not in self.nodes:
+            return None
         response = self.nodes[address].reports.handle_query(received)
         if self.rng.random() < self._loss:
             await asyncio.sleep(TIMEOUT_SECONDS)
@@ -166,6 +179,22 @@
             for node in self.nodes.values():
                 node.restart()
 
+    def replace_some_at_times(self):
+        """Replaces a third of the nodes after every fourth arrival.
+
+        They start in time to count as being in touch at the next arrival.
+        """
+        if next(self._calls) % 4 == 3:
+            self.loop.call_later(
+                PAUSE_SECONDS - STABLE_SECONDS, self._replace_some
+            )
+
+    def _replace_some(self):
+        for name in self.rng.sample(list(self.nodes), len(self.nodes) // 3):
+            self.view.remove_node(name)
+            del self.nodes[name]
+            self._start(f"{name}+")
+
     async def crash_in_turn(self, rounds=1, before_arrival=_do_nothing):
         """Sends a request that crashes its targets at one node after the other.
 
@@ -204,13 +233,13 @@
             crashes.append(now + WORK_SECONDS)
             return LOST
 
-        nodes = list(self.nodes.values()) * rounds
-        for start in range(0, len(nodes), together):
+        for start in range(0, rounds * len(self.nodes), together):
             before_arrival()
+            nodes = list(self.nodes.values())
             await asyncio.gather(
                 *(
-                    self.send(node, [attempt, attempt])
-                    for node in nodes[start : start + together]
+                    self.send(nodes[number % len(nodes)], [attempt, attempt])
+                    for number in range(start, start + together)
                 )
             )
             await asyncio.sleep(PAUSE_SECONDS)
@@ -378,6 +407,22 @@
 
                 self.assertLessEqual(arrivals, MAX_RETRIES)
 
+    def test_nodes_that_replace_others_allow_no_further_ones(self):
+        """Guards against a count that is lost with the nodes that made it."""
+        for seed in range(1, 6):
+            for failing in (0.0, 0.3):
+                with self.subTest(seed=seed, failing=failing):
+                    fleet = _Fleet(24, seed, MESSAGE_LOSS)
+
+                    arrivals = self.run_in(
+                        fleet,
+                        fleet.arrive_in_turn(
+                            3, failing, 1, fleet.replace_some_at_times
+                        ),
+                    )
+
+                    self.assertLessEqual(arrivals, MAX_RETRIES)
+
     def test_look_up_that_targets_answer_is_not_refused(self):
         """Guards against a look-up blamed for crashes that it does not cause.
 
