--- a/endivewind/tests/loads/calling_fleet.py
+++ b/endivewind/tests/loads/calling_fleet.py
@@ -4,6 +4,7 @@
 node would get them. A request fails if its call fails.
 """
 
+import asyncio
 import collections
 import dataclasses
 import datetime
@@ -25,6 +26,8 @@
 
 CALLED_SERVICE = "venues"
 CALL_PREFIX = "/status/"
+# The kind of request that a call is at the called target.
+CALL_KIND = "call"
 VM_ADDRESS = "192.0.2.1"
 CALLED_NUMBERS = range(10, 12)
 # Calls have the default rank of routes, as no operator knows their urgency.
@@ -43,12 +46,14 @@
     """The calls that requests of one kind make.
 
     Attributes:
-      share: share of the requests that make a call.
-      mean_work: service time of the call in seconds.
-      timeout: seconds after which the target gives up the call.
+      share: share of the requests that make calls.
+      count: calls that such a request makes at the same time.
+      mean_work: service time of a call in seconds.
+      timeout: seconds after which the target gives up a call.
     """
 
     share: float = 1.0
+    count: int = 1
     mean_work: float = 0.3
     timeout: float = 5.0
 
@@ -71,7 +76,7 @@
 
 
 class CallingTarget(fleet.FakeTarget):
-    """A target that calls another service half-way through its work."""
+    """A target that calls another service halfway through its work."""
 
     def __init__(self, simulated, name):
         super().__init__(simulated.rng)
@@ -87,7 +92,11 @@
             remaining = float(headers[http_headers.TIMEOUT_MS]) / 1000
             due_at = self._simulated.loop.time() + remaining
             await self.work(work)
-            if not await self._simulated.call(self._name, headers, due_at):
+            calls = (
+                self._simulated.call(self._name, headers, due_at)
+                for _ in range(call.count)
+            )
+            if not all(await asyncio.gather(*calls)):
                 trace_request_ctx.record_connection()
                 return fleet.make_response(500)
             headers = {**headers, "Work": str(work)}
@@ -133,28 +142,28 @@
           due_at: when that request ends, in seconds.
         """
         kind = headers["Kind"]
-        route, request_kind = CALL_ROUTE, self.call_kinds[kind]
+        route, request_kind = self._call_route(name), self.call_kinds[kind]
         node = self.nodes[name]
         work = self.rng.expovariate(1 / request_kind.mean_work)
         request_id = f"{self.rng.getrandbits(64):x}"
         head = exchange.RequestHead(
             request_id,
             "GET",
-            CALL_PREFIX,
+            route.prefix,
             (
                 (b"Id", request_id.encode()),
                 (b"Work", str(work).encode()),
-                (b"Kind", b"call"),
+                (b"Kind", CALL_KIND.encode()),
                 (b"Caller-Id", headers["Id"].encode()),
             ),
-            CALLED_SERVICE,
+            route.service,
             "",
             datetime.timedelta(seconds=request_kind.timeout),
             latency_objective=datetime.timedelta(milliseconds=route.aim_ms),
         )
         head.queue_priority = request_queues.queue_priority(route)
         started = self.loop.time()
-        result = await self._serve_call(node, kind, head, due_at)
+        result = await self._serve_call(node, route, kind, head, due_at)
         stats = self.calls[kind]
         stats.request_count += 1
         stats.latencies.append(self.loop.time() - started)
@@ -199,35 +208,44 @@
             exchange.unknown_outcome_refusal(exchange.Reason.HOME_LOST)
         )
 
-    async def _serve_call(self, node, kind, head, due_at):
+    async def _serve_call(self, node, route, kind, head, due_at):
         async def serve(head):
             sent = SentCall(kind, head, due_at)
             self.sent_calls.append(sent)
             try:
                 return await node.gateway.serve(
-                    CALL_ROUTE, head, exchange.RequestBody()
+                    route, head, exchange.RequestBody()
                 )
             finally:
                 sent.ended_at = self.loop.time()
 
         if node.calls.is_call(
-            head.service, CALL_PREFIX, VM_ADDRESS, VM_ADDRESS
+            head.service, route.prefix, VM_ADDRESS, VM_ADDRESS
         ):
-            return await node.calls.serve(CALL_PREFIX, head, serve)
+            return await node.calls.serve(route.prefix, head, serve)
         return await serve(head)
 
+    def _call_route(self, name):
+        """Returns the route of a target's calls; None if it makes none."""
+        return None if is_called(name) else CALL_ROUTE
+
     def _make_target(self, name):
-        if is_called(name):
+        if self._call_route(name) is None:
             return super()._make_target(name)
         return CallingTarget(self, name)
 
     def _announcement_of(self, name):
-        service = CALLED_SERVICE if is_called(name) else fleet.SERVICE
-        return self._announcement.model_copy(update={"service": service})
+        return self._announcement.model_copy(
+            update={"service": self.service_of(name)}
+        )
+
+    def service_of(self, name):
+        """Returns the service of a target."""
+        return CALLED_SERVICE if is_called(name) else fleet.SERVICE
 
     def _start_home(self, name, zone):
         super()._start_home(name, zone)
-        if not is_called(name):
+        if self._call_route(name) is not None:
             self.nodes[name] = self._make_node(name, zone)
 
     def _make_node(self, name, zone):
--- a/endivewind/tests/loads/repeat_counts_tests.py
+++ b/endivewind/tests/loads/repeat_counts_tests.py
@@ -26,6 +26,7 @@
     "trip": calling_fleet.CallKind(mean_work=0.035, timeout=0.4),
     "payout": calling_fleet.CallKind(share=0.0),
 }
+LAST_CALLS = calling_fleet.CallKind(count=2, mean_work=0.03, timeout=0.4)
 SEEDS = (1, 2)
 WARM_UP_SECONDS = 12
 OUTAGE_SECONDS = 24
@@ -41,8 +42,8 @@
 
 def _fail(simulated, calling_share, called_share):
     for name, target in simulated.targets.items():
-        is_called = calling_fleet.is_called(name)
-        target.failure_share = called_share if is_called else calling_share
+        is_calling = simulated.service_of(name) == fleet.SERVICE
+        target.failure_share = calling_share if is_calling else called_share
 
 
 class _RepeatsTest(unittest.TestCase):
@@ -129,6 +130,35 @@
                     {calling_fleet.CALLED_SERVICE: 0.5, fleet.SERVICE: 0.1},
                 )
 
+    def test_calls_that_are_made_for_calls_of_repeats(self):
+        """Guards against repeats that count at the first called service only.
+
+        Targets of the called service call a third one, to which callers send
+        no requests.
+        """
+        calls = {
+            **CALLS,
+            SLIP.name: LAST_CALLS,
+            calling_fleet.CALL_KIND: LAST_CALLS,
+        }
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulated = repeat_counts.ChainRepeatFleet(
+                    seed, calls, retries=repeat_counts.NODE_LIMITS
+                )
+                simulated.run(WARM_UP_SECONDS, KINDS)
+                _fail(simulated, 0.7, 0.3)
+                simulated.run(OUTAGE_SECONDS, KINDS)
+
+                self._check(
+                    simulated,
+                    {
+                        repeat_counts.LAST_SERVICE: 0.0,
+                        calling_fleet.CALLED_SERVICE: 0.5,
+                        fleet.SERVICE: 0.1,
+                    },
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
