Count calls that are made for calls of repeats as repeats

Cause: whether a request is a repeat was told to its home by its entry node alone, from the attempts that this node has made. A call of a repeat is the first attempt of an id of its own, so that its home took its run for an ordinary one, reserved nothing for the calls of that run and charged none.

A call now carries the probability that it is made for a repeat. Its home weighs the calls of that run with it. From one half on it reserves them, or refuses the call; below it they are charged when they arrive, so that no request is refused for what is rather another one's repeat.

The test asked for as many repeats at the second service as its own requests allow. What is left for the calls of the last one binds now, so it asks for a tenth there and for half of the reserve at the last service.

--- a/endivewind/callers/call_reservations.py
+++ b/endivewind/callers/call_reservations.py
@@ -1,11 +1,12 @@
-"""Reserves retries for the calls that a retried request is likely to make.
+"""Reserves retries for the calls that a repeat is likely to make.
 
 Scenario: targets of a service call another service and fail afterwards. Risk:
 each retry of their requests makes its calls once more. These calls are retries
 of the called service, but can't be refused without failing their request, so
 that they alone may exceed its budget. So the home of a target reserves retries
 of the called services before it sends a retried request, and refuses the
-request if there are none.
+request if there are none. The calls are repeats themselves, so that their homes
+do the same for the calls that are made for them.
 
 `targets/dispatch.py` reserves, and `callers/target_calls.py` spends what is
 reserved as the calls arrive.
@@ -111,7 +112,9 @@
             for service, count in expected.items():
                 if count < MIN_EXPECTED_CALLS:
                     continue
-                taken = await self._budgets.reserve(service, count)
+                taken = await self._budgets.reserve(
+                    service, count * request.repeat_probability
+                )
                 if taken is None:
                     reservation.release()
                     return expression.Error(service)
--- a/endivewind/callers/entry_routes.py
+++ b/endivewind/callers/entry_routes.py
@@ -37,8 +37,8 @@
         """Whether it is running any request, so that it may call services."""
 
     @property
-    def possible_duplicate_share(self) -> float:
-        """Share of its requests that may have been sent to a target before."""
+    def expected_repeat_share(self) -> float:
+        """Expected share of repeats among the requests that it is running."""
 
 
 class EntryRoutes:
@@ -140,7 +140,7 @@
             return 0.0
         if self.is_entry_route(service, prefix):
             return 0.0
-        return self._local_target.possible_duplicate_share
+        return self._local_target.expected_repeat_share
 
     @property
     def _is_provisional(self) -> bool:
--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -211,9 +211,7 @@
         """Returns the head with what the call inherits."""
         route = inherited_priority.CallRoute(head.service, prefix)
         running = self._target.running_requests()
-        call = exchange.TargetCall(
-            retry_probability=self._unreserved_probability(head, route, running)
-        )
+        call = self._describe_call(head, route, running)
         self._frequencies.record_call(route, running)
         if not self._inherits_priority:
             return dataclasses.replace(head, call=call)
@@ -232,21 +230,22 @@
             call=call,
         )
 
-    def _unreserved_probability(
+    def _describe_call(
         self,
         head: exchange.RequestHead,
         route: inherited_priority.CallRoute,
         running: collections.abc.Sequence[inherited_priority.RunningRequest],
-    ) -> float:
-        """Returns the probability that a call lacks a reserved retry.
+    ) -> exchange.TargetCall:
+        """Returns how likely a call is made for a repeat.
 
-        Spends what the retried requests have reserved for it, and logs the call
-        if it may belong to one of them.
+        Spends what the repeats have reserved for it, and logs the call if it
+        may belong to one of them.
         """
         probability_of_any = reserved = 0.0
         probabilities = self._frequencies.probabilities(route, running)
         for request, probability in zip(running, probabilities, strict=True):
-            if not request.may_be_duplicate:
+            probability *= request.repeat_probability
+            if not probability:
                 continue
             probability_of_any += probability
             if request.reserved is not None:
@@ -260,7 +259,10 @@
                 reserved=round(reserved, 3),
             )
             log.info("call of retried request", extra=fields)
-        return probability_of_any - reserved
+        return exchange.TargetCall(
+            retry_probability=probability_of_any - reserved,
+            repeat_probability=probability_of_any,
+        )
 
     def _record_failure(
         self,
--- a/endivewind/decisions/inherited_priority.py
+++ b/endivewind/decisions/inherited_priority.py
@@ -52,14 +52,14 @@
       queue_priority: its priority in queues; higher values go first.
       latency_objective: the time within which its caller wants a response.
       workspace: the workspace whose fair share it counts towards.
-      may_be_duplicate: whether a target may have received it before.
+      repeat_probability: the probability that the target repeats work with it.
       reserved: the retries that it has reserved for its calls; None without.
     """
 
     queue_priority: int
     latency_objective: datetime.timedelta
     workspace: str
-    may_be_duplicate: bool = False
+    repeat_probability: float = 0.0
     reserved: ReservedRetries | None = None
 
     @property
--- a/endivewind/exchange.py
+++ b/endivewind/exchange.py
@@ -101,14 +101,17 @@
       fair_workspace: the workspace of that request, whose fair share the call
         counts towards; empty if it has none.
       lacked_retry: whether the call failed because no retry was left.
-      retry_probability: the probability that the call is made for a retried
-        request that has reserved no retry for it.
+      retry_probability: the probability that the call is made for a repeat that
+        has reserved no retry for it.
+      repeat_probability: the probability that the call is made for a repeat, so
+        that it is one itself.
     """
 
     inherits: bool = False
     fair_workspace: str = ""
     lacked_retry: bool = False
     retry_probability: float = 0.0
+    repeat_probability: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -171,6 +174,17 @@
         """Whether it precedes other requests of its priority in queues."""
         return self.call is not None and self.call.inherits
 
+    @property
+    def repeat_probability(self) -> float:
+        """The probability that a target repeats work when it runs the request.
+
+        A request is a repeat if a target may have received it before, or if it
+        is a call that is made for a repeat.
+        """
+        if self.may_be_duplicate:
+            return 1.0
+        return self.call.repeat_probability if self.call is not None else 0.0
+
     @property
     def queue_workspace(self) -> str:
         """The workspace whose fair share it counts towards in queues."""
--- a/endivewind/nodes/link_server.py
+++ b/endivewind/nodes/link_server.py
@@ -313,9 +313,19 @@
         queue_priority=forward.level or 0,
         max_suspicion=(forward.risk or 0) / 100,
         may_be_duplicate=bool(forward.repeat),
-        call=exchange.TargetCall(True, forward.fair_workspace or "")
-        if forward.call
-        else None,
+        call=_decode_call(forward),
+    )
+
+
+def _decode_call(forward: Any) -> exchange.TargetCall | None:
+    """Returns what is known of a call; None if the request is none."""
+    if not forward.call and not forward.repeat_percent:
+        return None
+    percent = min(max(forward.repeat_percent or 0, 0), 100)
+    return exchange.TargetCall(
+        bool(forward.call),
+        forward.fair_workspace or "",
+        repeat_probability=percent / 100,
     )
 
 
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -457,6 +457,8 @@
         # Fields that are None take no bytes.
         call=head.goes_ahead or None,
         fair_workspace=(head.call and head.call.fair_workspace) or None,
+        repeat_percent=(head.call and round(100 * head.call.repeat_probability))
+        or None,
     )
 
 
--- a/endivewind/nodes/messages.thrift
+++ b/endivewind/nodes/messages.thrift
@@ -38,6 +38,9 @@
   21: bool call
   // The workspace whose fair share the call counts towards in queues.
   22: string fair_workspace
+  // Probability that the request is a call made for a repeat, in percent; absent
+  // if it is zero.
+  23: i32 repeat_percent
 }
 
 // Status of a target, attached by its home node to each response.
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -40,6 +40,10 @@
 
 BUSY_RETRY_AFTER = datetime.timedelta(milliseconds=200)
 _MIN_TIMEOUT = datetime.timedelta(milliseconds=1)
+# A request reserves retries for its calls, and is refused without any, if it is
+# at least this likely a repeat. Others are rather first attempts, whose calls
+# are charged when they arrive.
+MIN_RESERVING_PROBABILITY = 0.5
 # Errors and rejections may be written by a proxy, or by a process that crashes
 # or is overloaded, and need not name the target's rate limit.
 _MIN_ERROR_STATUS = 400
@@ -163,14 +167,16 @@
         return bool(self._targets.working_targets())
 
     @property
-    def possible_duplicate_share(self) -> float:
-        """Share of the active requests that are possible duplicates."""
-        duplicates = [
-            request.may_be_duplicate
+    def expected_repeat_share(self) -> float:
+        """Expected share of repeats among the active requests."""
+        probabilities = [
+            request.repeat_probability
             for item in self._targets.working_targets()
             for request in item.pending_requests
         ]
-        return sum(duplicates) / len(duplicates) if duplicates else 0.0
+        if not probabilities:
+            return 0.0
+        return sum(probabilities) / len(probabilities)
 
     def limit_request_bytes(
         self, limit: request_bytes.RequestBytesLimit
@@ -291,7 +297,10 @@
             refusal = self._rate_limit_refusal(item)
         if refusal is not None:
             return refusal
-        if self._call_reserver is None or not head.may_be_duplicate:
+        if (
+            self._call_reserver is None
+            or head.repeat_probability < MIN_RESERVING_PROBABILITY
+        ):
             return await self._wait_and_dispatch(item, head, body, arrived_at)
         try:
             reserved = await self._call_reserver.reserve(
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -69,7 +69,7 @@
         head.queue_priority,
         head.latency_objective,
         head.queue_workspace,
-        head.may_be_duplicate,
+        head.repeat_probability,
         reservation,
     )
 
@@ -106,9 +106,9 @@
         )
 
     @property
-    def may_be_duplicate(self) -> bool:
-        """Whether a target may have received the request before."""
-        return self._head.may_be_duplicate
+    def repeat_probability(self) -> float:
+        """The probability that the target repeats work with the request."""
+        return self._head.repeat_probability
 
     def as_running(self) -> inherited_priority.RunningRequest:
         """Returns what a call of the target inherits from the request."""
--- a/endivewind/tests/callers/call_reservations_tests.py
+++ b/endivewind/tests/callers/call_reservations_tests.py
@@ -69,6 +69,10 @@
         )
 
 
+def _call(repeat_probability):
+    return exchange.TargetCall(repeat_probability=repeat_probability)
+
+
 class CallReservationTest(unittest.TestCase):
     """A target whose look-ups make one call each, and its node."""
 
@@ -121,7 +125,9 @@
 
         await self.calls.serve(PREFIX, head, serve)
 
-    async def send(self, *, calls=True, repeat=False, work=0.3, timeout=5.0):
+    async def send(
+        self, *, calls=True, repeat=False, call=None, work=0.3, timeout=5.0
+    ):
         """Sends a request, whose class depends on whether it makes a call."""
         headers = [(b"Work", str(work).encode())]
         if calls:
@@ -137,6 +143,7 @@
             latency_objective=SECOND,
             queue_priority=2 if calls else 1,
             may_be_duplicate=repeat,
+            call=call,
         )
         return await self.dispatcher.run("t", head, exchange.RequestBody())
 
@@ -162,6 +169,39 @@
         self.assertEqual([], self.sent_calls)
         self.assertEqual(0, self.budgets.used)
 
+    def test_call_for_a_repeat_without_budget_for_its_calls_is_not_sent(self):
+        """Guards against repeats that count at the first called service only."""
+        self.learn()
+        self.allow(0.3)
+
+        result = self.run_one(call=_call(0.7))
+
+        self.assertIs(exchange.Reason.CALL_BUDGET, result.error.reason)
+        self.assertEqual([], self.sent_calls)
+
+    def test_call_that_is_rather_made_for_a_first_attempt_is_sent(self):
+        """Guards against requests that are refused for repeats of others.
+
+        Its own calls are charged when they arrive.
+        """
+        self.learn()
+        self.allow(0)
+
+        self.assertTrue(self.run_one(call=_call(0.3)).is_ok())
+
+        (call,) = self.sent_calls
+        self.assertAlmostEqual(0.3, call.retry_probability)
+        self.assertAlmostEqual(0.3, call.repeat_probability)
+
+    def test_call_of_a_repeat_is_one_itself_though_reserved(self):
+        self.learn()
+        self.allow(3)
+
+        self.run_one(repeat=True)
+
+        (call,) = self.sent_calls
+        self.assertEqual(1, call.repeat_probability)
+
     def test_other_requests_need_no_budget(self):
         """Guards against refused requests that make no calls, or first ones."""
         self.learn()
--- a/endivewind/tests/callers/entry_routes_tests.py
+++ b/endivewind/tests/callers/entry_routes_tests.py
@@ -10,7 +10,7 @@
 class _LocalTarget:
     def __init__(self):
         self.has_active_work = False
-        self.possible_duplicate_share = 0.0
+        self.expected_repeat_share = 0.0
 
 
 class EntryRoutesTest(unittest.TestCase):
@@ -80,7 +80,7 @@
         """The probability is zero for known routes of callers."""
         self.routes.is_from_caller("riders", "/orders/")
         self.local_target.has_active_work = True
-        self.local_target.possible_duplicate_share = 0.25
+        self.local_target.expected_repeat_share = 0.25
 
         self.assertEqual(
             0.25, self.routes.retry_probability("venues", "/status/")
--- a/endivewind/tests/callers/target_calls_tests.py
+++ b/endivewind/tests/callers/target_calls_tests.py
@@ -101,7 +101,7 @@
 class RetriedRequestTest(_TargetCallsTest):
     def test_call_has_the_probability_of_a_retried_request(self):
         """Guards against retries of one service that flood another."""
-        retried = dataclasses.replace(_running(), may_be_duplicate=True)
+        retried = dataclasses.replace(_running(), repeat_probability=1.0)
         self.target.running = [_running(), retried]
         for inherits in (False, True):
             with self.subTest(inherits=inherits):
@@ -111,7 +111,7 @@
 
     def test_call_that_may_belong_to_a_retried_request_is_logged(self):
         """Guards against calls of retried requests that nobody can count."""
-        retried = dataclasses.replace(_running(), may_be_duplicate=True)
+        retried = dataclasses.replace(_running(), repeat_probability=1.0)
         self.target.running = [_running(), retried]
         with self.assertLogs(target_calls.log, "INFO") as captured:
             self.serve()
--- a/endivewind/tests/decisions/inherited_priority_tests.py
+++ b/endivewind/tests/decisions/inherited_priority_tests.py
@@ -47,8 +47,8 @@
         Only patient requests make calls. One that was retried runs beside two
         urgent ones, or an urgent one was.
         """
-        retried = dataclasses.replace(PATIENT, may_be_duplicate=True)
-        retried_urgent = dataclasses.replace(URGENT, may_be_duplicate=True)
+        retried = dataclasses.replace(PATIENT, repeat_probability=1.0)
+        retried_urgent = dataclasses.replace(URGENT, repeat_probability=1.0)
         probability = self._duplicate_probability
         self.assertAlmostEqual(
             1 / 3, probability(ROUTE, [URGENT, retried, URGENT])
@@ -66,7 +66,7 @@
         return sum(
             probability
             for request, probability in zip(running, probabilities, strict=True)
-            if request.may_be_duplicate
+            if request.repeat_probability
         )
 
     def test_classes_take_bounded_memory(self):
--- a/endivewind/tests/loads/repeat_counts_tests.py
+++ b/endivewind/tests/loads/repeat_counts_tests.py
@@ -150,14 +150,19 @@
                 _fail(simulated, 0.7, 0.3)
                 simulated.run(OUTAGE_SECONDS, KINDS)
 
+                # What is left for the calls of the last service bounds the
+                # repeats of the others.
                 self._check(
                     simulated,
                     {
                         repeat_counts.LAST_SERVICE: 0.0,
-                        calling_fleet.CALLED_SERVICE: 0.5,
+                        calling_fleet.CALLED_SERVICE: 0.1,
                         fleet.SERVICE: 0.1,
                     },
                 )
+                last_counts = simulated.counts[repeat_counts.LAST_SERVICE]
+                reserves = OUTAGE_SECONDS / 10 * repeat_counts.RETRY_RESERVE
+                self.assertGreater(len(last_counts.repeats), 0.5 * reserves)
 
 
 if __name__ == "__main__":
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -161,6 +161,20 @@
         "bool(head.ticket)\n",
         "targets.dispatch_tests",
     ),
+    Mutant(
+        "a call that is made for a repeat counts as a first attempt",
+        "nodes/links.py",
+        "round(100 * head.call.repeat_probability)",
+        "None",
+        "nodes.links_tests",
+    ),
+    Mutant(
+        "a call that is made for a repeat reserves nothing for its own calls",
+        "exchange.py",
+        "self.call.repeat_probability if self.call is not None else 0.0",
+        "0.0",
+        "callers.call_reservations_tests",
+    ),
     Mutant(
         "a call ends at the deadline of another request",
         "callers/target_calls.py",
--- a/endivewind/tests/nodes/links_tests.py
+++ b/endivewind/tests/nodes/links_tests.py
@@ -263,6 +263,7 @@
 
             self.assertIsNone(forward.call)
             self.assertIsNone(forward.fair_workspace)
+            self.assertIsNone(forward.repeat_percent)
             self.assertIsNone(_sent_over_link(forward).call)
 
     def test_home_gets_what_a_call_inherits(self):
@@ -278,6 +279,19 @@
         self.assertEqual("crew", decoded.queue_workspace)
         self.assertEqual("", decoded.workspace)
 
+    def test_home_knows_how_likely_a_call_is_made_for_a_repeat(self):
+        """Guards against repeats that count at the first called service only."""
+        for inherits in (False, True):
+            call = exchange.TargetCall(inherits, repeat_probability=0.35)
+            head = dataclasses.replace(HEAD, call=call)
+
+            decoded = _sent_over_link(
+                links._encode_request(head, exchange.RequestBody())
+            )
+
+            self.assertEqual(call, decoded.call)
+            self.assertEqual(0.35, decoded.repeat_probability)
+
 
 def _sent_over_link(forward):
     """Returns the head that the receiver of a forwarded request decodes."""
