Judge all limits on repeats in runs of real processes

The soak compares the retries of a whole run with one budget: no window, no service by itself, no calls, no request that crashes its targets, no time that is handed on.

endivewind-bench retries starts nodes with the settings of deploy/ and a target beside each in the playing process. Targets fail, call the next service of a chain, crash, pause, and are replaced; nodes are killed, paused, stopped or replaced, at addresses of their own if wanted. All arrivals are recorded and judged in every window and for each service.

The computation of windows of the load tests moved to soak/retry_checks.py, unchanged, and is used by both.

--- a/endivewind/commands/bench.py
+++ b/endivewind/commands/bench.py
@@ -7,6 +7,7 @@
     "decisions",
     "matrix",
     "overhead",
+    "retries",
     "soak",
     "spreading",
 )
--- a/endivewind/commands/children.py
+++ b/endivewind/commands/children.py
@@ -141,6 +141,7 @@
         program_module: str,
         *arguments: str,
         checkout: pathlib.Path | None = None,
+        preparation: str = "",
     ) -> ChildProcess:
         """Starts a program and waits until it listens.
 
@@ -150,8 +151,14 @@
           *arguments: arguments of the program.
           checkout: folder whose code it runs; None runs the code of this
             process.
+          preparation: Python code that the process runs before the program.
         """
-        process = await spawn(program_module, *arguments, checkout=checkout)
+        process = await spawn(
+            program_module,
+            *arguments,
+            checkout=checkout,
+            preparation=preparation,
+        )
         child = ChildProcess(name, process)
         self._stack.push_async_callback(child.stop)
         child.listening_line = await child.wait_for_line(
@@ -166,20 +173,33 @@
         return file
 
     async def start_node(
-        self, settings: dict[str, Any], checkout: pathlib.Path | None = None
+        self,
+        settings: dict[str, Any],
+        checkout: pathlib.Path | None = None,
+        preparation: str = "",
     ) -> ChildProcess:
-        """Starts a node with these settings, from a checkout if given."""
+        """Starts a node with these settings; see `start` for the others."""
         file = self.write_settings(settings)
         return await self.start(
-            settings["name"], "node", f"--settings={file}", checkout=checkout
+            settings["name"],
+            "node",
+            f"--settings={file}",
+            checkout=checkout,
+            preparation=preparation,
         )
 
 
 async def spawn(
-    program_module: str, *arguments: str, checkout: pathlib.Path | None = None
+    program_module: str,
+    *arguments: str,
+    checkout: pathlib.Path | None = None,
+    preparation: str = "",
 ) -> asyncio.subprocess.Process:
     """Starts a program by its module in commands/, with piped output."""
-    code = f"from endivewind.commands import {program_module}; {program_module}.run()"
+    code = (
+        f"{preparation}\n"
+        f"from endivewind.commands import {program_module}; {program_module}.run()"
+    )
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-c",
--- a/endivewind/soak/checks.py
+++ b/endivewind/soak/checks.py
@@ -24,6 +24,9 @@
     RECOVERY = "requests fail after the faults have ended"
     NO_UNEXPECTED_EXIT = "a process ended by itself"
     RETRY_BUDGET = "more retries than the budget allows"
+    TARGET_COUNT = "requests ran at more targets than their route allows"
+    TIME_HANDED_ON = "targets were given more time than their requests had left"
+    CRASHING_REQUEST = "a request that crashes targets arrived at too many"
     TIME_LIMIT = "a request was given up for its deadline before its time limit"
     STOP_LIMIT = "a planned stop cut a request short before its stop limit"
 
--- a/endivewind/tests/loads/calling_fleet.py
+++ b/endivewind/tests/loads/calling_fleet.py
@@ -199,6 +199,22 @@
                     returned.slots,
                 )
 
+    def schedule_late_calls(self, seconds, kind):
+        """Lets each calling target make a call for a request that it resumes.
+
+        Args:
+          seconds: when, in seconds from now.
+          kind: the kind of the request, which its node has given up.
+        """
+        headers = {"Kind": kind, "Id": "given-up"}
+
+        def make_calls():
+            for name in self.nodes:
+                call = self.call(name, headers, due_at=0.0)
+                self._tasks.add(self.loop.create_task(call))
+
+        self.loop.call_later(seconds, make_calls)
+
     async def forward(self, zone, home, target, head, body):
         """Delivers a request to a home node and returns its result."""
         result = await super().forward(zone, home, target, head, body)
--- a/endivewind/tests/loads/repeat_counts.py
+++ b/endivewind/tests/loads/repeat_counts.py
@@ -6,6 +6,7 @@
 
 import collections
 
+from endivewind.soak import retry_checks
 from endivewind.tests.loads import calling_fleet
 from endivewind.tests.loads import fleet
 from endivewind.tests.loads import retry_bound
@@ -50,14 +51,13 @@
 
     def max_excess(self):
         """Returns the most repeats above the bound in any window."""
-        seconds = retry_bound.WINDOW.total_seconds()
-        return retry_bound.max_excess(
+        return retry_checks.worst_window(
             self.requests,
             self.repeats,
             RETRY_SHARE,
             RETRY_RESERVE,
-            window=seconds,
-        )
+            retry_bound.WINDOW.total_seconds(),
+        ).excess
 
 
 class _CountedTarget(fleet.FakeTarget):
--- a/endivewind/tests/loads/repeat_counts_tests.py
+++ b/endivewind/tests/loads/repeat_counts_tests.py
@@ -130,6 +130,32 @@
                     {calling_fleet.CALLED_SERVICE: 0.5, fleet.SERVICE: 0.1},
                 )
 
+    def test_calls_of_requests_that_were_given_up_long_before(self):
+        """Guards against calls that count as requests of callers.
+
+        Targets do nothing until their requests are given up, and make their
+        calls long after.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulated = repeat_counts.CallingRepeatFleet(
+                    seed, CALLS, retries=repeat_counts.NODE_LIMITS
+                )
+                for target in simulated.targets.values():
+                    target.hang_share = 1.0
+                    simulated.loop.call_later(
+                        1, setattr, target, "hang_share", 0.0
+                    )
+                simulated.schedule_late_calls(WARM_UP_SECONDS - 1, TRIP.name)
+                simulated.run(WARM_UP_SECONDS, KINDS)
+                _fail(simulated, 0.7, 0.3)
+                simulated.run(OUTAGE_SECONDS, KINDS)
+
+                self._check(
+                    simulated,
+                    {calling_fleet.CALLED_SERVICE: 0.5, fleet.SERVICE: 0.1},
+                )
+
     def test_calls_that_are_made_for_calls_of_repeats(self):
         """Guards against repeats that count at the first called service only.
 
--- a/endivewind/tests/loads/retry_bound.py
+++ b/endivewind/tests/loads/retry_bound.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import bisect
 import dataclasses
 import datetime
 import random
@@ -17,6 +16,7 @@
 from endivewind.config import store
 from endivewind.decisions import load_balancing
 from endivewind.nodes import view
+from endivewind.soak import retry_checks
 from endivewind.standins import virtual_loop
 
 SERVICE = "riders"
@@ -259,44 +259,10 @@
         or in that half a window earlier, whichever has most. It is negative if
         all windows are within the bound.
         """
-        return max_excess(
+        return retry_checks.worst_window(
             self.request_times,
             self.retry_times,
             self._limits.retry_share,
             self._limits.retry_reserve,
-        )
-
-
-def max_excess(
-    request_times, retry_times, retry_share, retry_reserve, window=WINDOW
-):
-    """Returns the most retries above the bound in any window.
-
-    Args:
-      request_times: when callers sent requests, in order.
-      retry_times: when retries arrived at targets, in order.
-      retry_share: retries allowed for each request.
-      retry_reserve: further retries allowed in each window.
-      window: its length, in the unit of the times.
-    """
-
-    def bound(start):
-        requests = max(
-            _count(request_times, start - offset, window)
-            for offset in (0 * window, window / 2, window)
-        )
-        return retry_share * requests + retry_reserve
-
-    return max(
-        (
-            _count(retry_times, start, window) - bound(start)
-            for start in retry_times
-        ),
-        default=-retry_reserve,
-    )
-
-
-def _count(times, start, window):
-    """Returns how many of the times are in the window from a time on."""
-    first = bisect.bisect_left(times, start)
-    return bisect.bisect_right(times, start + window) - first
+            WINDOW,
+        ).excess
