Learn no entry route from a target that may resume a request

Cause: a request that arrives while the target seems to be idle counts as a caller's and makes its route an entry route. A home takes a target for idle half a second after it has given up its last request. A target that was paused or hangs goes on with that request later, and its call then makes the route of calls an entry route. The neighbours learn it within a second, and nobody forgets it. From then on calls add to the budget of the called service, and those of repeats are neither reserved nor charged.

Work that was given up now counts for a minute, also after the target has been removed, for requests that come from this VM or from an unknown address. What comes from elsewhere teaches its route as before, so that nodes whose requests time out still learn the routes of callers.

--- a/endivewind/callers/entry_routes.py
+++ b/endivewind/callers/entry_routes.py
@@ -36,6 +36,10 @@
     def has_active_work(self) -> bool:
         """Whether it is running any request, so that it may call services."""
 
+    @property
+    def may_resume_work(self) -> bool:
+        """Whether it may go on with a request that was given up lately."""
+
     @property
     def expected_repeat_share(self) -> float:
         """Expected share of repeats among the requests that it is running."""
@@ -95,16 +99,41 @@
     def is_from_caller(self, service: str, prefix: str) -> bool:
         """Whether a request that arrives now is known to be a caller's.
 
+        It may come from this VM.
+
         Args:
           service: the service that it is routed to.
           prefix: the path prefix of its route.
         """
         if self._local_target is None:
             return True
-        if not self.is_target_active:
+        if not self.may_target_call:
             self._learn_while_idle(peer_updates.EntryRoute(service, prefix))
         return self.is_entry_route(service, prefix)
 
+    def record_remote_request(self, service: str, prefix: str) -> None:
+        """Learns from a request that does not come from this VM.
+
+        Args:
+          service: the service that it is routed to.
+          prefix: the path prefix of its route.
+        """
+        if self._local_target is not None and not self.is_target_active:
+            self._learn_while_idle(peer_updates.EntryRoute(service, prefix))
+
+    @property
+    def may_target_call(self) -> bool:
+        """Whether the local target may call, however unlikely that is.
+
+        Scenario: a target is paused for longer than the time limits of its
+        requests, and goes on with them. Risk: its calls arrive while it seems
+        to be idle, and make their route an entry route for good.
+        """
+        return self.is_target_active or (
+            self._local_target is not None
+            and self._local_target.may_resume_work
+        )
+
     @property
     def is_target_active(self) -> bool:
         """Whether the local target may run a request, so that it may call.
--- a/endivewind/callers/target_calls.py
+++ b/endivewind/callers/target_calls.py
@@ -139,10 +139,11 @@
         route = (service, prefix)
         if not is_from_vm:
             self._remote_routes.add(route)
+            self._entry_routes.record_remote_request(service, prefix)
             return False
         if has_key:
             return False
-        if not self._entry_routes.is_target_active:
+        if not self._entry_routes.may_target_call:
             self._local_routes.add(route)
             return False
         return self._may_be_call(route)
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -131,6 +131,7 @@
         )
         self._request_bytes: request_bytes.RequestBytesLimit | None = None
         self._call_reserver: CallReserver | None = None
+        self._last_abandonment: datetime.timedelta | None = None
 
     @classmethod
     def from_registry(
@@ -166,6 +167,18 @@
         """Whether a target is executing a request, or may still be doing so."""
         return bool(self._targets.working_targets())
 
+    @property
+    def may_resume_work(self) -> bool:
+        """Whether a target may go on with a request that was abandoned.
+
+        It lasts much longer than `has_active_work`, and also if the target has
+        been removed meanwhile.
+        """
+        if self._last_abandonment is None:
+            return False
+        elapsed = self._clock.monotonic() - self._last_abandonment
+        return elapsed < target_request.MAX_RESUMED_WORK
+
     @property
     def expected_repeat_share(self) -> float:
         """Expected share of repeats among the active requests."""
@@ -514,9 +527,11 @@
             if not request.may_have_been_sent:
                 head.record_unsent()
             request.cancel()
+            self._record_end(request)
             raise
         if result.is_error():
             request.finish()
+            self._record_end(request)
             report = self._report_after(item, head, request)
             return expression.Error(
                 dataclasses.replace(result.error, target_report=report)
@@ -526,6 +541,11 @@
         result.ok.target_report = self._report_after(item, head, request)
         return result
 
+    def _record_end(self, request: target_request.TargetRequest) -> None:
+        """Records when a request ended without a response."""
+        if request.was_abandoned:
+            self._last_abandonment = self._clock.monotonic()
+
     def check_overdue(self) -> None:
         """Raises the suspicion of targets whose responses are overdue.
 
--- a/endivewind/targets/target_request.py
+++ b/endivewind/targets/target_request.py
@@ -32,6 +32,9 @@
 MIN_ABANDONED_WORK = datetime.timedelta(milliseconds=500)
 # Bounds the time in which a target counts as active because of one request.
 MAX_ABANDONED_WORK = datetime.timedelta(seconds=10)
+# A target that was paused, or that ignores deadlines, may go on with a request
+# that was abandoned for as long as this.
+MAX_RESUMED_WORK = datetime.timedelta(minutes=1)
 _SIGNALS = {
     evidence.ResultKind.SUCCESS: suspicion.SuspicionSignal.SUCCESS,
     evidence.ResultKind.ERROR: suspicion.SuspicionSignal.FAILURE,
@@ -99,6 +102,7 @@
         self.target_incarnation = item.record.target_incarnation
         self._latency: datetime.timedelta | None = None
         self._is_finished = False
+        self.was_abandoned = False
         self._has_counted_overdue = False
         item.pending_requests[self] = None
         self._number = observer.record_start(
@@ -263,6 +267,7 @@
         Many targets drop a request whose connection is closed; others work on
         it until the deadline that they were given.
         """
+        self.was_abandoned = True
         now = self._clock.monotonic()
         left = self.started_at + self._head.remaining_time - now
         until = now + max(MIN_ABANDONED_WORK, min(left, MAX_ABANDONED_WORK))
--- a/endivewind/tests/callers/entry_routes_tests.py
+++ b/endivewind/tests/callers/entry_routes_tests.py
@@ -10,6 +10,7 @@
 class _LocalTarget:
     def __init__(self):
         self.has_active_work = False
+        self.may_resume_work = False
         self.expected_repeat_share = 0.0
 
 
@@ -52,6 +53,32 @@
         self.assertTrue(routes.is_from_caller("riders", "/orders/"))
         self.assertFalse(routes.is_entry_route("venues", "/status/"))
 
+    def test_calls_of_work_that_was_abandoned_make_no_entry_route(self):
+        """Guards against calls that add to the budget of the called service.
+
+        The target was paused, and goes on with a request that its node has
+        given up long before.
+        """
+        self.local_target.may_resume_work = True
+
+        self.assertFalse(self.routes.is_from_caller("venues", "/status/"))
+        self.assertFalse(self.routes.is_entry_route("venues", "/status/"))
+
+    def test_requests_from_elsewhere_are_callers_after_abandoned_work(self):
+        """Guards against nodes that learn no routes while requests time out."""
+        self.local_target.may_resume_work = True
+
+        self.routes.record_remote_request("riders", "/orders/")
+
+        self.assertTrue(self.routes.is_from_caller("riders", "/orders/"))
+
+    def test_request_from_elsewhere_teaches_nothing_of_a_busy_target(self):
+        self.local_target.has_active_work = True
+
+        self.routes.record_remote_request("venues", "/status/")
+
+        self.assertFalse(self.routes.is_entry_route("venues", "/status/"))
+
     def test_route_learned_soon_after_a_restart_is_learned_again(self):
         """Guards against calls of long work that all nodes take for callers'.
 
--- a/endivewind/tests/callers/target_calls_tests.py
+++ b/endivewind/tests/callers/target_calls_tests.py
@@ -34,7 +34,8 @@
 
     def __init__(self):
         self.running = []
-        self.possible_duplicate_share = 0.0
+        self.expected_repeat_share = 0.0
+        self.may_resume_work = False
 
     @property
     def has_active_work(self):
@@ -145,6 +146,22 @@
 
         self.assertFalse(self.is_call())
 
+    def test_target_that_may_resume_work_makes_calls(self):
+        """Guards against late calls that count as requests of callers."""
+        self.target.running = []
+        self.target.may_resume_work = True
+
+        self.assertTrue(self.is_call())
+
+    def test_callers_elsewhere_teach_their_route_after_abandoned_work(self):
+        """Guards against nodes that learn no routes while requests time out."""
+        self.target.running = []
+        self.target.may_resume_work = True
+
+        self.is_call(ELSEWHERE)
+
+        self.assertTrue(self.routes.is_entry_route("venues", "/status/"))
+
     def test_callers_behind_a_proxy_on_this_vm_send_no_calls(self):
         """Guards against callers that all seem to be on this VM."""
         self.routes.add_route(
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -175,6 +175,20 @@
         "0.0",
         "callers.call_reservations_tests",
     ),
+    Mutant(
+        "a call for a request that was given up makes its route an entry route",
+        "callers/entry_routes.py",
+        "if not self.may_target_call:",
+        "if not self.is_target_active:",
+        "callers.entry_routes_tests",
+    ),
+    Mutant(
+        "a target is taken for idle once its request was given up",
+        "targets/dispatch.py",
+        "if request.was_abandoned:",
+        "if False:",
+        "targets.dispatch_tests",
+    ),
     Mutant(
         "a call ends at the deadline of another request",
         "callers/target_calls.py",
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -362,6 +362,25 @@
         self.loop.advance(datetime.timedelta(seconds=0.2))
         self.assertFalse(self.dispatcher.has_active_work)
 
+    def test_target_may_resume_a_request_after_its_deadline(self):
+        """Guards against late calls that count as requests of callers."""
+        self.pooled.is_silent = True
+        self.assertFalse(self.dispatcher.may_resume_work)
+
+        self.loop.run_until_complete(self.send(timeout=1))
+
+        self.targets.depart("t")
+        self.loop.advance(datetime.timedelta(seconds=50))
+        self.assertFalse(self.dispatcher.has_active_work)
+        self.assertTrue(self.dispatcher.may_resume_work)
+        self.loop.advance(datetime.timedelta(seconds=10))
+        self.assertFalse(self.dispatcher.may_resume_work)
+
+    def test_target_resumes_no_request_that_it_has_answered(self):
+        self.loop.run_until_complete(self.send())
+
+        self.assertFalse(self.dispatcher.may_resume_work)
+
     def test_deregistered_target_works_on_its_requests(self):
         """Guards against calls of a departed target that count as callers'."""
         self._check_works_on(lambda: self.targets.depart("t"))
