Keep no route that a restarted node learns from its own VM within a minute

The same cause on a related path: a node restarts while its target is paused, and the target resumes a request that the earlier process had sent. What was learned in the first ten seconds was not kept; a pause may be longer. Now that holds for a minute for requests that may come from this VM, and for ten seconds as before for those that come from elsewhere.

--- a/endivewind/callers/entry_routes.py
+++ b/endivewind/callers/entry_routes.py
@@ -89,12 +89,15 @@
         # Until then nothing is known of the target's earlier requests.
         self._unknown_until = clock.monotonic()
         # Routes that are learned until then may be those of calls, for requests
-        # that the target had before the restart and that took unusually long.
+        # that the target had before the restart and that took unusually long,
+        # or that it resumes. The latter may only come from this VM.
+        self._remote_provisional_until = clock.monotonic()
         self._provisional_until = clock.monotonic()
         self._provisional_routes: set[peer_updates.EntryRoute] = set()
         if is_restart:
             self._unknown_until += UNKNOWN_WORK_TIME
-            self._provisional_until += target_request.MAX_ABANDONED_WORK
+            self._remote_provisional_until += target_request.MAX_ABANDONED_WORK
+            self._provisional_until += target_request.MAX_RESUMED_WORK
 
     def is_from_caller(self, service: str, prefix: str) -> bool:
         """Whether a request that arrives now is known to be a caller's.
@@ -108,7 +111,10 @@
         if self._local_target is None:
             return True
         if not self.may_target_call:
-            self._learn_while_idle(peer_updates.EntryRoute(service, prefix))
+            self._learn_while_idle(
+                peer_updates.EntryRoute(service, prefix),
+                self._provisional_until,
+            )
         return self.is_entry_route(service, prefix)
 
     def record_remote_request(self, service: str, prefix: str) -> None:
@@ -119,7 +125,10 @@
           prefix: the path prefix of its route.
         """
         if self._local_target is not None and not self.is_target_active:
-            self._learn_while_idle(peer_updates.EntryRoute(service, prefix))
+            self._learn_while_idle(
+                peer_updates.EntryRoute(service, prefix),
+                self._remote_provisional_until,
+            )
 
     @property
     def may_target_call(self) -> bool:
@@ -155,7 +164,8 @@
         """Whether callers are known to use a route; learns nothing."""
         route = peer_updates.EntryRoute(service, prefix)
         return route in self._caller_routes or (
-            self._is_provisional and route in self._provisional_routes
+            self._clock.monotonic() < self._provisional_until
+            and route in self._provisional_routes
         )
 
     def retry_probability(self, service: str, prefix: str) -> float:
@@ -171,11 +181,11 @@
             return 0.0
         return self._local_target.expected_repeat_share
 
-    @property
-    def _is_provisional(self) -> bool:
-        return self._clock.monotonic() < self._provisional_until
-
-    def _learn_while_idle(self, route: peer_updates.EntryRoute) -> None:
+    def _learn_while_idle(
+        self,
+        route: peer_updates.EntryRoute,
+        provisional_until: datetime.timedelta,
+    ) -> None:
         """Adds a route by which a request has come while the target is idle.
 
         Scenario: a node restarts while its target works on a request for longer
@@ -183,8 +193,12 @@
         whole region, as neighbours learn it, for as long as they run. So what
         is learned soon after a restart is not sent to neighbours, and has to be
         learned again later.
+
+        Args:
+          route: the route.
+          provisional_until: the end of that time.
         """
-        if self._is_provisional:
+        if self._clock.monotonic() < provisional_until:
             self._provisional_routes.add(route)
         else:
             self._learn(route, "idle target")
--- a/endivewind/tests/callers/entry_routes_tests.py
+++ b/endivewind/tests/callers/entry_routes_tests.py
@@ -91,7 +91,7 @@
         self.clock.advance(entry_routes.UNKNOWN_WORK_TIME)
         self.assertTrue(routes.is_from_caller("venues", "/status/"))
         self.assertEqual((), routes.take_due_updates())
-        self.clock.advance(target_request.MAX_ABANDONED_WORK)
+        self.clock.advance(target_request.MAX_RESUMED_WORK)
 
         self.local_target.has_active_work = True
         self.assertFalse(routes.is_from_caller("venues", "/status/"))
@@ -103,6 +103,20 @@
             ["/orders/"], [item.prefix for item in routes.take_due_updates()]
         )
 
+    def test_restarted_node_sends_routes_of_callers_elsewhere_soon(self):
+        """Guards against nodes that learn no routes after a restart of all."""
+        routes = entry_routes.EntryRoutes(
+            self.clock, self.local_target, is_restart=True
+        )
+        self.clock.advance(target_request.MAX_ABANDONED_WORK)
+
+        routes.is_from_caller("venues", "/status/")
+        routes.record_remote_request("riders", "/orders/")
+
+        self.assertEqual(
+            ["/orders/"], [item.prefix for item in routes.take_due_updates()]
+        )
+
     def test_retry_probability_is_share_of_retried_requests(self):
         """The probability is zero for known routes of callers."""
         self.routes.is_from_caller("riders", "/orders/")
