Clear a suspect request by responses that came before the news of it

The five responses to it in the next half second come at nodes that gossip tells a second later, so that they clear nothing. The next attempt is a trial, which is lost with its target, and all others are refused for the pause.

An entry node now remembers the requests of its last responses, and clears one of them when it is told that it is suspect. A request that crashes its targets has no response, so nothing changes for it.

The new test fails without the fix.

--- a/endivewind/callers/poison_guard.py
+++ b/endivewind/callers/poison_guard.py
@@ -134,6 +134,8 @@
         )
         # Reports that are still being sent.
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._answered = poison_requests.AnsweredRequests()
+        self._reporter.suspects.observe(self._clear_if_answered)
 
     def is_suspect(
         self, head: exchange.RequestHead, body: exchange.RequestBody
@@ -245,6 +247,16 @@
         trial: poison_requests.Trial | None,
     ) -> Report | None:
         """Clears a request to which a target has responded."""
+        self._answered.record(
+            poison_requests.RequestParts(
+                head.workspace,
+                head.service,
+                head.method,
+                head.path,
+                body.buffered,
+            ),
+            self._clock.monotonic(),
+        )
         if not (self._reported or self._reporter.suspects or trial):
             return None
         fingerprint = tickets.fingerprint(head, body.buffered)
@@ -259,6 +271,21 @@
             return self._start(self._reporter.report_response(fingerprint))
         return None
 
+    def _clear_if_answered(
+        self, suspect: poison_requests.SuspectRequest
+    ) -> None:
+        """Clears a request to which a target has responded just before.
+
+        Scenario: a look-up that many callers send is lost with two targets.
+        Risk: until gossip has told the other nodes, the responses that they get
+        clear nothing. If the first trial is lost, too, it is refused.
+        """
+        if any(
+            tickets.fingerprint_of(*request) == suspect.fingerprint
+            for request in self._answered.latest(self._clock.monotonic())
+        ):
+            self._start(self._reporter.report_change(suspect.cleared()))
+
     def _start(
         self, report: collections.abc.Coroutine[Any, Any, None]
     ) -> Report:
--- a/endivewind/callers/tickets.py
+++ b/endivewind/callers/tickets.py
@@ -157,8 +157,17 @@
     Headers are not hashed, because client libraries change some of them when
     they resend a request.
     """
+    return fingerprint_of(
+        head.workspace, head.service, head.method, head.path, body
+    )
+
+
+def fingerprint_of(
+    workspace: str, service: str, method: str, path: str, body: bytes
+) -> bytes:
+    """Returns the fingerprint of a request with these parts."""
     digest = hashlib.sha256()
-    for field in (head.workspace, head.service, head.method, head.path):
+    for field in (workspace, service, method, path):
         encoded = field.encode("utf-8", "surrogateescape")
         digest.update(len(encoded).to_bytes(4, "big"))
         digest.update(encoded)
--- a/endivewind/decisions/poison_requests.py
+++ b/endivewind/decisions/poison_requests.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 import hashlib
+from typing import NamedTuple
 
 # Crashes from which a request is suspect. One crash proves little, since some
 # request is always running.
@@ -37,6 +38,12 @@
 MAX_SUSPECT_REQUESTS = 256
 # Suspect requests that a node saves, the latest ones.
 MAX_SAVED_REQUESTS = 16
+# How long a response to a request shows that it is harmless, also if the
+# request becomes suspect afterwards. It exceeds the time that gossip takes.
+ANSWER_MEMORY = datetime.timedelta(seconds=10)
+# Requests with responses that an entry node remembers, and their longest body.
+MAX_ANSWERED_REQUESTS = 512
+MAX_ANSWERED_BODY_BYTES = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,12 +107,56 @@
     number: int
 
 
+class RequestParts(NamedTuple):
+    """The parts of a request that its fingerprint is made of."""
+
+    workspace: str
+    service: str
+    method: str
+    path: str
+    body: bytes
+
+
+class AnsweredRequests:
+    """Requests to which targets have responded lately, by their parts.
+
+    A fingerprint takes too long to be computed for each request.
+    """
+
+    def __init__(self) -> None:
+        self._answered_at: collections.OrderedDict[
+            RequestParts, datetime.timedelta
+        ] = collections.OrderedDict()
+
+    def record(self, request: RequestParts, now: datetime.timedelta) -> None:
+        """Records a response to a request, unless its body is large."""
+        if len(request.body) > MAX_ANSWERED_BODY_BYTES:
+            return
+        self._answered_at[request] = now
+        self._answered_at.move_to_end(request)
+        if len(self._answered_at) > MAX_ANSWERED_REQUESTS:
+            self._answered_at.popitem(last=False)
+
+    def latest(
+        self, now: datetime.timedelta
+    ) -> collections.abc.Iterator[RequestParts]:
+        """Yields the requests of the last ANSWER_MEMORY, the latest first."""
+        for request in reversed(self._answered_at):
+            if now - self._answered_at[request] > ANSWER_MEMORY:
+                return
+            yield request
+
+
 @dataclasses.dataclass(slots=True)
 class _Known:
     record: SuspectRequest
     changed_at: datetime.timedelta
 
 
+def _ignore(record: SuspectRequest) -> None:
+    pass
+
+
 class SuspectRequests:
     """The suspect requests that a node knows, each at its highest version.
 
@@ -122,6 +173,15 @@
         )
         self._suspect_count = 0
         self._digest = 0
+        self._observer: collections.abc.Callable[[SuspectRequest], None] = (
+            _ignore
+        )
+
+    def observe(
+        self, observer: collections.abc.Callable[[SuspectRequest], None]
+    ) -> None:
+        """Sets what is called with each record of a suspect request."""
+        self._observer = observer
 
     def __bool__(self) -> bool:
         """Whether any request is suspect.
@@ -149,6 +209,8 @@
         if len(self._known) > MAX_SUSPECT_REQUESTS:
             self._known.popitem(last=False)
         self._update_digest()
+        if not record.is_cleared:
+            self._observer(record)
         return True
 
     def find(self, fingerprint: bytes) -> SuspectRequest | None:
--- a/endivewind/tests/callers/poison_guard_tests.py
+++ b/endivewind/tests/callers/poison_guard_tests.py
@@ -423,6 +423,20 @@
 
                     self.assertLessEqual(arrivals, MAX_RETRIES)
 
+    def test_response_before_a_node_is_told_clears_the_request(self):
+        """Guards against responses that are forgotten once gossip arrives."""
+        fleet = _Fleet(24)
+        first, second, *_ = fleet.nodes.values()
+
+        async def run():
+            await fleet.send(first, [LOST, LOST], "/popular")
+            self.assertFalse(second.suspects)
+            await fleet.send(second, [OK], "/popular")
+            await asyncio.sleep(2 * SPREAD_SECONDS)
+            return any(node.suspects for node in fleet.nodes.values())
+
+        self.assertFalse(self.run_in(fleet, run()))
+
     def test_look_up_that_targets_answer_is_not_refused(self):
         """Guards against a look-up blamed for crashes that it does not cause.
 
--- a/endivewind/tests/decisions/poison_requests_tests.py
+++ b/endivewind/tests/decisions/poison_requests_tests.py
@@ -22,6 +22,40 @@
 )
 
 
+class AnsweredRequestsTest(unittest.TestCase):
+    """The requests to which targets have responded lately."""
+
+    def setUp(self):
+        self.answered = poison_requests.AnsweredRequests()
+
+    def record(self, path, seconds, body=b""):
+        request = poison_requests.RequestParts("w", "s", "GET", path, body)
+        self.answered.record(request, datetime.timedelta(seconds=seconds))
+
+    def paths(self, seconds):
+        now = datetime.timedelta(seconds=seconds)
+        return [request.path for request in self.answered.latest(now)]
+
+    def test_responses_are_forgotten_after_a_time(self):
+        self.record("/a", 0)
+        self.record("/b", 1)
+        self.record("/a", 5)
+
+        self.assertEqual(["/a", "/b"], self.paths(11))
+        self.assertEqual(["/a"], self.paths(12))
+        self.assertEqual([], self.paths(16))
+
+    def test_memory_is_bounded(self):
+        for number in range(2 * poison_requests.MAX_ANSWERED_REQUESTS):
+            self.record(f"/{number}", 0)
+        self.record("/large", 0, b"x" * 257)
+
+        self.assertEqual(
+            poison_requests.MAX_ANSWERED_REQUESTS, len(self.paths(0))
+        )
+        self.assertNotIn("/large", self.paths(0))
+
+
 class SuspectRequestsTest(unittest.TestCase):
     """What a node knows of requests that have crashed targets."""
 
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -189,6 +189,13 @@
         "if False:",
         "targets.dispatch_tests",
     ),
+    Mutant(
+        "a response before the news of a suspect request clears nothing",
+        "decisions/poison_requests.py",
+        "            self._observer(record)\n",
+        "            pass\n",
+        "callers.poison_guard_tests",
+    ),
     Mutant(
         "a call ends at the deadline of another request",
         "callers/target_calls.py",
