End the targets of runs that count repeats within a bounded time

The whole test run did not end (once, beside two runs): aiohttp waits without a limit for requests in progress if the shutdown time is zero, and a request that is accepted while a paused target ends never goes on. Processes are killed before targets are closed, so that a failure there leaves none behind.

A test gave requests at crashing targets the same path, and failed for what the check of crashing requests found; each has its own path.

--- a/endivewind/soak/calling_targets.py
+++ b/endivewind/soak/calling_targets.py
@@ -28,6 +28,9 @@
 WORK_SECONDS = (0.02, 0.2)
 HANG_SECONDS = 20.0
 HEARTBEAT_SECONDS = 1.5
+# For requests that are accepted while a target ends. With zero, aiohttp waits
+# for them without a limit.
+SHUTDOWN_SECONDS = 0.1
 # Time until a crashed target starts again.
 DOWN_SECONDS = 2.0
 _HEARTBEAT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
@@ -151,7 +154,9 @@
         )
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, int(port)).start()
         self._heartbeats = asyncio.create_task(
--- a/endivewind/soak/retry_fleets.py
+++ b/endivewind/soak/retry_fleets.py
@@ -128,10 +128,14 @@
 
     async def __aexit__(self, *error: object) -> None:
         for node in self._all_nodes:
-            await node.target.close()
             node.send_signal(signal.SIGKILL)
         self._platform.send_signal(signal.SIGKILL)
-        await self._stack.aclose()
+        try:
+            await asyncio.gather(
+                *(node.target.close() for node in self._all_nodes)
+            )
+        finally:
+            await self._stack.aclose()
 
     @property
     def platform(self) -> children.ChildProcess:
--- a/endivewind/tests/soak/retry_checks_tests.py
+++ b/endivewind/tests/soak/retry_checks_tests.py
@@ -126,7 +126,11 @@
         for number in range(requests):
             for target in range(targets):
                 self.arrive(
-                    f"r{number}", 20 * number, target=f"t{target}", kind=kind
+                    f"r{number}",
+                    20 * number,
+                    target=f"t{target}",
+                    path=f"/{number}",
+                    kind=kind,
                 )
 
     def test_requests_at_too_many_targets_are_found(self):
