--- a/endivewind/tests/loads/repeat_counts_tests.py
+++ b/endivewind/tests/loads/repeat_counts_tests.py
@@ -130,6 +130,8 @@
                     {calling_fleet.CALLED_SERVICE: 0.5, fleet.SERVICE: 0.1},
                 )
 
+
+class GivenUpRequestTest(_RepeatsTest):
     def test_calls_of_requests_that_were_given_up_long_before(self):
         """Guards against calls that count as requests of callers.
 
@@ -156,6 +158,8 @@
                     {calling_fleet.CALLED_SERVICE: 0.5, fleet.SERVICE: 0.1},
                 )
 
+
+class CallChainTest(_RepeatsTest):
     def test_calls_that_are_made_for_calls_of_repeats(self):
         """Guards against repeats that count at the first called service only.
 
