--- a/endivewind/commands/bench_retries.py
+++ b/endivewind/commands/bench_retries.py
@@ -25,7 +25,7 @@
 
 USAGE = (
     "retries --seeds=A-B [--failures=LIST] [--troubles=LIST] [--services=N] "
-    "[--nodes=N] [--rate=N] [--retry_reserve=N] [--run_seconds=S] "
+    "[--nodes=N] [--request_rate=N] [--retry_reserve=N] [--run_seconds=S] "
     "[--own_addresses] [--concurrent_runs=N] [--run_logs=FOLDER] "
     "[--release=FOLDER]"
 )
@@ -43,8 +43,8 @@
     lower_bound=2,
     upper_bound=len(retry_runs.SERVICES),
 )
-_RATE = flags.DEFINE_float(
-    "rate", None, "Requests of callers per second.", lower_bound=0.1
+_REQUEST_RATE = flags.DEFINE_float(
+    "request_rate", None, "Requests of callers per second.", lower_bound=0.1
 )
 _RETRY_RESERVE = flags.DEFINE_float(
     "retry_reserve", None, "Repeats allowed in each window.", lower_bound=0.0
@@ -82,7 +82,7 @@
         "troubles": _parse_kinds(_TROUBLES.value, retry_runs.Trouble),
         "services": _SERVICES.value,
         "nodes": bench_options.NODES.value or None,
-        "requests_per_second": _RATE.value,
+        "requests_per_second": _REQUEST_RATE.value,
         "retry_reserve": _RETRY_RESERVE.value,
         "seconds": _RUN_SECONDS.value,
         "has_own_addresses": _OWN_ADDRESSES.value,
