Name the parts of runs that count repeats more plainly

The shares of callers' requests are a table, the current start of a target has a name, and the load tests share the steps of an outage.

--- a/endivewind/soak/calling_targets.py
+++ b/endivewind/soak/calling_targets.py
@@ -89,12 +89,10 @@
     """Where a target reaches the node beside it.
 
     Attributes:
-      host: the address of their VM.
       callers: host and port for its calls.
       targets: host and port for its heartbeats.
     """
 
-    host: str
     callers: str
     targets: str
 
@@ -113,7 +111,7 @@
         """Creates the target without starting it.
 
         Args:
-          name: the begin of its ids.
+          name: what its ids begin with.
           service: its service.
           address: host and port at which it accepts requests.
           behavior: how it fails and calls.
@@ -125,11 +123,12 @@
         self._behavior = behavior
         self._addresses = addresses
         self._starts = itertools.count(1)
-        self._start_data: standin_messages.TargetStart
+        # The current start, or the last one.
+        self._current_start: standin_messages.TargetStart
         self._runner: web.AppRunner | None = None
         self._session: aiohttp.ClientSession
-        # Heartbeats of this start, and restarts after crashes.
         self._heartbeats: asyncio.Task[None] | None = None
+        # Restarts after crashes, and the requests that it runs.
         self._restarts: set[asyncio.Task[None]] = set()
         self._running: set[asyncio.Task[web.Response]] = set()
         self._is_resumed = asyncio.Event()
@@ -139,7 +138,7 @@
         """Starts it, unless it is running, and begins to send heartbeats."""
         if self._runner is not None:
             return
-        self._start_data = standin_messages.TargetStart(
+        self._current_start = standin_messages.TargetStart(
             f"{self._name}.{next(self._starts)}",
             self._service,
             self._address,
@@ -160,7 +159,7 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, host, int(port)).start()
         self._heartbeats = asyncio.create_task(
-            self._send_heartbeats(self._start_data)
+            self._send_heartbeats(self._current_start)
         )
 
     async def end(self) -> None:
@@ -201,7 +200,7 @@
     async def deregister(self) -> None:
         """Tells its node that it leaves; requests are still served."""
         self.stop_heartbeats()
-        await self._post(*self._start_data.deregistration())
+        await self._post(*self._current_start.deregistration())
 
     async def _send_heartbeats(
         self, start: standin_messages.TargetStart
@@ -235,8 +234,9 @@
         return await work
 
     async def _run(self, request: web.Request) -> web.Response:
+        """Fails, calls and responds as the behavior says."""
         behavior = self._behavior
-        start = self._start_data
+        start = self._current_start
         own_headers = {
             names.HEADERS.request_id: request.headers[names.HEADERS.request_id]
         }
@@ -274,7 +274,7 @@
         return self._behavior.traffic.record_arrival(
             request.headers[names.HEADERS.request_id],
             self._service,
-            self._start_data.id,
+            self._current_start.id,
             request.path,
             self._behavior.now(),
             kind,
--- a/endivewind/soak/retry_fleets.py
+++ b/endivewind/soak/retry_fleets.py
@@ -61,9 +61,8 @@
 
     def addresses(self) -> calling_targets.NodeAddresses:
         """Returns where its target reaches it."""
-        callers = str(self.settings["callers"])
         return calling_targets.NodeAddresses(
-            callers.rsplit(":", 1)[0], callers, str(self.settings["targets"])
+            str(self.settings["callers"]), str(self.settings["targets"])
         )
 
     def send_signal(self, number: int) -> None:
--- a/endivewind/soak/retry_runs.py
+++ b/endivewind/soak/retry_runs.py
@@ -24,7 +24,7 @@
 from endivewind.soak import retry_fleets
 
 HOST = "shop.example"
-# Each service calls the next one; callers send to all but the last of a chain.
+# Each service calls the next one. Callers send to the first two.
 SERVICES = ("catalog", "ledger", "archive")
 CALL_PREFIXES = {"ledger": "/inner/", "archive": "/deep/"}
 ZONES = {
@@ -32,7 +32,14 @@
 }
 # Until a node has run for a window it has a part of its retries.
 WARM_UP_SECONDS = 12.0
+# Service, path prefix and method of callers' requests, with their shares.
+REQUEST_SHARES = {
+    ("ledger", "/ledger/", "GET"): 0.3,
+    ("catalog", "/orders/", "POST"): 0.15,
+    ("catalog", "/catalog/", "GET"): 0.55,
+}
 RESENDS = 2
+RESEND_INTERVAL_SECONDS = 0.2
 TIME_LIMIT_SECONDS = 6.0
 SHORT_TIME_LIMITS = (0.5, 2.5)
 # Callers wait somewhat longer than the time limit that they name.
@@ -279,18 +286,15 @@
 
     async def _send_requests(self) -> None:
         while True:
-            draw = self._rng.random()
-            if draw < 0.3:
-                self._spawn(self._call_as_caller("ledger", "/ledger/"))
-            elif draw < 0.45:
-                self._spawn(self._call_as_caller("catalog", "/orders/", "POST"))
-            else:
-                self._spawn(self._call_as_caller("catalog", "/catalog/"))
+            (request,) = self._rng.choices(
+                list(REQUEST_SHARES), list(REQUEST_SHARES.values())
+            )
+            self._spawn(self._send_until_served(*request))
             interval = self._rng.expovariate(self._scenario.requests_per_second)
             await asyncio.sleep(interval)
 
-    async def _call_as_caller(
-        self, service: str, prefix: str, method: str = "GET"
+    async def _send_until_served(
+        self, service: str, prefix: str, method: str
     ) -> None:
         """Sends a request, and again under another id if callers resend."""
         path = prefix + self._behavior.next_request_id("path")
@@ -300,7 +304,7 @@
         for _ in range(sends):
             if await self._send(service, path, method) == 200:
                 return
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(RESEND_INTERVAL_SECONDS)
 
     async def _send(self, service: str, path: str, method: str = "GET") -> int:
         """Sends a request to any node; returns the status, 0 for none."""
--- a/endivewind/tests/loads/repeat_counts_tests.py
+++ b/endivewind/tests/loads/repeat_counts_tests.py
@@ -46,6 +46,12 @@
         target.failure_share = calling_share if is_calling else called_share
 
 
+def _run_outage(simulated):
+    """Runs the fleet while most attempts at the calling service fail."""
+    _fail(simulated, 0.7, 0.3)
+    simulated.run(OUTAGE_SECONDS, KINDS)
+
+
 class _RepeatsTest(unittest.TestCase):
     def _check(self, simulated, least_shares):
         """Checks the bound of each service.
@@ -100,8 +106,7 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 simulated = _fleet(seed)
-                _fail(simulated, 0.7, 0.3)
-                simulated.run(OUTAGE_SECONDS, KINDS)
+                _run_outage(simulated)
 
                 # The retries of the calling service are bounded by what is left
                 # for their calls.
@@ -122,8 +127,7 @@
                 )
                 simulated.schedule_departures(6, absence_seconds=2)
                 simulated.run(WARM_UP_SECONDS, KINDS)
-                _fail(simulated, 0.7, 0.3)
-                simulated.run(OUTAGE_SECONDS, KINDS)
+                _run_outage(simulated)
 
                 self._check(
                     simulated,
@@ -150,8 +154,7 @@
                     )
                 simulated.schedule_late_calls(WARM_UP_SECONDS - 1, TRIP.name)
                 simulated.run(WARM_UP_SECONDS, KINDS)
-                _fail(simulated, 0.7, 0.3)
-                simulated.run(OUTAGE_SECONDS, KINDS)
+                _run_outage(simulated)
 
                 self._check(
                     simulated,
@@ -177,8 +180,7 @@
                     seed, calls, retries=repeat_counts.NODE_LIMITS
                 )
                 simulated.run(WARM_UP_SECONDS, KINDS)
-                _fail(simulated, 0.7, 0.3)
-                simulated.run(OUTAGE_SECONDS, KINDS)
+                _run_outage(simulated)
 
                 # What is left for the calls of the last service bounds the
                 # repeats of the others.
