Reject responses whose heads are no valid HTTP/1

What callers saw: a target in trouble sent an answer with status 000, and the caller got it as an answer (`HTTP/1.1 0 `, with the target's stamp and body); so with 001, 099, 600, 999 and with 101 that nobody had asked for. A field `Content-Length : 10` was passed on as it was, beside a second length, with a body read to the end of the connection. A control byte in a value became a 500 ("internal") of the node's own. `Transfer-Encoding: xchunked`, `gzip` and `chunked, identity` were passed on as raw bytes without the coding; a continued line was joined to the field before it, also to the stamp.

Cause: aiohttp's parser of responses is lenient unless Python runs in development mode: it takes any three digits for a status, drops a blank between name and colon for the fields of which it keeps a state, joins continued lines, and accepts bare newlines. Nothing behind it looked at the head again but for the request id.

Fix: the bytes of a head are held until it is whole, and checked against the grammar of RFC 9112 before the parser gets them. What does not match, and what arrives after the end of a response, aborts the connection. The request then counts as lost: 502 with unknown outcome, never as not run, and as evidence against the target. Reading the parsed head instead would not do: continued lines and bare newlines are gone by then.

Stricter than some recipients: 600 to 999, HTTP/0.9 and 2.0 in the status line, and bare newlines, all of which RFC 9110 and 9112 let one reject.

--- a/endivewind/targets/connections.py
+++ b/endivewind/targets/connections.py
@@ -1,8 +1,9 @@
 """HTTP connections to targets, with aiohttp.
 
-Adapts aiohttp in three points: it must not resend requests by itself, must not
-take a connection reset for the end of a response, and must not reuse a
-connection for longer than the target keeps it open.
+Adapts aiohttp in three points beside those of `http_responses`: it must not
+resend requests by itself, must not take a connection reset for the end of a
+response, and must not reuse a connection for longer than the target keeps it
+open.
 """
 
 import asyncio
@@ -13,7 +14,6 @@
 import types
 
 import aiohttp
-from aiohttp import client_proto
 from aiohttp import client_reqrep
 from aiohttp import hdrs
 from aiohttp import http_parser
@@ -22,6 +22,7 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind import http_responses
 
 # Targets close idle connections after ten seconds or more, some without notice.
 # A connection idle for less than half of that is rarely closed at the moment
@@ -39,8 +40,8 @@
 )
 
 
-class _ResponseHandler(client_proto.ResponseHandler):
-    """A connection to a target, with two additions to aiohttp's.
+class _ResponseHandler(http_responses.ResponseHandler):
+    """A connection to a target, with two additions.
 
     Scenario: the end of a response without a length is marked by the end of
     its connection, and the connection is reset in the middle. Risk: aiohttp
@@ -96,7 +97,7 @@
         super().connection_lost(exc)
 
 
-class Connector(aiohttp.TCPConnector):
+class Connector(http_responses.Connector):
     """Opens connections to targets."""
 
     def __init__(self, clock: clocks.Clock, *, reuse: bool) -> None:
--- /dev/null
+++ b/endivewind/tests/targets/broken_responses_tests.py
@@ -0,0 +1,244 @@
+"""Tests what a home makes of targets whose responses are broken."""
+
+import asyncio
+import datetime
+import unittest
+
+from endivewind import clock as clocks
+from endivewind import exchange
+from endivewind.standins import raw_target
+from endivewind.targets import dispatch
+from endivewind.targets import evidence
+from endivewind.targets import registry
+
+BODY = b"0123456789"
+TIMEOUT = datetime.timedelta(seconds=5)
+
+
+def response(
+    line: bytes = b"HTTP/1.1 200 OK",
+    *fields: bytes,
+    body: bytes = BODY,
+    has_length: bool = True,
+) -> bytes:
+    """Returns a response that is valid but for what the arguments change."""
+    lines = [line, *fields]
+    if has_length:
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join((*lines, b"", body))
+
+
+def with_status(status: bytes) -> bytes:
+    """Returns a response with this status and reason."""
+    return response(b"HTTP/1.1 " + status)
+
+
+def with_field(field: bytes, *, has_length: bool = True) -> bytes:
+    """Returns a response with one more field."""
+    return response(b"HTTP/1.1 200 OK", field, has_length=has_length)
+
+
+def with_framing(field: bytes) -> bytes:
+    """Returns a response whose body is framed by this field alone."""
+    return with_field(field, has_length=False)
+
+
+CHUNKED_BODY = b"a\r\n" + BODY + b"\r\n0\r\n\r\n"
+VALID = {
+    "length": response(),
+    "no reason": with_status(b"404"),
+    "empty reason": with_status(b"404 "),
+    "reason in UTF-8": with_status("200 está".encode()),
+    "HTTP/1.0": response(b"HTTP/1.0 200 OK"),
+    "chunked": response(
+        b"HTTP/1.1 200 OK",
+        b"TRANSFER-ENCODING: Chunked ",
+        body=CHUNKED_BODY,
+        has_length=False,
+    ),
+    "empty value": with_field(b"X-Empty:"),
+    "tab in a value": with_field(b"X-Tab: a\tb"),
+    "value in UTF-8": with_field("X-Name: piñón".encode()),
+    "every character of a token": with_field(b"!#$%&'*+-.^_`|~09azAZ: 1"),
+    "interim responses": b"HTTP/1.1 100 Continue\r\n\r\n"
+    b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + response(),
+}
+INVALID = {
+    **{
+        f"status {status!r}": with_status(status)
+        for status in (
+            b"000",
+            b"000 OK",
+            b"001 OK",
+            b"099 OK",
+            b"600 OK",
+            b"999 OK",
+            b"20 OK",
+            b"2000 OK",
+            b"0200 OK",
+            b"-200 OK",
+            b"+20 OK",
+            b"2x0 OK",
+            b"200OK",
+            b" 200 OK",
+            b"101 Switching Protocols",
+            b"200 O\x01K",
+            b"200 O\x00K",
+        )
+    },
+    **{
+        f"version {version!r}": response(version + b" 200 OK")
+        for version in (
+            b"HTTP/2.0",
+            b"HTTP/0.9",
+            b"HTTP/1.2",
+            b"ICY",
+            b"http/1.1",
+        )
+    },
+    **{
+        f"field {field!r}": with_field(field)
+        for field in (
+            b"X Bad: 1",
+            b"X-Bad : 1",
+            b"X-Bad\t: 1",
+            b"X\x01Bad: 1",
+            b"X\x00Bad: 1",
+            b"X\x7fBad: 1",
+            b"X(Bad): 1",
+            b"X\xe9Bad: 1",
+            b": 1",
+            b"no colon",
+            b" X-Bad: 1",
+            b"X-Bad: a\r\n folded",
+            b"X-Bad: a\x00b",
+            b"X-Bad: a\x01b",
+            b"X-Bad: a\x7fb",
+            b"X-Bad: a\rb",
+            b"X-Bad: a\nb",
+            b"Connection : close",
+            b"Connection\t: keep-alive",
+            b"Keep-Alive : timeout=1",
+            b"Proxy-Connection : close",
+            b"Upgrade : x",
+        )
+    },
+    **{
+        f"framing {field!r}": with_framing(field)
+        for field in (
+            b"Content-Length : 10",
+            b"Content-Length\t: 10",
+            b"Content-Length  : 5",
+            b"Content-Length\x01: 10",
+            b"Content Length: 10",
+            b"Content-Length: 10\r\nContent-Length: 5",
+            b"Content-Length: 10, 10",
+            b"Content-Length: +10",
+            b"Content-Length: 0x0a",
+            b"Content-Length : 5\r\nContent-Length: 10",
+            b"Transfer-Encoding : chunked",
+            b"Transfer-Encoding\t: chunked",
+            b"Transfer-Encoding: xchunked",
+            b"Transfer-Encoding: \x0bchunked",
+            b"Transfer-Encoding: gzip",
+            b"Transfer-Encoding: identity",
+            b"Transfer-Encoding: chunked, identity",
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            b"Transfer-Encoding: chunked\r\nContent-Length: 10",
+        )
+    },
+    "newlines alone": response().replace(b"\r\n", b"\n"),
+    "bytes before": b"junk\r\n" + response(),
+    "blank lines before": b"\r\n\r\n" + response(),
+    "body only": BODY,
+}
+
+
+class BrokenResponsesTest(unittest.IsolatedAsyncioTestCase):
+    """One target, over real connections."""
+
+    async def asyncSetUp(self):
+        self.kinds = []
+        clock = clocks.ManualClock()
+        home = registry.HomeIdentity("home", 7, "r", "z")
+        targets = registry.TargetRegistry(home, clock)
+        self.target = raw_target.RawTarget()
+        address = await self.target.start()
+        self.addCleanup(self.target.close)
+        announcement = registry.Announcement(
+            service="riders", address=f"http://{address}", lease_ms=60_000
+        )
+        targets.announce("t", announcement, 4)
+        self.dispatcher = dispatch.Dispatcher.from_registry(
+            targets, clock, self
+        )
+        self.addAsyncCleanup(self.dispatcher.close)
+
+    def record_start(self, target, service):
+        """Ignores the start of a request, as the observer."""
+        return 0
+
+    def record_finish(self, sample):
+        """Records how a request ended, as the observer."""
+        self.kinds.append(sample.kind)
+
+    async def send(self, *, ticket="", timeout=TIMEOUT):
+        head = exchange.RequestHead(
+            "r",
+            "GET",
+            "/",
+            (),
+            "riders",
+            "",
+            timeout,
+            ticket=ticket,
+            attempt=1,
+            # The target has failed often.
+            max_suspicion=1.0,
+        )
+        return await self.dispatcher.run("t", head, exchange.RequestBody())
+
+    async def read(self, response, **options):
+        """Returns the body of a response or a refusal."""
+        self.target.response = response
+        result = await self.send(**options)
+        if result.is_error() or result.ok.stream is None:
+            return result
+        parts = [result.ok.body]
+        try:
+            async for part in result.ok.stream:
+                parts.append(part)
+        except exchange.TruncatedResponseError as error:
+            return error
+        result.ok.body = b"".join(parts)
+        return result
+
+    async def test_valid_responses_are_returned(self):
+        """Guards against a check that refuses what the protocol allows."""
+        for name, raw in VALID.items():
+            with self.subTest(name):
+                result = await self.read(raw)
+
+                self.assertTrue(result.is_ok(), result)
+                self.assertEqual(BODY, result.ok.body)
+
+    async def test_invalid_responses_are_not_returned(self):
+        """Guards against passing on bytes that are no response."""
+        for name, raw in INVALID.items():
+            for ticket in ("", name):
+                with self.subTest(name, ticket=ticket):
+                    self.kinds.clear()
+                    self.target.disconnected.clear()
+
+                    result = await self.read(raw, ticket=ticket)
+
+                    self.assertTrue(result.is_error(), result)
+                    self.assertIs(
+                        exchange.Reason.TARGET_LOST, result.error.reason
+                    )
+                    self.assertIs(
+                        exchange.ExecutionOutcome.UNKNOWN, result.error.outcome
+                    )
+                    self.assertEqual([evidence.ResultKind.LOST], self.kinds)
+                    async with asyncio.timeout(TIMEOUT.total_seconds()):
+                        await self.target.disconnected.wait()
