Bound the heads of a response and of interim responses before it

What callers saw: a target sent `100 Continue` without end. The node that had called it kept them all until its memory was used up, and the requests of its other callers ended with it.

Cause: aiohttp parses whatever arrives and queues each interim response until the request's task looks at it; a flood is parsed faster than that. The same holds for 103 with fields. Nothing but the deadline ended it.

Fix: the bytes of all heads that belong to one response are counted before they are parsed; beyond 64 KiB the connection is aborted and the request counts as lost. A second test passes a head of 60 KB, so that the bound is no tighter than stated.

--- a/endivewind/http_responses.py
+++ b/endivewind/http_responses.py
@@ -2,8 +2,9 @@
 
 aiohttp's parser of responses is lenient. It takes any three digits for a
 status, reads a field whose name ends in a blank, and joins continued lines.
-Other recipients read such bytes differently, or not at all. So the head of each
-response is checked here before it is parsed.
+Other recipients read such bytes differently, or not at all. It also holds as
+many interim responses as a server sends. So the head of each response is
+checked here before it is parsed, and its size is bounded.
 """
 
 import asyncio
@@ -14,6 +15,8 @@
 import aiohttp
 from aiohttp import client_proto
 
+# The largest head of a response, together with the interim responses before it.
+MAX_HEAD_BYTES = 65_536
 _END_OF_HEAD = b"\r\n\r\n"
 _START_OF_HEAD = b"HTTP/1."
 _SWITCHING_PROTOCOLS = 101
@@ -34,7 +37,7 @@
 
 
 class InvalidResponseError(aiohttp.ClientError):
-    """A server sent bytes that are no valid response."""
+    """A server sent bytes that are no valid response, or too large a head."""
 
 
 class HeadReader:
@@ -42,6 +45,7 @@
 
     def __init__(self) -> None:
         self._held = bytearray()
+        self._head_bytes = 0
         self.is_complete = False
 
     def feed(self, data: bytes) -> bytes:
@@ -65,11 +69,12 @@
             end = len(self._held) if found < 0 else found + len(_END_OF_HEAD)
             if _BARE_NEWLINE.search(self._held, start, end):
                 raise InvalidResponseError("the response's lines do not end")
-            self._check_beginning(checked_bytes)
+            self._check_beginning(checked_bytes, end)
             if found < 0:
                 break
             status = _check_head(bytes(self._held[checked_bytes:end]))
             self.is_complete = status >= _MIN_FINAL_STATUS
+            self._head_bytes += end - checked_bytes
             checked_bytes = end
         if self.is_complete:
             checked_bytes = len(self._held)
@@ -77,11 +82,15 @@
         del self._held[:checked_bytes]
         return checked
 
-    def _check_beginning(self, start: int) -> None:
+    def _check_beginning(self, start: int, end: int) -> None:
         """Checks a head that may not be whole, so as not to wait for its end."""
         beginning = self._held[start : start + len(_START_OF_HEAD)]
         if not _START_OF_HEAD.startswith(beginning):
             raise InvalidResponseError("the response is not HTTP/1")
+        if self._head_bytes + end - start > MAX_HEAD_BYTES:
+            raise InvalidResponseError(
+                f"the response's head exceeds {MAX_HEAD_BYTES} bytes"
+            )
 
 
 def _check_head(head: bytes) -> int:
--- a/endivewind/tests/targets/broken_responses_tests.py
+++ b/endivewind/tests/targets/broken_responses_tests.py
@@ -13,6 +13,9 @@
 
 BODY = b"0123456789"
 TIMEOUT = datetime.timedelta(seconds=5)
+# What a target may have sent before it notices that its connection is closed:
+# the buffers of both sockets, and what the node reads at once.
+MAX_SENT_BYTES = 16_000_000
 
 
 def response(
@@ -154,6 +157,20 @@
 }
 
 
+# A part of a head, and what follows it without an end.
+ENDLESS = {
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+    "early hints": (
+        b"",
+        b"HTTP/1.1 103 Early Hints\r\nLink: %b\r\n\r\n" % (b"a" * 4000),
+    ),
+    "reason": (b"HTTP/1.1 200 ", b"a" * 4000),
+    "field": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"a" * 4000),
+    "fields": (b"HTTP/1.1 200 OK\r\n", b"X-Long: 1\r\n" * 400),
+    "name": (b"HTTP/1.1 200 OK\r\n", b"a" * 4000),
+}
+
+
 class BrokenResponsesTest(unittest.IsolatedAsyncioTestCase):
     """One target, over real connections."""
 
@@ -242,3 +259,27 @@
                     self.assertEqual([evidence.ResultKind.LOST], self.kinds)
                     async with asyncio.timeout(TIMEOUT.total_seconds()):
                         await self.target.disconnected.wait()
+
+    async def test_head_without_an_end_is_given_up(self):
+        """Guards against holding all that a target sends before its head ends.
+
+        The deadline is far off, so that it does not end the request.
+        """
+        for name, (first, repeated) in ENDLESS.items():
+            with self.subTest(name):
+                self.target.sent_bytes = 0
+                self.target.response = first
+                self.target.repeated = repeated
+
+                result = await self.send()
+
+                self.assertIs(exchange.Reason.TARGET_LOST, result.error.reason)
+                self.assertLess(self.target.sent_bytes, MAX_SENT_BYTES)
+
+    async def test_head_up_to_the_limit_is_returned(self):
+        """Guards against a limit that valid responses meet."""
+        fields = [b"X-%d: %b" % (i, b"a" * 1000) for i in range(60)]
+
+        result = await self.read(response(b"HTTP/1.1 200 OK", *fields))
+
+        self.assertTrue(result.is_ok(), result)
