Read no more of a rejection than its connection is worth

What callers saw: a target answered that it had not run a request (503 with X-Not-Executed), with a body that never ended. The home read all of it until the caller's deadline, grew until its memory was used up, and then answered 502 or 504, unknown, for work that had not run. A body that stopped half-way had the same answer, without the growth.

Cause: `drain_response` read the whole body, without a bound of size or time, only to be able to reuse the connection.

Fix: at most 64 KiB are read, for 100 ms; what is longer or later closes the connection. The refusal does not depend on the body, since the head has said all.

--- a/endivewind/standins/raw_target.py
+++ b/endivewind/standins/raw_target.py
@@ -15,7 +15,7 @@
       repeated: bytes that are sent after them, again and again, until the
         connection is closed; none if empty.
       closes: whether the connection is closed after each response.
-      request_count: the requests that were received.
+      connection_count: the connections that were accepted.
       sent_bytes: the bytes that the system has taken from it.
       disconnected: set once the node has closed a connection.
     """
@@ -24,7 +24,7 @@
         self.response = response
         self.repeated = repeated
         self.closes = False
-        self.request_count = 0
+        self.connection_count = 0
         self.sent_bytes = 0
         self.disconnected = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -42,6 +42,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.connection_count += 1
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while not writer.is_closing():
                 await self._respond(reader, writer)
@@ -55,7 +56,6 @@
         length = _LENGTH_FIELD.search(head)
         if length is not None:
             await reader.readexactly(int(length[1]))
-        self.request_count += 1
         await self._send(writer, self.response)
         while self.repeated:
             await self._send(writer, self.repeated)
--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -639,7 +639,7 @@
         if refusal is not None:
             request.record_response_head(response.status)
             request.result_kind = evidence.ResultKind.SHED
-            await responses.drain_response(response)
+            await responses.drain_rejection(response)
             return expression.Error(refusal)
         request.record_response_head(response.status)
         return await responses.read_response(request, response)
--- a/endivewind/targets/responses.py
+++ b/endivewind/targets/responses.py
@@ -23,6 +23,10 @@
 # Responses up to this size are buffered whole, so that a truncated one can
 # still be replaced by an error or by another target's response.
 MAX_BUFFERED_BYTES = 65_536
+# The body of a rejection is read up to this size and for this long, so that its
+# connection can be reused.
+MAX_REJECTION_BYTES = 65_536
+REJECTION_READ_TIME = datetime.timedelta(milliseconds=100)
 _HOP_BY_HOP = frozenset(name.encode() for name in headers.HOP_BY_HOP)
 _READ_SIZE = 65_536
 _MISDIRECTED_REQUEST = 421
@@ -118,13 +122,23 @@
     return response.headers.get("Transfer-Encoding", "").lower()
 
 
-async def drain_response(response: aiohttp.ClientResponse) -> None:
-    """Reads the rest of a response, so that its connection can be reused."""
+async def drain_rejection(response: aiohttp.ClientResponse) -> None:
+    """Reads the body of a rejection, so that its connection can be reused.
+
+    Closes the connection if the body is long, late or incomplete: the request
+    has not been executed, whatever follows.
+    """
+    size = 0
     try:
-        await response.read()
+        async with asyncio.timeout(REJECTION_READ_TIME.total_seconds()):
+            while size <= MAX_REJECTION_BYTES:
+                data = await response.content.read(_READ_SIZE)
+                if not data:
+                    return
+                size += len(data)
     except (aiohttp.ClientError, OSError) as error:
-        log.debug("target's refusal truncated: %s", error)
-        response.close()
+        log.debug("target's rejection not read: %s", error or "timed out")
+    response.close()
 
 
 def is_misdirected(
--- a/endivewind/tests/targets/broken_responses_tests.py
+++ b/endivewind/tests/targets/broken_responses_tests.py
@@ -6,6 +6,7 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind import headers
 from endivewind.standins import raw_target
 from endivewind.targets import dispatch
 from endivewind.targets import evidence
@@ -171,9 +172,11 @@
 }
 
 
-class BrokenResponsesTest(unittest.IsolatedAsyncioTestCase):
+class _Case(unittest.IsolatedAsyncioTestCase):
     """One target, over real connections."""
 
+    names = headers.DEFAULT_NAMES
+
     async def asyncSetUp(self):
         self.kinds = []
         clock = clocks.ManualClock()
@@ -187,7 +190,7 @@
         )
         targets.announce("t", announcement, 4)
         self.dispatcher = dispatch.Dispatcher.from_registry(
-            targets, clock, self
+            targets, clock, self, self.names
         )
         self.addAsyncCleanup(self.dispatcher.close)
 
@@ -230,6 +233,10 @@
         result.ok.body = b"".join(parts)
         return result
 
+
+class BrokenResponsesTest(_Case):
+    """Responses that are no responses, or without an end."""
+
     async def test_valid_responses_are_returned(self):
         """Guards against a check that refuses what the protocol allows."""
         for name, raw in VALID.items():
@@ -283,3 +290,54 @@
         result = await self.read(response(b"HTTP/1.1 200 OK", *fields))
 
         self.assertTrue(result.is_ok(), result)
+
+
+class RejectionTest(_Case):
+    """A target says that it has not executed a request."""
+
+    names = headers.HeaderNames(not_run="Not-Run")
+
+    def reject(self, *fields, body=b"", repeated=b""):
+        """Sets what the target sends."""
+        self.target.response = response(
+            b"HTTP/1.1 503 Full",
+            b"Not-Run: 1",
+            *fields,
+            body=body,
+            has_length=False,
+        )
+        self.target.repeated = repeated
+
+    async def test_body_without_an_end_is_not_read(self):
+        """Guards against holding a body of which nothing is passed on."""
+        for name, field, body in (
+            ("ended by the connection", (), b""),
+            ("chunked", (b"Transfer-Encoding: chunked",), b"fffffff\r\n"),
+            ("long", (b"Content-Length: 999999999999",), b""),
+        ):
+            with self.subTest(name):
+                self.target.sent_bytes = 0
+                self.reject(*field, body=body, repeated=b"a" * 65_536)
+
+                result = await self.send()
+
+                self.assertTrue(result.error.was_not_run, result)
+                self.assertIs(exchange.Reason.TARGET_FULL, result.error.reason)
+                self.assertLess(self.target.sent_bytes, MAX_SENT_BYTES)
+
+    async def test_incomplete_body_does_not_delay_the_refusal(self):
+        """Guards against an unknown outcome of what has not run."""
+        self.reject(b"Content-Length: 10", body=BODY[:5])
+
+        result = await self.send()
+
+        self.assertTrue(result.error.was_not_run, result)
+
+    async def test_connection_is_reused_after_a_whole_body(self):
+        """Guards against a new connection for each rejection."""
+        self.reject(b"Content-Length: 10", body=BODY)
+
+        for _ in range(3):
+            await self.send()
+
+        self.assertEqual(1, self.target.connection_count)
