Believe a response's length only as far as its route makes likely

What callers saw: while a faulty target stated a length of 999,999,999,999 bytes, ordinary requests of the same route got 503.

Cause: memory admission took the stated length at once as the size of the route's responses and as what the response itself would hold. Either way a claim alone kept most of the memory: each may count with an eighth of the limit, and the requests that followed were expected to need as much.

--- a/endivewind/callers/memory_control.py
+++ b/endivewind/callers/memory_control.py
@@ -106,7 +106,13 @@
         self._control.release(self._allotment)
 
     def buffer(self, response: exchange.Response) -> exchange.Response:
-        """Returns the response with its stream, if any, read ahead."""
+        """Returns the response with its stream, if any, read ahead.
+
+        Scenario: a faulty target states a length of a terabyte. Risk: memory is
+        kept for bytes that never come, and the other requests of the route are
+        refused. So a length counts only up to the size that is expected, or
+        would be of an unknown route; what exceeds it counts as it arrives.
+        """
         if response.stream is None:
             size = len(response.body)
             if size > self._allotment.expected_bytes:
@@ -115,15 +121,24 @@
             return response
         length = exchange.content_length(response.headers)
         if length is not None:
+            credible = min(length, self._max_credible_bytes)
             # Recorded now: many requests may arrive before this one ends.
-            self._control.sizes.record(self._route, length, self._path)
-            self._has_recorded_size = True
-            self._response_bytes = length
+            self._control.sizes.record(self._route, credible, self._path)
+            self._has_recorded_size = credible == length
+            self._response_bytes = credible
         stream = response_buffer.ResponseBuffer(
             response.stream, self, response.body
         )
         return dataclasses.replace(response, stream=stream)
 
+    @property
+    def _max_credible_bytes(self) -> int:
+        """The longest response that is believed before it has arrived."""
+        return max(
+            self._allotment.expected_bytes,
+            memory_admission.DEFAULT_RESPONSE_BYTES,
+        )
+
 
 class MemoryControl:
     """The memory of all requests of a node.
