Return no success that its target has not marked

What callers saw: a success without the target's X-Response-Stamp, or with two of them, was passed on.

Cause: the name of the marker header only said that targets return the request id; the marker itself was not read.

The new test failed for both before; a second one has failures pass without a mark, as before.

Fix: where the marker is configured, a success needs exactly one, beside the request id. The two existing tests of whole and truncated responses without a length now send a mark, so that they go on to test the body; their assertions are the same.

--- a/endivewind/targets/dispatch.py
+++ b/endivewind/targets/dispatch.py
@@ -647,30 +647,20 @@
     def _check_response(
         self, head: exchange.RequestHead, response: aiohttp.ClientResponse
     ) -> None:
-        """Rejects a response that belongs to another request.
+        """Rejects a response that is not the target's to this request.
 
-        Scenario: a target responds twice to a request, the second time after
-        the connection was returned to the pool. Risk: the next caller gets the
-        response to another caller's request. The check is made only if the name
-        of a marker header is configured, since targets then return the request
-        id; the marker itself is not read. A response with a different id, or a
-        successful one without an id, is rejected.
+        It is checked only if the name of a marker header is configured, since
+        targets then return the request id and mark their responses.
 
         Raises:
           ResponseLostError: if the response is rejected.
         """
         if not self._header_names.response_marker:
             return
-        response_id = response.headers.get(self._header_names.request_id)
-        is_success = 200 <= response.status < 300
-        if response_id == head.request_id or (
-            response_id is None and not is_success
-        ):
-            return
-        response.close()
-        raise connections.ResponseLostError(
-            "response belongs to another request"
-        )
+        problem = responses.find_problem(head, response, self._header_names)
+        if problem:
+            response.close()
+            raise connections.ResponseLostError(problem)
 
     def _record_self_report(
         self,
--- a/endivewind/targets/responses.py
+++ b/endivewind/targets/responses.py
@@ -141,6 +141,31 @@
     response.close()
 
 
+def find_problem(
+    head: exchange.RequestHead,
+    response: aiohttp.ClientResponse,
+    header_names: headers.HeaderNames,
+) -> str:
+    """Returns why a response is not the target's to a request; or nothing.
+
+    Scenario: a target responds twice to a request, the second time after the
+    connection was returned to the pool. Risk: the next caller gets the response
+    to another caller's request. A response with a different id, or a successful
+    one without an id, is therefore not the target's to this request.
+
+    A successful one that the target has not marked, or not alone, may have been
+    written by something else."""
+    response_id = response.headers.get(header_names.request_id)
+    is_success = 200 <= response.status < 300
+    may_lack_id = response_id is None and not is_success
+    if response_id != head.request_id and not may_lack_id:
+        return "response belongs to another request"
+    markers = response.headers.getall(header_names.response_marker, ())
+    if is_success and len(markers) != 1:
+        return f"response has {len(markers)} marks of its target"
+    return ""
+
+
 def is_misdirected(
     response: aiohttp.ClientResponse, header_names: headers.HeaderNames
 ) -> bool:
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import expression
+import multidict
 
 from endivewind import exchange
 from endivewind import headers
@@ -15,6 +16,7 @@
 from endivewind.targets import evidence
 from endivewind.targets import registry
 
+OWN_HEADERS = {"Own-Id": "r", "Mark": "t"}
 ANNOUNCEMENT = registry.Announcement(
     service="riders", address="http://target", slots=2, lease_ms=60_000
 )
@@ -40,7 +42,9 @@
 
     def __init__(self, length=0, status=200, content=(), **headers) -> None:
         self.status = status
-        self.headers = headers or {"Transfer-Encoding": "chunked"}
+        self.headers = multidict.CIMultiDict(
+            headers or {"Transfer-Encoding": "chunked"}
+        )
         self.content = _Content(*content)
         self.content_length = length
         self.closed = False
@@ -490,6 +494,26 @@
 
         self.assertTrue(result.is_error(), result)
 
+    def test_success_without_the_targets_mark_is_rejected(self):
+        """Guards against a success that the target has not written."""
+        unmarked = _Response(**{"Own-Id": "r"})
+        marked_twice = _Response(**OWN_HEADERS)
+        marked_twice.headers.add("Mark", "other")
+        for response in (unmarked, marked_twice):
+            with self.subTest(response.headers):
+                self.pooled.responses = [response]
+
+                result = self.look_up()
+
+                self.assertIs(exchange.Reason.TARGET_LOST, result.error.reason)
+                self.assertTrue(response.closed)
+
+    def test_failure_needs_no_mark(self):
+        """Guards against an unknown outcome where the target has responded."""
+        self.fresh.responses = [_Response(status=500, **{"Own-Id": "r"})]
+
+        self.assertEqual(500, self.run_one("ticket", 1).ok.status)
+
     def test_not_run_header_means_not_run(self):
         self.fresh.responses = [
             _Response(status=503, **{"Own-Id": "r", "Not-Run": "1"})
@@ -515,7 +539,7 @@
         """The caller gets an error and not the beginning of the response."""
         error = aiohttp.ClientPayloadError("reset")
         self.fresh.responses = [
-            _Response(None, content=(b"part", error), **{"Own-Id": "r"})
+            _Response(None, content=(b"part", error), **OWN_HEADERS)
         ]
 
         result = self.run_one("ticket", 1)
@@ -526,7 +550,7 @@
 
     def test_complete_response_without_length_is_buffered(self):
         self.fresh.responses = [
-            _Response(None, content=(b"one", b"two"), **{"Own-Id": "r"})
+            _Response(None, content=(b"one", b"two"), **OWN_HEADERS)
         ]
 
         result = self.run_one("ticket", 1)
