Return no encoded response that was not asked for

Cause: the field was passed on like any other; nothing compared it with what the request had asked for.

The new test failed for requests without the field and with `identity`; requests that ask for a coding still get it.

Fix: where targets mark their responses, one with a coding other than `identity` is rejected unless the request named one. Elsewhere RFC 9110 lets a target choose where the request is silent, so nothing changes there.

--- a/endivewind/targets/responses.py
+++ b/endivewind/targets/responses.py
@@ -30,6 +30,7 @@
 _HOP_BY_HOP = frozenset(name.encode() for name in headers.HOP_BY_HOP)
 _READ_SIZE = 65_536
 _MISDIRECTED_REQUEST = 421
+_NO_CODING = "identity"
 
 ResponseResult = expression.Result[exchange.Response, exchange.Refusal]
 
@@ -154,7 +155,9 @@
     one without an id, is therefore not the target's to this request.
 
     A successful one that the target has not marked, or not alone, may have been
-    written by something else."""
+    written by something else. One with a content coding, which the request did
+    not ask for, can't be decoded by its caller.
+    """
     response_id = response.headers.get(header_names.request_id)
     is_success = 200 <= response.status < 300
     may_lack_id = response_id is None and not is_success
@@ -163,9 +166,24 @@
     markers = response.headers.getall(header_names.response_marker, ())
     if is_success and len(markers) != 1:
         return f"response has {len(markers)} marks of its target"
+    if _is_encoded(response) and not _asks_for_encoding(head):
+        return "response has a content coding that was not asked for"
     return ""
 
 
+def _is_encoded(response: aiohttp.ClientResponse) -> bool:
+    coding = response.headers.get("Content-Encoding", "").strip()
+    return coding.lower() not in ("", _NO_CODING)
+
+
+def _asks_for_encoding(head: exchange.RequestHead) -> bool:
+    return any(
+        name.lower() == b"accept-encoding"
+        and value.strip().lower() != _NO_CODING.encode()
+        for name, value in head.headers
+    )
+
+
 def is_misdirected(
     response: aiohttp.ClientResponse, header_names: headers.HeaderNames
 ) -> bool:
--- a/endivewind/tests/targets/dispatch_tests.py
+++ b/endivewind/tests/targets/dispatch_tests.py
@@ -162,7 +162,7 @@
             "r",
             "GET",
             "/",
-            (),
+            options.pop("headers", ()),
             "riders",
             "",
             datetime.timedelta(seconds=9),
@@ -514,6 +514,24 @@
 
         self.assertEqual(500, self.run_one("ticket", 1).ok.status)
 
+    def test_encoded_response_is_returned_only_if_asked_for(self):
+        """Guards against a body that the caller can't decode."""
+        for asked, coding, is_returned in (
+            (None, "gzip", False),
+            (b"identity", "gzip", False),
+            (b"gzip", "gzip", True),
+            (None, "identity", True),
+        ):
+            with self.subTest(asked, coding=coding):
+                self.pooled.responses = [
+                    _Response(**OWN_HEADERS, **{"Content-Encoding": coding})
+                ]
+                fields = ((b"Accept-Encoding", asked),) if asked else ()
+
+                result = self.look_up(headers=fields)
+
+                self.assertEqual(is_returned, result.is_ok(), result)
+
     def test_not_run_header_means_not_run(self):
         self.fresh.responses = [
             _Response(status=503, **{"Own-Id": "r", "Not-Run": "1"})
