Take only 2xx of the store for an acknowledgement, and follow no redirect

What an operator would see: a write or a removal that the store did not make counts as made. A node then takes its entry, the departure of a target or a submitted configuration for saved.

Cause: every status below 400 was a success, so 000, 101 and 302 were; and aiohttp follows redirects by itself, so that 301, 302, 307 and 308 sent the call, with 307 and 308 the write itself, to whatever address they named.

Fix: a status outside 200 to 299 is an error; those that have no meaning of their own are INVALID, after which a write is resolved by reading, as after a lost response.

--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -262,6 +262,8 @@
                 data=None if value is None else wire.encode_json(value),
                 headers={"Content-Type": "application/json"},
                 timeout=aiohttp.ClientTimeout(total=timeout.total_seconds()),
+                # The store has one address; a write must not go anywhere else.
+                allow_redirects=False,
             ) as response:
                 body = await _read_body(response)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -274,7 +276,7 @@
                 messages.FailureReason.INVALID,
                 "the response exceeds the maximum length",
             )
-        if response.status >= 400:
+        if not 200 <= response.status < 300:
             return _status_error(response, path, body)
         try:
             return expression.Ok(decode(body))
--- a/endivewind/tests/platform/client_tests.py
+++ b/endivewind/tests/platform/client_tests.py
@@ -4,12 +4,14 @@
 import random
 import unittest
 
+from endivewind import clock as clocks
 from endivewind.durable import conditional_writes
 from endivewind.durable import retries
 from endivewind.platform import client
 from endivewind.platform import messages
 from endivewind.platform import wire
 from endivewind.standins import faults
+from endivewind.standins import raw_target
 from endivewind.tests.platform import platforms
 
 Mode = faults.FaultMode
@@ -102,6 +104,70 @@
         self.assertIs(messages.FailureReason.COMPACTED, result.error.failure)
 
 
+class BrokenResponsesTest(unittest.IsolatedAsyncioTestCase):
+    """The store, or something in its place, sends broken responses."""
+
+    async def asyncSetUp(self):
+        self.store = raw_target.RawTarget()
+        address = await self.store.start()
+        self.addCleanup(self.store.close)
+        session = await self.enterAsyncContext(client.make_session())
+        self.client = client.PlatformClient(
+            f"http://{address}", session, clocks.ManualClock()
+        )
+        self.client.budget.set_burst(10_000)
+
+    def respond(self, status, body, *fields):
+        self.store.response = b"\r\n".join(
+            (
+                b"HTTP/1.1 " + status,
+                *fields,
+                b"Content-Length: %d" % len(body),
+                b"",
+                body,
+            )
+        )
+
+    async def test_only_a_status_of_success_acknowledges_a_call(self):
+        """Guards against a write that counts as made and was not."""
+        value = {"a": 1}
+        body = wire.encode_json(wire.encode_object("riders", value, 5))
+        calls = {
+            "get": lambda: self.client.get("service", "riders"),
+            "put": lambda: self.client.put("service", "riders", value, 4),
+            "delete": lambda: self.client.delete("service", "riders", 4),
+        }
+        for status in (
+            b"000",
+            b"101 X",
+            b"199 X",
+            b"300 X",
+            b"304 X",
+            b"600 X",
+        ):
+            for name, call in calls.items():
+                with self.subTest(status, call=name):
+                    self.respond(status, body)
+
+                    result = await call()
+
+                    self.assertTrue(result.is_error(), result)
+
+    async def test_redirect_is_not_followed(self):
+        """Guards against a write at a place that is not the store."""
+        other = raw_target.RawTarget(self.store.response)
+        address = (await other.start()).encode()
+        self.addCleanup(other.close)
+        for status in (b"301 X", b"302 X", b"307 X", b"308 X"):
+            with self.subTest(status):
+                self.respond(status, b"", b"Location: http://%b/" % address)
+
+                result = await self.client.put("service", "riders", {}, 0)
+
+                self.assertTrue(result.is_error(), result)
+                self.assertEqual(0, other.connection_count)
+
+
 class ReadTest(_PlatformCase):
     async def test_all_pages_of_a_listing_are_read(self):
         """A kind has more objects than fit in one page.
--- a/endivewind/tests/platform/platforms.py
+++ b/endivewind/tests/platform/platforms.py
@@ -11,6 +11,9 @@
 from endivewind.platform import client
 from endivewind.standins import platform
 
+# Longer than any call of a client that ends.
+WAIT_SECONDS = 10
+
 
 class Platform:
     """Starts the stand-in in this process; an async context manager."""
