Check the heads of the store's responses, too

What an operator would see: a store in trouble, or something in its place, that sends interim responses without end has each node hold them until its call times out after 3 s, and again at the next call; heads that are no valid HTTP/1 are read as if they were.

Cause: the connections to the store were aiohttp's own, with its lenient parser and without a bound.

Evidence: the new test gives up such a head at once; before it ended with the call's time-out (TimeoutError).

Fix: nodes and the command line open the store's connections with `http_responses.Connector`, as those to targets.

--- a/endivewind/commands/options.py
+++ b/endivewind/commands/options.py
@@ -6,7 +6,6 @@
 from typing import TypeVar
 
 from absl import flags
-import aiohttp
 import pydantic
 
 from endivewind import exceptions
@@ -46,7 +45,7 @@
         raise exceptions.UsageError(
             f"--platform={PLATFORM.value}: must start with http:// or https://"
         )
-    async with aiohttp.ClientSession() as session:
+    async with client.make_session() as session:
         return await work(client.PlatformClient(PLATFORM.value, session))
 
 
--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -21,6 +21,7 @@
 import pydantic
 
 from endivewind import clock as clocks
+from endivewind import http_responses
 from endivewind.durable import retries
 from endivewind.platform import messages
 from endivewind.platform import names
@@ -57,8 +58,11 @@
 
 
 def make_session() -> aiohttp.ClientSession:
-    """Makes an HTTP session that detects dead connections by keepalive."""
-    connector = aiohttp.TCPConnector(socket_factory=_make_keepalive_socket)
+    """Makes an HTTP session that detects dead connections by keepalive.
+
+    The heads of responses are checked, see `http_responses`.
+    """
+    connector = http_responses.Connector(socket_factory=_make_keepalive_socket)
     return aiohttp.ClientSession(connector=connector)
 
 
--- a/endivewind/tests/platform/client_tests.py
+++ b/endivewind/tests/platform/client_tests.py
@@ -167,6 +167,15 @@
                 self.assertTrue(result.is_error(), result)
                 self.assertEqual(0, other.connection_count)
 
+    async def test_head_without_an_end_is_given_up(self):
+        """Guards against holding all that the store sends before its head."""
+        self.store.repeated = b"HTTP/1.1 100 Continue\r\n\r\n" * 100
+
+        result = await self.client.get("service", "riders")
+
+        self.assertIs(messages.FailureReason.UNAVAILABLE, result.error.failure)
+        self.assertIn("head", result.error.detail)
+
 
 class ReadTest(_PlatformCase):
     async def test_all_pages_of_a_listing_are_read(self):
