Give up a listing whose pages lead to no other

What an operator would see: a node that lists entries of a faulty store never ends and grows, or takes the part that it has for the whole.

Cause: a page with has_more leads to the next by its last name. A store that repeats a page was asked for it for ever, and each one was kept; a page with has_more and no objects ended the listing as if it were complete.

Evidence: the new test did not end within 10 s before.

Fix: a page that names no later object than the one before makes the listing INVALID, and the caller reads again after its backoff.

--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -152,6 +152,7 @@
         query = {"allow_stale": 1} if stale else {}
         objects: list[messages.StoredObject] = []
         revision: int | None = None
+        after = ""
         path = _kind_path(kind, **query)
         while True:
             result = await self._call(
@@ -162,9 +163,15 @@
             page = result.ok
             objects.extend(page.objects)
             revision = page.revision if revision is None else revision
-            if not page.has_more or not page.objects:
+            if not page.has_more:
                 break
-            path = _kind_path(kind, **query, after=page.objects[-1].name)
+            if not page.objects or page.objects[-1].name == after:
+                return _error(
+                    messages.FailureReason.INVALID,
+                    "a page of the listing leads to no other",
+                )
+            after = page.objects[-1].name
+            path = _kind_path(kind, **query, after=after)
         listing = messages.Listing(revision=revision, objects=tuple(objects))
         return expression.Ok(listing)
 
--- a/endivewind/tests/platform/client_tests.py
+++ b/endivewind/tests/platform/client_tests.py
@@ -1,5 +1,6 @@
 """Tests of the platform's client against a stand-in with faults."""
 
+import asyncio
 import datetime
 import random
 import unittest
@@ -176,6 +177,19 @@
         self.assertIs(messages.FailureReason.UNAVAILABLE, result.error.failure)
         self.assertIn("head", result.error.detail)
 
+    async def test_listing_that_repeats_a_page_is_given_up(self):
+        """Guards against a listing without an end."""
+        item = wire.encode_object("riders", {}, 5)
+        self.respond(
+            b"200 OK",
+            wire.encode_json({"items": [item], "has_more": True, "at_rev": 9}),
+        )
+
+        async with asyncio.timeout(platforms.WAIT_SECONDS):
+            result = await self.client.list("service")
+
+        self.assertIs(messages.FailureReason.INVALID, result.error.failure)
+
 
 class ReadTest(_PlatformCase):
     async def test_all_pages_of_a_listing_are_read(self):
