Look at whose removal the store acknowledges

Cause: get and put compare the name in the response with the one asked for, as a connection may deliver the response to another call; a removal did not look at its response. A response for another object counted as the removal.

Evidence: the new test was Ok before, and is INVALID now.

Fix: if the response holds an object, its name must be the removed one. The store promises no body for a removal, so one without an object is accepted.

--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -230,8 +230,16 @@
         self, kind: str, name: str, expected: int
     ) -> expression.Result[None, messages.PlatformError]:
         """Deletes one object if its version is still the expected one."""
-        path = _object_path(kind, name, revision=expected)
-        return await self._call("DELETE", path, lambda body: None)
+        result = await self._call(
+            "DELETE",
+            _object_path(kind, name, revision=expected),
+            lambda body: wire.decode_removed(kind, body),
+        )
+        if result.is_ok() and result.ok is not None:
+            return _check_name(expression.Ok(result.ok), kind, name).map(
+                lambda _: None
+            )
+        return result.map(lambda _: None)
 
     async def watch(
         self,
--- a/endivewind/platform/wire.py
+++ b/endivewind/platform/wire.py
@@ -51,6 +51,14 @@
     return _to_stored(kind, _WireObject.model_validate_json(body))
 
 
+def decode_removed(kind: str, body: bytes) -> messages.StoredObject | None:
+    """Decodes the response to a removal; None if it holds no object."""
+    try:
+        return decode_object(kind, body)
+    except pydantic.ValidationError:
+        return None
+
+
 def decode_page(kind: str, body: bytes) -> messages.Page:
     """Decodes one page of a listing.
 
--- a/endivewind/tests/platform/client_tests.py
+++ b/endivewind/tests/platform/client_tests.py
@@ -177,6 +177,15 @@
         self.assertIs(messages.FailureReason.UNAVAILABLE, result.error.failure)
         self.assertIn("head", result.error.detail)
 
+    async def test_removal_of_another_object_is_an_error(self):
+        """Guards against the response to another call."""
+        body = wire.encode_json(wire.encode_object("other", {}, 5))
+        self.respond(b"200 OK", body)
+
+        result = await self.client.delete("service", "riders", 4)
+
+        self.assertIs(messages.FailureReason.INVALID, result.error.failure)
+
     async def test_listing_that_repeats_a_page_is_given_up(self):
         """Guards against a listing without an end."""
         item = wire.encode_object("riders", {}, 5)
