Check responses that come over links, too

What callers would see: while nodes of two releases run, a home of the earlier one passes on what its target has sent, and the entry node writes status 000 to the caller, or answers 500 ("internal") where a field can't be written.

Cause: the entry node took any status and fields that a home sent.

Evidence: the new test, with a peer that sends nine such responses; all nine were returned before.

Fix: what no valid response may have is a broken frame: the link is closed, and the outcome is unknown (`home-lost`).

--- a/endivewind/http_responses.py
+++ b/endivewind/http_responses.py
@@ -15,20 +15,28 @@
 import aiohttp
 from aiohttp import client_proto
 
+from endivewind import exchange
+
 # The largest head of a response, together with the interim responses before it.
 MAX_HEAD_BYTES = 65_536
 _END_OF_HEAD = b"\r\n\r\n"
 _START_OF_HEAD = b"HTTP/1."
 _SWITCHING_PROTOCOLS = 101
 _MIN_FINAL_STATUS = 200
+_MAX_STATUS = 599
 # RFC 9112, sections 4 and 5, with RFC 9110, sections 5.5, 5.6.2 and 15. A
 # continued line of a field is not allowed.
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*+"
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]++"
+_FIELDS = rb"(?:" + _TOKEN + rb":" + _TEXT + rb"\r\n)*+"
 _HEAD = re.compile(
-    rb"HTTP/1\.[01] ([1-5][0-9][0-9])(?: " + _TEXT + rb")?\r\n"
-    rb"(?:" + _TOKEN + rb":" + _TEXT + rb"\r\n)*+\r\n"
+    rb"HTTP/1\.[01] ([1-5][0-9][0-9])(?: "
+    + _TEXT
+    + rb")?\r\n"
+    + _FIELDS
+    + rb"\r\n"
 )
+_VALID_FIELDS = re.compile(_FIELDS)
 # Ends no line, so that the end of the head may never come.
 _BARE_NEWLINE = re.compile(rb"(?<!\r)\n")
 _TRANSFER_ENCODING = re.compile(
@@ -93,6 +101,16 @@
             )
 
 
+def is_valid(status: int, fields: exchange.HeaderList) -> bool:
+    """Returns whether a final response may have this status and fields."""
+    lines = b"".join([b"%b:%b\r\n" % field for field in fields])
+    return (
+        _MIN_FINAL_STATUS <= status <= _MAX_STATUS
+        and lines.count(b"\n") == len(fields)
+        and _VALID_FIELDS.fullmatch(lines) is not None
+    )
+
+
 def _check_head(head: bytes) -> int:
     """Checks the head of a response and returns its status.
 
--- a/endivewind/nodes/links.py
+++ b/endivewind/nodes/links.py
@@ -20,6 +20,7 @@
 
 from endivewind import clock as clocks
 from endivewind import exchange
+from endivewind import http_responses
 from endivewind.nodes import body_chunks
 from endivewind.nodes import codec
 from endivewind.nodes import traffic
@@ -300,6 +301,9 @@
         if response is None or response.exchange != exchange_id:
             raise codec.FrameError("response to another exchange")
         headers = codec.decode_headers(response.headers)
+        if not http_responses.is_valid(response.status or 0, headers):
+            # An earlier release may pass on what its target has sent.
+            raise codec.FrameError("the target's response is not valid")
         target_report = codec.decode_target_report(response.glance)
         if response.body_complete:
             self._release(address, link)
--- a/endivewind/tests/nodes/links_tests.py
+++ b/endivewind/tests/nodes/links_tests.py
@@ -80,6 +80,34 @@
         self.assertEqual(200, following.ok.status)
         self.assertEqual(2, len(self.connections))
 
+    async def test_broken_response_of_a_target_is_not_passed_on(self):
+        """Guards against a home of an earlier release, which passes it on."""
+        for status, name, value in (
+            (0, b"A", b"b"),
+            (101, b"A", b"b"),
+            (600, b"A", b"b"),
+            (None, b"A", b"b"),
+            (200, b"A ", b"b"),
+            (200, b"A b", b"b"),
+            (200, b"", b"b"),
+            (200, b"A", b"a\x01b"),
+            (200, b"A", b"a\r\nb: c"),
+        ):
+            with self.subTest(status=status, name=name, value=value):
+
+                def respond(number, status=status, field=(name, value)):
+                    frame = _response(number)
+                    frame.answer.status = status
+                    frame.answer.headers = codec.encode_headers((field,))
+                    return [frame]
+
+                result = await self._send(respond)
+
+                self.assertEqual(exchange.Reason.HOME_LOST, result.error.reason)
+                self.assertEqual(
+                    exchange.ExecutionOutcome.UNKNOWN, result.error.outcome
+                )
+
     async def test_cancelled_attempt_says_whether_it_was_sent(self):
         """Guards against an unknown outcome of a request that was not sent.
 
