Take no broken response for one in the client library

What a caller would see: run_once returned status 000, 101 or 600 as the target's response, raised ValueError for an outcome that it does not know, and sent the request on to wherever a redirect pointed, where its key means nothing: it could run a second time.

Cause: aiohttp's client takes any status and follows redirects by itself; the outcome was decoded without a look at it.

Evidence: three new tests, with a node that sends these responses; each failed before (both redirects were followed). Found while reading what reads responses, not seen in a run.

Fix: what no valid response may have is no response, after which the request is sent again with its key; an unknown outcome is unknown; a redirect is returned.

--- a/endivewind/callers/client.py
+++ b/endivewind/callers/client.py
@@ -16,6 +16,7 @@
 
 from endivewind import exchange
 from endivewind import headers
+from endivewind import http_responses
 
 # Nodes accept a key for a minute after its issue. The difference allows for
 # network delays.
@@ -139,17 +140,22 @@
             async with (
                 asyncio.timeout_at(deadline),
                 self._session.request(
-                    method, self._node + path, headers=fields, data=body
+                    method,
+                    self._node + path,
+                    headers=fields,
+                    data=body,
+                    # The key is good at nodes only; elsewhere the request
+                    # could run again.
+                    allow_redirects=False,
                 ) as response,
             ):
                 content = await response.read()
         except (TimeoutError, aiohttp.ClientError):
             return NO_RESPONSE
+        if not http_responses.is_valid(response.status, response.raw_headers):
+            return NO_RESPONSE
         self._store_spare_key(response.headers.get(headers.IDEMPOTENCY_KEY, ""))
-        outcome_value = response.headers.get(headers.OUTCOME)
-        outcome = (
-            exchange.ExecutionOutcome(outcome_value) if outcome_value else None
-        )
+        outcome = _decode_outcome(response.headers.get(headers.OUTCOME, ""))
         return Reply(response.status, response.headers, content, outcome)
 
     def _store_spare_key(self, key: str) -> None:
@@ -163,6 +169,16 @@
         return key if is_valid else ""
 
 
+def _decode_outcome(name: str) -> exchange.ExecutionOutcome | None:
+    """Returns the outcome of a refusal; None for a response of the target."""
+    if not name:
+        return None
+    try:
+        return exchange.ExecutionOutcome(name)
+    except ValueError:
+        return exchange.ExecutionOutcome.UNKNOWN
+
+
 def _should_resend(reply: Reply) -> bool:
     """Whether another attempt may run the request or determine its outcome."""
     return reply is NO_RESPONSE or (
