Wait for Retry-After no longer than the timeout in the client library

Cause: the wait was not compared with the time that is left, and isdigit() is true for characters that int() refuses.

Evidence: the new test did not end within a minute before.

Fix: a wait that would pass the deadline ends the attempts with the last reply, which is the truth about them; up to nine digits are read.

--- a/endivewind/callers/client.py
+++ b/endivewind/callers/client.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 import itertools
+import re
 
 import aiohttp
 import multidict
@@ -22,6 +23,7 @@
 # network delays.
 SPARE_KEY_LIFETIME = datetime.timedelta(seconds=40)
 INITIAL_BACKOFF = datetime.timedelta(milliseconds=100)
+_SECONDS = re.compile("[0-9]{1,9}")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +50,7 @@
         request may be sent again.
         """
         seconds = self.headers.get("Retry-After", "")
-        if not seconds.isdigit():
+        if _SECONDS.fullmatch(seconds) is None:
             return None
         return datetime.timedelta(seconds=int(seconds))
 
@@ -114,12 +116,13 @@
             if had_no_key and self._spare_key:
                 key = self._take_spare_key()
                 continue
-            if not _should_resend(reply) or loop.time() >= deadline:
+            wait = (reply.retry_after or backoff).total_seconds()
+            if not _should_resend(reply) or loop.time() + wait >= deadline:
                 return reply
             if reply.outcome is exchange.ExecutionOutcome.NOT_RUN:
                 key = self._take_spare_key()
             self._node = next(self._nodes)
-            await asyncio.sleep((reply.retry_after or backoff).total_seconds())
+            await asyncio.sleep(wait)
             backoff *= 2
 
     async def _send(
--- a/endivewind/tests/callers/client_tests.py
+++ b/endivewind/tests/callers/client_tests.py
@@ -59,3 +59,15 @@
 
                 self.assertEqual(int(status[:3]), reply.status)
                 self.assertEqual(0, other.connection_count)
+
+    async def test_retry_after_beyond_the_timeout_is_not_waited_for(self):
+        """Guards against a caller that waits for longer than it wants to."""
+        for seconds in (b"86400", b"9" * 400, "²".encode()):
+            with self.subTest(seconds):
+                reply = await self.run_once(
+                    b"503 X",
+                    b"Endivewind-Outcome: not-run",
+                    b"Retry-After: " + seconds,
+                )
+
+                self.assertIs(exchange.ExecutionOutcome.NOT_RUN, reply.outcome)
