Read the other entries of a listing beside one that can't be parsed

What an operator would see: another writer stores one entry among those of the nodes that is nested 300 deep. A node that starts after it never gets ready, its target is used by nobody, and once all nodes have been started again none gets ready, until somebody removes the entry. No process ends.

Cause: a page of a listing, and the events of a watch, are parsed whole. pydantic's parser refuses a text with nesting beyond 200, a whole number of more than 4,300 digits, a lone surrogate or bytes that are not UTF-8, wherever they stand, so that one value made all entries unreadable. A single read and the entry that comes with a conflict were the same, so a node could not replace such an entry under its own name.

Fix: a text that can't be parsed is split at its brackets and separators, and its parts are parsed one by one. The value of an entry that can't be parsed is empty, as that of another type is; what has no name is skipped and logged. A text that is cut is still invalid, since its brackets don't match, and so is a page without a revision.

--- a/endivewind/platform/wire.py
+++ b/endivewind/platform/wire.py
@@ -1,12 +1,21 @@
 """Encodes and decodes the JSON of the platform's store."""
 
+import collections.abc
 import json
+import logging
 from typing import Any
+from typing import TypeVar
 
 import pydantic
 
+from endivewind import logs
+from endivewind.platform import json_parts
 from endivewind.platform import messages
 
+log = logging.getLogger(__name__)
+
+ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+
 
 class _Metadata(pydantic.BaseModel):
     name: str
@@ -32,23 +41,26 @@
     at_rev: int = pydantic.Field(ge=0)
 
 
-class _WireEvent(pydantic.BaseModel):
-    object: _WireObject
+class _WireDeleted(pydantic.BaseModel):
     deleted: bool = False
 
 
+class _WireEvent(_WireDeleted):
+    object: _WireObject
+
+
 class _WireEvents(pydantic.BaseModel):
     events: list[_WireEvent] = []
     at_rev: int = pydantic.Field(ge=0)
 
 
 def decode_object(kind: str, body: bytes) -> messages.StoredObject:
-    """Decodes one object.
+    """Decodes one object; its value is empty if that can't be read.
 
     Raises:
       pydantic.ValidationError: the body is no valid object.
     """
-    return _to_stored(kind, _WireObject.model_validate_json(body))
+    return _to_stored(kind, _decode_item(body))
 
 
 def decode_removed(kind: str, body: bytes) -> messages.StoredObject | None:
@@ -62,10 +74,20 @@
 def decode_page(kind: str, body: bytes) -> messages.Page:
     """Decodes one page of a listing.
 
+    Scenario: another writer has stored an entry that is nested deeply, or holds
+    a number too large. Risk: the parser refuses the whole page, and no node
+    reads any entry. So such a page is read in parts: the value of the entry is
+    empty, and the others are as they are.
+
     Raises:
       pydantic.ValidationError: the body is no valid page.
     """
-    page = _WireListing.model_validate_json(body)
+    try:
+        page = _WireListing.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        rest, texts = _split_list(body, b'"items"', error)
+        page = _WireListing.model_validate_json(rest)
+        page.items = _readable(texts, _decode_item)
     objects = tuple(_to_stored(kind, item) for item in page.items)
     return messages.Page(page.at_rev, objects, page.has_more)
 
@@ -73,10 +95,17 @@
 def decode_events(kind: str, body: bytes) -> messages.Listing:
     """Decodes the events of a watch; a removed object has an empty value.
 
+    One that can't be read is treated as in `decode_page`.
+
     Raises:
       pydantic.ValidationError: the body holds no valid events.
     """
-    decoded = _WireEvents.model_validate_json(body)
+    try:
+        decoded = _WireEvents.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        rest, texts = _split_list(body, b'"events"', error)
+        decoded = _WireEvents.model_validate_json(rest)
+        decoded.events = _readable(texts, _decode_event)
     objects = tuple(
         _to_stored(kind, event.object, is_removed=event.deleted)
         for event in decoded.events
@@ -110,6 +139,79 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def _split_list(
+    body: bytes, name: bytes, error: pydantic.ValidationError
+) -> tuple[bytes, list[bytes]]:
+    """Splits a body into its list and the rest, without parsing the items.
+
+    Raises:
+      pydantic.ValidationError: the given error, if that is not possible.
+    """
+    try:
+        members = json_parts.split_object(body)
+        texts = json_parts.split_array(members.pop(name, b"[]"))
+    except ValueError:
+        raise error from None
+    return json_parts.join_object(members), texts
+
+
+def _readable(
+    texts: list[bytes], decode: collections.abc.Callable[[bytes], ModelT]
+) -> list[ModelT]:
+    """Returns the items that can be decoded, and logs the others."""
+    decoded = []
+    for text in texts:
+        try:
+            decoded.append(decode(text))
+        except pydantic.ValidationError as error:
+            fields = logs.fields(problem=format_first_problem(error))
+            log.warning("entry without a name skipped", extra=fields)
+    return decoded
+
+
+def _decode_event(text: bytes) -> _WireEvent:
+    """Decodes an event whose object may not be readable.
+
+    Raises:
+      pydantic.ValidationError: it does not tell which object has changed.
+    """
+    try:
+        return _WireEvent.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        try:
+            members = json_parts.split_object(text)
+            item = _decode_item(members.pop(b'"object"'))
+            rest = json_parts.join_object(members)
+            deleted = _WireDeleted.model_validate_json(rest).deleted
+        except (KeyError, ValueError):
+            raise error from None
+        return _WireEvent(object=item, deleted=deleted)
+
+
+def _decode_item(text: bytes) -> _WireObject:
+    """Decodes an object; its spec is None if that can't be read.
+
+    Raises:
+      pydantic.ValidationError: it has no name or no revision.
+    """
+    try:
+        return _WireObject.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        try:
+            members = json_parts.split_object(text)
+            metadata = json_parts.split_object(members[b'"metadata"'])
+            known = {
+                name: metadata[name] for name in (b'"name"', b'"revision"')
+            }
+            return _WireObject(
+                metadata=_Metadata.model_validate_json(
+                    json_parts.join_object(known)
+                )
+            )
+        except (KeyError, ValueError):
+            raise error from None
+
+
 def _to_stored(
     kind: str, item: _WireObject, *, is_removed: bool = False
 ) -> messages.StoredObject:
--- a/endivewind/tests/durable/node_directory_tests.py
+++ b/endivewind/tests/durable/node_directory_tests.py
@@ -48,6 +48,14 @@
         return node_directory.registered_incarnation(listing, "node-a")
 
 
+def _nested():
+    """Returns a value that is nested more deeply than parsers accept."""
+    value = []
+    for _ in range(300):
+        value = [value]
+    return value
+
+
 _VALID = {
     "incarnation": 700,
     "address": "10.0.0.1:1",
@@ -110,6 +118,30 @@
             ("other-0", "address"), (fields["name"], fields["field"])
         )
 
+    async def test_entry_that_cannot_be_read_hides_no_other(self):
+        """Guards against nodes that never get ready, or learn of no other."""
+        await self.register(_record(700))
+        self.platform.store.put(
+            self.directory.kinds[0], "other", _VALID | {"odd": _nested()}, 0
+        )
+
+        with self.assertLogs(node_directory.log):
+            listing = (await self.directory.list_zone("z")).ok
+
+        self.assertEqual(["node-a"], list(listing.registrations))
+
+    async def test_node_replaces_its_own_entry_that_cannot_be_read(self):
+        """Guards against a node that can never register again."""
+        self.platform.store.put(
+            self.directory.kinds[0], "node-a", {"odd": _nested()}, 0
+        )
+
+        with self.assertLogs(node_directory.log):
+            result = await self.register(_record(701))
+
+        self.assertTrue(result.is_ok(), result)
+        self.assertEqual(701, await self.registered_incarnation())
+
     async def test_node_whose_saved_state_is_not_valid_is_listed(self):
         """Guards against a live node that nobody contacts."""
         for number, departures in enumerate(
