Refuse start and sequence numbers that peers can't be told

What an operator would see: a target, or another writer in its name, sends a heartbeat whose start number is 10^30. Its home answers 500, keeps the record, and refuses the target's later heartbeats (409, "a later start of this target is known"); from then on its gossip fails whenever it is to tell of that record, so that its peers hear of none of its changes.

Cause: the numbers had no upper bound; between nodes they are 64 bits wide, and encoding raised an error in the tasks that send changes and state. An infinite cold_remaining_s raised one in the handler (500).

Fix: numbers up to 2^62 are valid, as for nodes; others are refused with 400 and their place. The same holds for announcements at `/v1/targets`.

--- a/endivewind/platform/heartbeats.py
+++ b/endivewind/platform/heartbeats.py
@@ -38,7 +38,9 @@
 class _Status(pydantic.BaseModel):
     state: pydantic.StrictStr
     sequence: pydantic.StrictInt = pydantic.Field(ge=0)
-    cold_remaining_s: float = pydantic.Field(default=0, ge=0)
+    cold_remaining_s: float = pydantic.Field(
+        default=0, ge=0, allow_inf_nan=False
+    )
 
 
 class _Heartbeat(pydantic.BaseModel):
@@ -59,7 +61,9 @@
 class _Deregistration(pydantic.BaseModel):
     """A target's departure; most targets omit their start time."""
 
-    born: pydantic.StrictInt = pydantic.Field(default=0, ge=0)
+    born: pydantic.StrictInt = pydantic.Field(
+        default=0, ge=0, le=registry.MAX_NUMBER
+    )
 
 
 WaitForPeers = collections.abc.Callable[[], collections.abc.Awaitable[None]]
--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -44,6 +44,8 @@
 # Announcements are delayed by seconds at most. After this time a departed
 # target may register again, as it did not stop after all.
 DEPARTURE_RETENTION = datetime.timedelta(seconds=30)
+# The highest number of an incarnation or announcement that nodes tell each other.
+MAX_NUMBER = 2**62
 # A target that announces a longer time is slow by itself, not by its start.
 MAX_COLD_MS = 60_000
 
@@ -71,12 +73,12 @@
 
     service: str = pydantic.Field(min_length=1, max_length=63)
     address: str = pydantic.Field(pattern=r"^http://", max_length=256)
-    incarnation: int = pydantic.Field(default=0, ge=0)
+    incarnation: int = pydantic.Field(default=0, ge=0, le=MAX_NUMBER)
     moves: int = pydantic.Field(default=0, ge=0, le=2**31 - 1)
     slots: int = pydantic.Field(default=0, ge=0, le=10_000)
     weight: int = pydantic.Field(default=1, ge=1, le=1000)
     state: records.State = records.State.READY
-    sequence: int = pydantic.Field(default=0, ge=0)
+    sequence: int = pydantic.Field(default=0, ge=0, le=MAX_NUMBER)
     cold_ms: int = pydantic.Field(default=0, ge=0)
     lease_ms: int = pydantic.Field(default=3_000, ge=500, le=60_000)
 
--- a/endivewind/tests/platform/heartbeats_tests.py
+++ b/endivewind/tests/platform/heartbeats_tests.py
@@ -1,6 +1,7 @@
 """Tests of the API for heartbeats and deregistrations of targets."""
 
 import datetime
+import json
 import unittest
 
 from aiohttp import test_utils
@@ -200,6 +201,27 @@
         self.assertEqual([400] * len(invalid), statuses)
         self.assertEqual(before, self.states())
 
+    async def test_numbers_too_large_are_refused(self):
+        """Guards against records that can't be sent to other nodes.
+
+        The node then told its peers of no change any more, and refused the
+        later heartbeats of the target as older ones.
+        """
+        for fields in ({"born": 10**30}, {"born": 2**63}, {"sequence": 2**63}):
+            with self.subTest(fields):
+                self.assertEqual(400, await self.beat(**fields))
+                self.assertEqual([], self.targets.target_records())
+        self.assertEqual(400, await self.leave(born=10**30))
+        self.assertEqual(200, await self.beat())
+
+    async def test_infinite_cold_time_is_refused(self):
+        """Guards against an internal error in place of the reason."""
+        text = json.dumps(_beat()).replace(
+            '"cold_remaining_s": 0', '"cold_remaining_s": 1e999'
+        )
+
+        self.assertEqual(400, await self.beat(body=text.encode()))
+
     async def test_an_unknown_service_does_not_replace_the_record(self):
         await self.beat()
 
