Refuse addresses of targets that nobody can connect to

What a caller would see: 500 ("internal") for each request that is sent to a target which announced itself at http://127.0.0.1:99999.

Cause: an announcement's address only had to begin with http://. The dispatcher made a URL of it for each request, which raises ValueError for a port that is none, and nothing there expects that.

Evidence: the new test; all nine addresses were accepted before.

Fix: an announcement is valid only if its address has a host and a port to connect to; the finding names the field.

--- a/endivewind/targets/registry.py
+++ b/endivewind/targets/registry.py
@@ -9,10 +9,12 @@
 import datetime
 import enum
 import math
+import re
 from typing import Any
 
 import expression
 import pydantic
+import yarl
 
 from endivewind import clock as clocks
 from endivewind import exchange
@@ -48,6 +50,7 @@
 MAX_NUMBER = 2**62
 # A target that announces a longer time is slow by itself, not by its start.
 MAX_COLD_MS = 60_000
+_HOST = re.compile(r"[0-9A-Za-z.:%_-]+")
 
 
 class Announcement(base.Model):
@@ -82,6 +85,15 @@
     cold_ms: int = pydantic.Field(default=0, ge=0)
     lease_ms: int = pydantic.Field(default=3_000, ge=500, le=60_000)
 
+    @pydantic.field_validator("address")
+    @classmethod
+    def _check_address(cls, address: str) -> str:
+        # Raises ValueError for what is no URL, or has no such port.
+        url = yarl.URL(address, encoded=True)
+        if not _HOST.fullmatch(url.raw_host or "") or not url.port:
+            raise ValueError("no host and port to connect to")
+        return address
+
 
 @dataclasses.dataclass(slots=True)
 class HomeTarget:
--- a/endivewind/tests/targets/registry_tests.py
+++ b/endivewind/tests/targets/registry_tests.py
@@ -3,6 +3,8 @@
 import datetime
 import unittest
 
+import pydantic
+
 from endivewind import clock as clocks
 from endivewind.targets import records
 from endivewind.targets import registry
@@ -10,6 +12,37 @@
 SECOND = datetime.timedelta(seconds=1)
 
 
+class AnnouncementTest(unittest.TestCase):
+    def test_address_that_none_can_connect_to_is_refused(self):
+        """Guards against an internal error for each request to the target."""
+        for address in (
+            "http://127.0.0.1:99999",
+            "http://127.0.0.1:" + "9" * 30,
+            "http://127.0.0.1:-5",
+            "http://127.0.0.1:0",
+            "http://127.0.0.1:http",
+            "http://:80",
+            "http://",
+            "http://[::1",
+            "http://a b:80",
+        ):
+            with (
+                self.subTest(address),
+                self.assertRaises(pydantic.ValidationError),
+            ):
+                registry.Announcement(service="riders", address=address)
+
+    def test_address_that_can_be_connected_to_is_accepted(self):
+        for address in (
+            "http://127.0.0.1:65535",
+            "http://[::1]:80",
+            "http://target",
+            "http://target:1/base",
+        ):
+            with self.subTest(address):
+                registry.Announcement(service="riders", address=address)
+
+
 class RegistryTest(unittest.TestCase):
     """Announcements at one home node, with a manual clock."""
 
