Report times of a configuration that are not finite

What an operator would see: a configuration with `timeout_s` 1e999 ends the task that reads configurations, which starts again and reads it again, for as long as it is there; later versions are read then, but nothing says why this one is not in force.

Cause: the time is rounded to milliseconds before it is validated, which raises OverflowError or, for NaN, ValueError.

Evidence: the new test failed with these in all six cases.

Fix: such a configuration is invalid, and is logged as others are.

--- a/endivewind/platform/configuration.py
+++ b/endivewind/platform/configuration.py
@@ -158,6 +158,9 @@
         document = document.model_copy(update={"keys": keys.ok})
     except pydantic.ValidationError as error:
         return expression.Error(wire.format_first_problem(error))
+    except (OverflowError, ValueError) as error:
+        # JSON numbers may be infinite: 1e999.
+        return expression.Error(f"a time is not finite: {error}")
     envelope = store.Envelope(
         spec=document.model_dump(mode="json", exclude_defaults=True),
         operation=decoded.version,
--- a/endivewind/tests/platform/configuration_tests.py
+++ b/endivewind/tests/platform/configuration_tests.py
@@ -140,6 +140,16 @@
 
         self.assertEqual(2, len(self._apply(later).routes))
 
+    def test_times_that_are_not_finite_are_invalid(self):
+        """Guards against a reader that ends with each configuration."""
+        for seconds in (float("inf"), float("-inf"), float("nan")):
+            for field in ("timeout_s", "target_latency_s"):
+                with self.subTest(field, seconds=seconds):
+                    value = copy.deepcopy(OPERATOR_CONFIGURATION)
+                    value["resources"][0]["spec"][field] = seconds
+
+                    self.assertTrue(_decode(value).is_error())
+
     def test_the_error_of_an_invalid_object_names_the_place(self):
         unversioned = copy.deepcopy(OPERATOR_CONFIGURATION)
         del unversioned["version"]
