--- a/endivewind/platform/wire.py
+++ b/endivewind/platform/wire.py
@@ -41,12 +41,9 @@
     at_rev: int = pydantic.Field(ge=0)
 
 
-class _WireDeleted(pydantic.BaseModel):
-    deleted: bool = False
-
-
-class _WireEvent(_WireDeleted):
+class _WireEvent(pydantic.BaseModel):
     object: _WireObject
+    deleted: bool = False
 
 
 class _WireEvents(pydantic.BaseModel):
@@ -180,12 +177,11 @@
     except pydantic.ValidationError as error:
         try:
             members = json_parts.split_object(text)
-            item = _decode_item(members.pop(b'"object"'))
-            rest = json_parts.join_object(members)
-            deleted = _WireDeleted.model_validate_json(rest).deleted
+            item = _decode_item(members[b'"object"'])
         except (KeyError, ValueError):
             raise error from None
-        return _WireEvent(object=item, deleted=deleted)
+        is_deleted = members.get(b'"deleted"') == b"true"
+        return _WireEvent(object=item, deleted=is_deleted)
 
 
 def _decode_item(text: bytes) -> _WireObject:
