--- a/endivewind/http_responses.py
+++ b/endivewind/http_responses.py
@@ -156,21 +156,27 @@
         holds what arrives before a request is sent.
         """
         if data and self._parser is not None:
-            if self._has_response:
-                self._abort(
-                    InvalidResponseError("bytes after the end of the response")
-                )
+            try:
+                data = self._check(data)
+            except InvalidResponseError as error:
+                self._abort(error)
+                return
+            if not data:
                 return
-            if not self._head_reader.is_complete:
-                try:
-                    data = self._head_reader.feed(data)
-                except InvalidResponseError as error:
-                    self._abort(error)
-                    return
-                if not data:
-                    return
         super().data_received(data)
 
+    def _check(self, data: bytes) -> bytes:
+        """Returns the received bytes that may be parsed.
+
+        Raises:
+          InvalidResponseError: if they belong to no valid response.
+        """
+        if self._has_response:
+            raise InvalidResponseError("bytes after the end of the response")
+        if self._head_reader.is_complete:
+            return data
+        return self._head_reader.feed(data)
+
     @property
     def _has_response(self) -> bool:
         """Whether the response to the last request was received whole."""
