--- a/endivewind/standins/raw_target.py
+++ b/endivewind/standins/raw_target.py
@@ -14,7 +14,6 @@
       response: the bytes that are sent first.
       repeated: bytes that are sent after them, again and again, until the
         connection is closed; none if empty.
-      closes: whether the connection is closed after each response.
       connection_count: the connections that were accepted.
       sent_bytes: the bytes that the system has taken from it.
       disconnected: set once the node has closed a connection.
@@ -23,7 +22,6 @@
     def __init__(self, response: bytes = b"", repeated: bytes = b"") -> None:
         self.response = response
         self.repeated = repeated
-        self.closes = False
         self.connection_count = 0
         self.sent_bytes = 0
         self.disconnected = asyncio.Event()
@@ -59,8 +57,6 @@
         await self._send(writer, self.response)
         while self.repeated:
             await self._send(writer, self.repeated)
-        if self.closes:
-            writer.close()
 
     async def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         writer.write(data)
