Keep the reason of a failed start in runs with real processes

Cause: a start that failed left the other starts of the fleet waiting for their processes' first lines, unless it failed with an EndivewindError. The processes were then stopped, and `ChildProcess.stop` began to read the same output a second time. Its error replaced that of the start.

Now one reader waits for the other, and the first failure, of any kind, ends the other starts.

--- a/endivewind/commands/children.py
+++ b/endivewind/commands/children.py
@@ -46,6 +46,7 @@
         self._process = process
         self.listening_line: dict[str, Any] = {}
         self._reader: asyncio.Task[None] | None = None
+        self._reading = asyncio.Lock()
 
     async def wait_for_line(
         self, matches: collections.abc.Callable[[dict[str, Any]], bool]
@@ -61,7 +62,10 @@
         output = self._process.stdout
         assert output is not None
         try:
-            async with asyncio.timeout(_START_TIMEOUT_SECONDS):
+            async with (
+                asyncio.timeout(_START_TIMEOUT_SECONDS),
+                self._reading,
+            ):
                 while raw := await output.readline():
                     line: dict[str, Any] = json.loads(raw)
                     if matches(line):
@@ -117,12 +121,13 @@
     ) -> None:
         output = self._process.stdout
         assert output is not None
-        while raw := await output.readline():
-            try:
-                line = json.loads(raw)
-            except ValueError:
-                line = {"message": raw.decode(errors="replace")}
-            handle_line(line)
+        async with self._reading:
+            while raw := await output.readline():
+                try:
+                    line = json.loads(raw)
+                except ValueError:
+                    line = {"message": raw.decode(errors="replace")}
+                handle_line(line)
 
 
 class ChildProcesses:
--- a/endivewind/soak/retry_fleets.py
+++ b/endivewind/soak/retry_fleets.py
@@ -183,12 +183,11 @@
         ]
         try:
             await asyncio.gather(*starts)
-        except exceptions.EndivewindError:
+        finally:
             # The others must not read from processes that are being stopped.
             for start in starts:
                 start.cancel()
             await asyncio.gather(*starts, return_exceptions=True)
-            raise
         async with asyncio.timeout(READY_TIMEOUT_SECONDS):
             await asyncio.gather(*map(self._wait_until_ready, self.nodes))
 
