Reserve the addresses of processes until their run ends

What was seen: 4 of 40 fleets of 8 nodes did not start, in four processes at once beside two retry runs: "address already in use" for a target three times, a node that did not start once.

Cause: an address was found by binding and closing a port, and used seconds later, after the target's node had started. Meanwhile the system gave the port to others: all targets of all runs connect from 127.0.0.4, and these ports stay in use for a minute after each connection. Nodes that are killed and started again could lose theirs in the same way (read, not seen).

Now the port stays bound, without listening, until the run ends. Connections and other listeners get other ports, and servers, which set SO_REUSEADDR, may bind it. Listeners of nodes get theirs the same way, in both soaks.

--- a/endivewind/commands/children.py
+++ b/endivewind/commands/children.py
@@ -22,16 +22,20 @@
 MAX_LINE_BYTES = 1_048_576
 
 
-def unused_address(host: str) -> str:
-    """Returns an address for a process whose port others must know before.
+@contextlib.contextmanager
+def reserved_address(host: str) -> collections.abc.Iterator[str]:
+    """Reserves an address for a process whose port others must know before.
+
+    Until the context ends, the system gives the port to no other socket that
+    binds or connects. Listeners with SO_REUSEADDR may bind it.
 
     Args:
-      host: a loopback address that few processes use. Another process that binds
-        a port there meanwhile may take this one.
+      host: address of this machine.
     """
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
+    with socket.socket() as reservation:
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reservation.bind((host, 0))
+        yield f"{host}:{reservation.getsockname()[1]}"
 
 
 class ChildProcess:
--- a/endivewind/soak/fleets.py
+++ b/endivewind/soak/fleets.py
@@ -179,21 +179,23 @@
             "nodes_advertised": node_relay.address,
             "log_level": "info",
             "limits": {"stop_seconds": STOP_TIMEOUT_SECONDS},
-            **dict.fromkeys(_LISTENERS, f"{LISTEN_ADDRESS}:0"),
+            **{listener: self._reserve_address() for listener in _LISTENERS},
         }
         if self._has_local_targets:
             self._settings[name] |= {
                 "beside": {
                     "service": SERVICE,
-                    "address": children.unused_address(LISTEN_ADDRESS),
+                    "address": self._reserve_address(),
                 },
                 "overload": {"inherited_priority": True},
             }
         await self.start_node(name)
-        listening = self.processes[name].listening_line
-        for listener in _LISTENERS:
-            self._settings[name][listener] = listening[listener]
-        node_relay.upstream = listening["nodes"]
+        node_relay.upstream = self._settings[name]["nodes"]
+
+    def _reserve_address(self) -> str:
+        return self._stack.enter_context(
+            children.reserved_address(LISTEN_ADDRESS)
+        )
 
     async def start_node(self, name: str) -> None:
         """Starts a node at its addresses, unless it is running."""
--- a/endivewind/soak/retry_fleets.py
+++ b/endivewind/soak/retry_fleets.py
@@ -24,8 +24,7 @@
 from endivewind.soak import retry_checks
 
 PLATFORM_HOST = "127.0.0.2"
-# Without addresses of their own. Nodes choose free ports, so that those of
-# targets, which are chosen before, are at another address.
+# Of nodes and targets without addresses of their own.
 HOST_OF_NODES = "127.0.0.3"
 HOST_OF_TARGETS = "127.0.0.4"
 HOST_OF_CALLERS = "127.0.2.1"
@@ -52,7 +51,7 @@
     Attributes:
       name: its name.
       service: the target's service.
-      settings: of its process; with fixed ports from its first start on.
+      settings: of its process.
       target: the target.
       process: its last process; None before the first start.
     """
@@ -129,7 +128,6 @@
         self._starting = asyncio.Semaphore(STARTS_AT_ONCE)
         self._numbers = itertools.count(1)
         self._all_nodes: list[Node] = []
-        self._reserved_addresses: set[str] = set()
         self._platform: children.ChildProcess
         self._session: aiohttp.ClientSession
         self.nodes: list[Node] = []
@@ -220,7 +218,9 @@
             "zone": zone,
             "zones": self._zones,
             "platform": self._platform_url,
-            **dict.fromkeys(_LISTENERS, f"{host}:0"),
+            **{
+                listener: self._reserve_address(host) for listener in _LISTENERS
+            },
             "readiness": self._reserve_address(target_host),
             "interface": "platform",
             "once": "request-id",
@@ -255,21 +255,14 @@
         return node
 
     def _reserve_address(self, host: str) -> str:
-        """Returns an unused address that nobody else in this run gets."""
-        while True:
-            address = children.unused_address(host)
-            if address not in self._reserved_addresses:
-                self._reserved_addresses.add(address)
-                return address
+        return self._stack.enter_context(children.reserved_address(host))
 
     async def start_node(self, node: Node) -> None:
-        """Starts a node, at its addresses if it has run, and its target."""
+        """Starts a node and its target."""
         async with self._starting:
             node.process = await self._children.start_node(
                 node.settings, self._release, self._preparation
             )
-        for listener in _LISTENERS:
-            node.settings[listener] = node.process.listening_line[listener]
         self._follow_log(node.name, node.process)
         await node.target.start()
 
--- a/endivewind/tests/proofs/membership_tests.py
+++ b/endivewind/tests/proofs/membership_tests.py
@@ -130,7 +130,9 @@
         """
         async with _fleet() as (fleet, entry, first, second):
             await _register_node(fleet, "fast", FAR_INCARNATION)
-            address = children.unused_address(processes.LISTEN_ADDRESS)
+            address = self.enterContext(
+                children.reserved_address(processes.LISTEN_ADDRESS)
+            )
             node = await fleet.start_node("fast", nodes=address)
             await entry.wait_for_message("member", node="fast", state="alive")
             await node.kill_and_wait()
--- a/endivewind/tests/proofs/time_limits_tests.py
+++ b/endivewind/tests/proofs/time_limits_tests.py
@@ -36,7 +36,7 @@
 
     async def asyncSetUp(self):
         fleet = await self.enterAsyncContext(processes.Fleet())
-        address = children.unused_address("127.83.0.1")
+        address = self.enterContext(children.reserved_address("127.83.0.1"))
         self.node = await fleet.start_node(
             "node",
             beside={"service": "riders", "address": address},
