Give targets of retry runs the addresses of their nodes at once

Nodes have their addresses from the beginning since these are reserved, so that targets need no function that looks them up later.

--- a/endivewind/soak/calling_targets.py
+++ b/endivewind/soak/calling_targets.py
@@ -112,7 +112,7 @@
         service: str,
         address: str,
         behavior: Behavior,
-        addresses: collections.abc.Callable[[], NodeAddresses],
+        node_addresses: NodeAddresses,
     ) -> None:
         """Creates the target without starting it.
 
@@ -121,13 +121,13 @@
           service: its service.
           address: host and port at which it accepts requests.
           behavior: how it fails and calls.
-          addresses: returns the present addresses of its node.
+          node_addresses: where it reaches its node.
         """
         self._name = name
         self._service = service
         self._address = address
         self._behavior = behavior
-        self._addresses = addresses
+        self._node_addresses = node_addresses
         self._starts = itertools.count(1)
         # The current start, or the last one.
         self._current_start: standin_messages.TargetStart
@@ -220,7 +220,7 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _post(self, path: str, body: dict[str, object]) -> None:
-        url = f"http://{self._addresses().targets}{path}"
+        url = f"http://{self._node_addresses.targets}{path}"
         try:
             async with self._session.post(
                 url, json=body, timeout=_HEARTBEAT_TIMEOUT
@@ -326,7 +326,7 @@
         }
         try:
             async with self._session.get(
-                f"http://{self._addresses().callers}{prefix}{request_id}",
+                f"http://{self._node_addresses.callers}{prefix}{request_id}",
                 headers=request_headers,
                 timeout=aiohttp.ClientTimeout(total=limit + 1),
             ) as response:
--- a/endivewind/soak/retry_fleets.py
+++ b/endivewind/soak/retry_fleets.py
@@ -62,12 +62,6 @@
     target: calling_targets.CallingTarget
     process: children.ChildProcess | None = None
 
-    def addresses(self) -> calling_targets.NodeAddresses:
-        """Returns where its target reaches it."""
-        return calling_targets.NodeAddresses(
-            str(self.settings["callers"]), str(self.settings["targets"])
-        )
-
     def send_signal(self, number: int) -> None:
         """Sends a signal to its process, if it runs."""
         if self.process is not None:
@@ -212,15 +206,16 @@
             host = f"127.0.{3 + number // 250}.{1 + number % 250}"
             target_host = host
         address = self._reserve_address(target_host)
+        listeners = {
+            listener: self._reserve_address(host) for listener in _LISTENERS
+        }
         settings = {
             "name": name,
             "region": self._zones[zone],
             "zone": zone,
             "zones": self._zones,
             "platform": self._platform_url,
-            **{
-                listener: self._reserve_address(host) for listener in _LISTENERS
-            },
+            **listeners,
             "readiness": self._reserve_address(target_host),
             "interface": "platform",
             "once": "request-id",
@@ -244,11 +239,14 @@
             "limits": {"grace_seconds": 6.0, "notice_seconds": 2.5},
         }
 
-        def addresses() -> calling_targets.NodeAddresses:
-            return node.addresses()
-
         target = calling_targets.CallingTarget(
-            f"i-{number}", service, address, self._behavior, addresses
+            f"i-{number}",
+            service,
+            address,
+            self._behavior,
+            calling_targets.NodeAddresses(
+                listeners["callers"], listeners["targets"]
+            ),
         )
         node = Node(name, service, settings, target)
         self._all_nodes.append(node)
