Decode listings and events in one function

Both fell back to their items one by one in the same way. Behaviour is the same. The mutant that takes the fallback out names its new place; it is caught.

--- a/endivewind/platform/wire.py
+++ b/endivewind/platform/wire.py
@@ -79,12 +79,7 @@
     Raises:
       pydantic.ValidationError: the body is no valid page.
     """
-    try:
-        page = _WireListing.model_validate_json(body)
-    except pydantic.ValidationError as error:
-        rest, texts = _split_list(body, b'"items"', error)
-        page = _WireListing.model_validate_json(rest)
-        page.items = _readable(texts, _decode_item)
+    page = _decode_list(_WireListing, body, "items", _decode_item)
     objects = tuple(_to_stored(kind, item) for item in page.items)
     return messages.Page(page.at_rev, objects, page.has_more)
 
@@ -97,12 +92,7 @@
     Raises:
       pydantic.ValidationError: the body holds no valid events.
     """
-    try:
-        decoded = _WireEvents.model_validate_json(body)
-    except pydantic.ValidationError as error:
-        rest, texts = _split_list(body, b'"events"', error)
-        decoded = _WireEvents.model_validate_json(rest)
-        decoded.events = _readable(texts, _decode_event)
+    decoded = _decode_list(_WireEvents, body, "events", _decode_event)
     objects = tuple(
         _to_stored(kind, event.object, is_removed=event.deleted)
         for event in decoded.events
@@ -136,20 +126,35 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
-def _split_list(
-    body: bytes, name: bytes, error: pydantic.ValidationError
-) -> tuple[bytes, list[bytes]]:
-    """Splits a body into its list and the rest, without parsing the items.
+def _decode_list(
+    model: type[ModelT],
+    body: bytes,
+    name: str,
+    decode: collections.abc.Callable[[bytes], pydantic.BaseModel],
+) -> ModelT:
+    """Decodes a body, and its items one by one if they can't be parsed at once.
+
+    Args:
+      model: of the body.
+      body: the body's text.
+      name: of the field that holds the items.
+      decode: decodes one item.
 
     Raises:
-      pydantic.ValidationError: the given error, if that is not possible.
+      pydantic.ValidationError: the body does not fit the model.
     """
     try:
-        members = json_parts.split_object(body)
-        texts = json_parts.split_array(members.pop(name, b"[]"))
-    except ValueError:
-        raise error from None
-    return json_parts.join_object(members), texts
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        try:
+            members = json_parts.split_object(body)
+            texts = json_parts.split_array(
+                members.pop(b'"%b"' % name.encode(), b"[]")
+            )
+        except ValueError:
+            raise error from None
+        rest = model.model_validate_json(json_parts.join_object(members))
+        return rest.model_copy(update={name: _readable(texts, decode)})
 
 
 def _readable(
--- a/endivewind/tests/mutants.py
+++ b/endivewind/tests/mutants.py
@@ -171,7 +171,7 @@
     Mutant(
         "an entry that can't be parsed makes its page unreadable",
         "platform/wire.py",
-        "page.items = _readable(texts, _decode_item)",
+        "return rest.model_copy(update={name: _readable(texts, decode)})",
         "raise error",
         "platform.wire_tests",
     ),
