Parse Retry-After, and check the name of a removed object, in one place

The client library and the store's client had a parser each, with bounds of nine and four digits, which stay. The removal of an object wrapped its result again for the check that reads and writes use. Behaviour is the same.

--- a/endivewind/callers/client.py
+++ b/endivewind/callers/client.py
@@ -10,7 +10,6 @@
 import dataclasses
 import datetime
 import itertools
-import re
 
 import aiohttp
 import multidict
@@ -23,7 +22,6 @@
 # network delays.
 SPARE_KEY_LIFETIME = datetime.timedelta(seconds=40)
 INITIAL_BACKOFF = datetime.timedelta(milliseconds=100)
-_SECONDS = re.compile("[0-9]{1,9}")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,10 +47,7 @@
         Refusals without one are final. `NO_RESPONSE` has none either, but the
         request may be sent again.
         """
-        seconds = self.headers.get("Retry-After", "")
-        if _SECONDS.fullmatch(seconds) is None:
-            return None
-        return datetime.timedelta(seconds=int(seconds))
+        return http_responses.retry_after(self.headers, max_digits=9)
 
 
 _NO_HEADERS = multidict.CIMultiDictProxy(multidict.CIMultiDict[str]())
--- a/endivewind/http_responses.py
+++ b/endivewind/http_responses.py
@@ -8,6 +8,8 @@
 """
 
 import asyncio
+import collections.abc
+import datetime
 import functools
 import re
 from typing import Any
@@ -111,6 +113,24 @@
     )
 
 
+def retry_after(
+    fields: collections.abc.Mapping[str, str], *, max_digits: int
+) -> datetime.timedelta | None:
+    """Returns the wait that a response asks for.
+
+    Args:
+      fields: the fields of its head.
+      max_digits: of the number of seconds.
+
+    Returns:
+      The wait; None if it names none, a date or a longer number.
+    """
+    text = fields.get("Retry-After", "")
+    if not (text.isascii() and text.isdigit() and len(text) <= max_digits):
+        return None
+    return datetime.timedelta(seconds=int(text))
+
+
 def _check_head(head: bytes) -> int:
     """Checks the head of a response and returns its status.
 
--- a/endivewind/platform/client.py
+++ b/endivewind/platform/client.py
@@ -47,6 +47,7 @@
 _LAST_NAME = "~"
 
 DecodedT = TypeVar("DecodedT")
+_StoredT = TypeVar("_StoredT", bound=messages.StoredObject | None)
 Decode = collections.abc.Callable[[bytes], DecodedT]
 
 _FAILURES = {
@@ -235,11 +236,7 @@
             _object_path(kind, name, revision=expected),
             lambda body: wire.decode_removed(kind, body),
         )
-        if result.is_ok() and result.ok is not None:
-            return _check_name(expression.Ok(result.ok), kind, name).map(
-                lambda _: None
-            )
-        return result.map(lambda _: None)
+        return _check_name(result, kind, name).map(lambda _: None)
 
     async def watch(
         self,
@@ -364,16 +361,17 @@
 
 
 def _check_name(
-    result: expression.Result[messages.StoredObject, messages.PlatformError],
+    result: expression.Result[_StoredT, messages.PlatformError],
     kind: str,
     name: str,
-) -> expression.Result[messages.StoredObject, messages.PlatformError]:
+) -> expression.Result[_StoredT, messages.PlatformError]:
     """Rejects a response for another object than the requested one.
 
     This happens if a connection delivers the response to another request.
     """
-    if result.is_ok() and result.ok.name != name:
-        received = f"{kind}/{result.ok.name}"
+    stored = result.ok if result.is_ok() else None
+    if stored is not None and stored.name != name:
+        received = f"{kind}/{stored.name}"
         return _error(
             messages.FailureReason.INVALID,
             f"the response is for another object: {received}",
@@ -403,13 +401,5 @@
                 "conflict response without a valid object: %s",
                 wire.format_first_problem(error),
             )
-    return _error(failure, detail, current, _retry_after(response))
-
-
-def _retry_after(
-    response: aiohttp.ClientResponse,
-) -> datetime.timedelta | None:
-    text = response.headers.get("Retry-After", "")
-    if not (text.isascii() and text.isdigit() and len(text) < 5):
-        return None
-    return datetime.timedelta(seconds=int(text))
+    wait = http_responses.retry_after(response.headers, max_digits=4)
+    return _error(failure, detail, current, wait)
