--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,14 +1,14 @@
-"""Case 6: a planned stop of the machine from which clients read slowly.
+"""Case 6: slots that are never given back.
 
-Clients read downloads of 12 MB at 1.5 MB a second. Their machine's node gets SIGTERM,
-and goes on to take downloads that last longer than it does.
+Servers fail a portion of their requests, in spells of five seconds. Their error
+answers come in chunks and somewhat late, so that the node has sent the request
+to a second server by then.
 """
 
 import asyncio
+import collections
 import os
 import pathlib
-import signal
-import socket
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -17,103 +17,95 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ZONES = {"harbour": "coast", "quay": "coast"}
-GRACE_SECONDS = 6.0
-DEADLINE_MS = 12_000
-DOWNLOAD_BYTES = 12_000_000
-BYTES_PER_SECOND = 1_500_000
-# The segments of an ordinary link, and a small receive window.
-SEGMENT_BYTES = 1460
-WINDOW_BYTES = 65_536
+NODES = 8
+SLOTS = 3
+# Each node has a zone and a region of its own.
+ZONES = {f"zone-{index}": f"region-{index}" for index in range(NODES)}
+WORK_SECONDS, ERROR_SECONDS = 0.5, 0.8
+AIM_SECONDS = 1.0
+DEADLINE_MS = 8000
+PER_SECOND = 18
+SECONDS = 62.0
+# Two servers of eight at a time (0.25), each in one spell only.
+SPELLS = {0: 6.0, 1: 6.0, 2: 18.0, 3: 18.0}
+SPELL_SECONDS = 5.0
+FAILS_PERCENT = 90
+SOUND_AFTER = 8.0
+FLOOR_SHARE = 0.7
+WINDOW = 2.0
 
 
-class Archive(standins.Server):
-    """A sound server of downloads, which notes when it has sent an answer."""
+class Grey(standins.Server):
+    """A server that fails most of its requests in a spell."""
 
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
-        self.ended: dict[str, float] = {}
+    is_failing = False
+    answered = 0
 
     async def respond(self, line, fields, body, writer):
-        await asyncio.sleep(0.15)
         attempt = fields["x-attempt-id"]
-        writer.transport.set_write_buffer_limits(high=0)
-        writer.write(
-            standins.response(200, attempt, b"d" * DOWNLOAD_BYTES, self.ident)
-        )
+        if self.is_failing:
+            self.answered += 1
+            if self.answered * FAILS_PERCENT % 100 < FAILS_PERCENT:
+                # As after a call that it needed has failed.
+                await asyncio.sleep(ERROR_SECONDS)
+                writer.write(
+                    f"HTTP/1.1 500 x\r\nX-Attempt-Id: {attempt}\r\n"
+                    f"X-Response-Stamp: stamp.{self.ident}\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nerror\r\n0\r\n\r\n".encode()
+                )
+                await writer.drain()
+                return True
+        await asyncio.sleep(WORK_SECONDS)
+        writer.write(standins.response(200, attempt, b"found", self.ident))
         await writer.drain()
-        self.ended[attempt] = standins.now()
-        self.record.write(f"{self.ident} has sent the answer to {attempt}")
         return True
 
 
-async def download(record, address, ident, ends):
-    """Reads one download slowly; notes how it ended."""
+async def look_up(record, address, ident, sent, ends):
     host, _, port = address.rpartition(":")
-    opened = socket.socket()
-    opened.setblocking(False)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    loop = asyncio.get_running_loop()
-    sent = standins.now()
-    received, head, status = 0, b"", 0
+    sent[ident] = standins.now()
     try:
-        await loop.sock_connect(opened, (host, int(port)))
-        await loop.sock_sendall(
-            opened,
-            f"GET /archive/a HTTP/1.1\r\nHost: shop.example\r\n"
-            f"X-Attempt-Id: {ident}\r\n"
-            f"X-Deadline-Ms: {DEADLINE_MS}\r\n\r\n".encode(),
-        )
-        begun = None
-        end = "cut off"
-        while data := await loop.sock_recv(opened, 65_536):
-            if not status:
-                head += data
-                if b"\r\n\r\n" not in head:
-                    continue
-                status = int(head.split()[1])
-                data = head.partition(b"\r\n\r\n")[2]
-                begun = standins.now()
-                if status != 200:
-                    end = "refused"
-                    break
-            received += len(data)
-            if received >= DOWNLOAD_BYTES:
-                end = "whole"
-                break
-            due = begun + received / BYTES_PER_SECOND
-            await asyncio.sleep(max(0, due - standins.now()))
-    except OSError as error:
-        end = "no connection" if not status else f"cut off ({error!r})"
-    finally:
-        opened.close()
-    ends[ident] = (sent, standins.now(), status, received, end)
+        async with asyncio.timeout(DEADLINE_MS / 1000):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(
+                    f"GET /desk/x HTTP/1.1\r\nHost: shop.example\r\n"
+                    f"X-Attempt-Id: {ident}\r\n"
+                    f"X-Deadline-Ms: {DEADLINE_MS}\r\n\r\n".encode()
+                )
+                status, _, _ = await standins.read_answer(reader)
+                ends[ident] = str(status)
+            finally:
+                writer.close()
+    except TimeoutError:
+        ends[ident] = "no answer"
+    except (OSError, EOFError):
+        ends[ident] = "closed"
+    took = standins.now() - sent[ident]
     record.write(
-        f"client {ident} sent at {sent:.3f}: status {status},"
-        f" {received} bytes, {end}"
+        f"client {ident} sent at {sent[ident]:.3f}: {ends[ident]}"
+        f" after {took:.3f} s"
     )
 
 
 async def main(fleet, record) -> int:
     await fleet.start_platform()
     servers = []
-    for index, name in enumerate(["desk", "archive", "archive", "archive"]):
-        zone = ("harbour", "quay")[index % 2]
+    for index in range(NODES):
         node = fleet.add_node(
-            f"node-{index}", f"127.0.0.{11 + index}", zone, ZONES, name
+            f"node-{index}", f"127.0.0.{11 + index}", f"zone-{index}", ZONES,
+            "desk",
         )
         ip, _, port = node["server"].rpartition(":")
         servers.append(
-            Archive(record, f"i-{index}", name, zone, ip, int(port),
-                    node["control"], slots=16)
+            Grey(record, f"i-{index}", "desk", f"zone-{index}", ip, int(port),
+                 node["control"], slots=SLOTS)
         )
     await fleet.configure(
         1,
         [
-            standins.route("/archive/", "archive", "download", timeout_s=10.0),
-            standins.route("/desk/", "desk"),
-            standins.service("archive"),
+            standins.route("/desk/", "desk", target_latency_s=AIM_SECONDS),
             standins.service("desk"),
             standins.LIMITS,
         ],
@@ -125,74 +117,64 @@
     for name in fleet.nodes:
         await fleet.wait_ready(name)
     await asyncio.sleep(5)
-    node = fleet.nodes["node-0"]
-    ends = {}
-    tasks = []
-    stopped = None
-    exited = None
-    misses = 0
-    asked = 0.0
+    sent, ends, tasks = {}, {}, []
+    nodes = list(fleet.nodes.values())
     begun = standins.now()
     number = 0
-    # The platform asks each second whether the node is ready. After two misses
-    # the clients of the machine get no new work.
-    while standins.now() - begun < 16 and misses < 2:
+    while standins.now() - begun < SECONDS:
+        elapsed = standins.now() - begun
+        for index, at in SPELLS.items():
+            failing = TROUBLE and at <= elapsed < at + SPELL_SECONDS
+            if servers[index].is_failing != failing:
+                servers[index].is_failing = failing
+                record.write(f"i-{index} fails requests: {failing}")
         number += 1
-        ident = f"d{number}"
-        tasks.append(
-            asyncio.create_task(download(record, node["callers"], ident, ends))
+        address = nodes[number % NODES]["callers"]
+        tasks.append(asyncio.create_task(
+            look_up(record, address, f"l{number}", sent, ends)
+        ))
+        await asyncio.sleep(
+            max(0, begun + number / PER_SECOND - standins.now())
         )
-        await asyncio.sleep(0.8)
-        if TROUBLE and stopped is None and standins.now() - begun > 9:
-            stopped = standins.now()
-            record.write("node-0 gets SIGTERM")
-            fleet.processes.signal("node-0", signal.SIGTERM)
-            exited = asyncio.create_task(
-                fleet.processes.running["node-0"].wait()
-            )
-        if standins.now() - asked >= 1:
-            asked = standins.now()
-            is_ready = await standins.call(node["ready"], "GET", "/ready") == 200
-            misses = 0 if is_ready else misses + 1
-    if stopped is not None:
-        left = stopped + GRACE_SECONDS - standins.now()
-        done, _ = await asyncio.wait({exited}, timeout=max(0, left))
-        if not done:
-            record.write("node-0 is killed at the end of its grace")
-            fleet.processes.signal("node-0", signal.SIGKILL)
-        else:
-            record.write("node-0 has ended")
     await asyncio.gather(*tasks)
-    sent_by = {}
+    # From when on all servers are sound again.
+    sound_from = begun + max(SPELLS.values()) + SPELL_SECONDS + SOUND_AFTER
+    last = begun + SECONDS - DEADLINE_MS / 1000
     for server in servers:
-        sent_by.update(server.ended)
-    lost = []
-    for ident, (sent, ended, status, received, end) in ends.items():
-        if not end.startswith("cut off"):
-            continue
-        at_work = (
-            ident not in sent_by
-            or stopped is None
-            or sent_by[ident] >= stopped + GRACE_SECONDS * 5 / 6
+        times = [at for at, _, _ in server.runs]
+        later = sum(at >= sound_from for at in times)
+        record.write(
+            f"{server.ident}: {len(times)} requests, {later} since all are sound"
         )
-        if status == 200 and not at_work:
-            lost.append(ident)
-            record.write(
-                f"LOST: {ident}, sent {sent - stopped:+.3f} s from the SIGTERM,"
-                f" {received} of {DOWNLOAD_BYTES} bytes; its server had sent"
-                f" all at {sent_by[ident] - stopped:+.3f} s"
-            )
-    whole = sum(item[4] == "whole" for item in ends.values())
-    after = [item for item in lost if stopped and ends[item][0] > stopped]
-    record.write(f"downloads: {len(ends)}, whole: {whole}")
-    record.write(
-        f"cut off though their servers had ended: {len(lost)}, of these sent"
-        f" after the SIGTERM: {len(after)}"
-    )
-    if whole < 8:
+    broken = []
+    start = sound_from
+    while start + WINDOW <= last:
+        end = start + WINDOW
+        used = sum(
+            any(start <= at < end for at, _, _ in server.runs)
+            for server in servers
+        )
+        asked = [i for i, at in sent.items() if start <= at < end]
+        failed = sum(ends[ident] != "200" for ident in asked)
+        if (
+            0 < used < FLOOR_SHARE * NODES
+            and asked
+            and 0.1 < failed / len(asked) < 0.5
+        ):
+            broken.append((start, used, failed, len(asked)))
+        start += 0.1
+    for start, used, failed, asked in broken[:3]:
+        record.write(
+            f"FLOOR: from {start:.1f} on, {used} of {NODES} sound servers get"
+            f" requests, {failed} of {asked} requests aren't served"
+        )
+    calm = [i for i, at in sent.items() if sound_from <= at <= last]
+    count = collections.Counter(ends[ident] for ident in calm)
+    record.write(f"since all servers are sound, requests by end: {dict(count)}")
+    record.write(f"windows of {WINDOW} s that break the rule: {len(broken)}")
+    if list(ends.values()).count("200") < 300:
         return 2
-    # Only those are held against it that it took after the signal.
-    return 1 if after else 0
+    return 1 if broken else 0
 
 
 standins.run(main, FOLDER)
